--- /dev/null
+++ b/crates/monsoonnotch_core/src/call/mod.rs
@@ -0,0 +1,89 @@
+//! Callers' requests from arrival to the final answer.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::config::Profile;
+use crate::ident::CallKey;
+use crate::ident::MemberId;
+use crate::ident::Name;
+use crate::ident::VmKey;
+use crate::queue::Queue;
+use crate::resource::Resources;
+use crate::time::Time;
+
+/// Where a request stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum State {
+    /// The home of its idempotency key is to allow it.
+    AskedHome,
+    /// It waits for a slot.
+    Waiting,
+    /// It waits for a slot, and a peer was asked for one.
+    AskedPeer {
+        /// The peer.
+        peer: MemberId,
+        /// When it was asked.
+        asked: Time,
+    },
+    /// It runs on a worker that this member holds.
+    Local(VmKey),
+    /// It runs on a worker that a peer holds.
+    Remote(MemberId),
+}
+
+/// A request of a caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Call {
+    /// The team, unless the queue is open to all.
+    pub team: Option<Name>,
+    /// The profile's name.
+    pub profile_name: Name,
+    /// The profile as it was on arrival.
+    pub profile: Profile,
+    /// When it arrived.
+    pub arrived: Time,
+    /// When it is given up if it still waits.
+    pub give_up: Time,
+    /// Where it stands.
+    pub state: State,
+    /// The idempotency key whose home allowed it.
+    pub intent: Option<crate::wire::IdemKey>,
+    /// Upstreams that it was sent to.
+    pub attempts: u32,
+    /// Peers that had no slot for it.
+    pub refused_by: BTreeSet<MemberId>,
+}
+
+impl Call {
+    /// What it takes of a worker.
+    pub fn size(&self) -> &Resources {
+        &self.profile.size
+    }
+}
+
+/// A slot of this member's workers that a peer's request uses.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Granted {
+    /// The worker.
+    pub vm: VmKey,
+    /// The team, unless the queue is open to all.
+    pub team: Option<Name>,
+    /// What it takes.
+    pub size: Resources,
+    /// When the peer has certainly stopped using it or should have said so.
+    pub until: Time,
+}
+
+/// All requests that this member has to do with.
+#[derive(Debug, Default)]
+pub struct Calls {
+    /// Requests of own callers.
+    pub open: BTreeMap<CallKey, Call>,
+    /// Those that wait.
+    pub queue: Queue<CallKey>,
+    /// Those that wait, by when they are given up.
+    pub give_up: BTreeSet<(Time, CallKey)>,
+    /// Slots granted to peers.
+    pub granted: BTreeMap<(MemberId, CallKey), Granted>,
+}
--- /dev/null
+++ b/crates/monsoonnotch_core/src/ledger/fold.rs
@@ -0,0 +1,197 @@
+//! The effect of each record on the ledger.
+
+use super::EVICTING_VOTES;
+use super::Ending;
+use super::Folded;
+use super::GUARDS;
+use super::Ledger;
+use super::Member;
+use crate::config::Change;
+use crate::config::Setting;
+use crate::ident::MemberId;
+use crate::record::Batch;
+use crate::record::Body;
+use crate::record::Record;
+
+/// Former members remembered; more than can end while a record is under way.
+const ENDINGS_KEPT: usize = 1_024;
+
+impl Ledger {
+    /// Applies the batch at `offset`; one that was applied before changes nothing.
+    pub fn apply(&mut self, offset: u64, batch: &Batch) -> Vec<Folded> {
+        let mut out = Vec::new();
+        if offset < self.next {
+            return out;
+        }
+        self.next = offset + 1;
+        for record in &batch.records {
+            self.apply_record(offset, batch.writer, record, &mut out);
+        }
+        out
+    }
+
+    /// Takes over a snapshot that covers more than what is applied.
+    pub fn restore(&mut self, snapshot: &Self) -> bool {
+        let newer = snapshot.next > self.next;
+        if newer {
+            *self = snapshot.clone();
+        }
+        newer
+    }
+
+    fn apply_record(
+        &mut self,
+        offset: u64,
+        writer: MemberId,
+        record: &Record,
+        out: &mut Vec<Folded>,
+    ) {
+        let joins = matches!(record.body, Body::Join { .. });
+        if self.is_member(writer) == joins || self.endings.contains_key(&writer) {
+            return;
+        }
+        let last = self.seqs.entry(writer).or_insert(0);
+        if record.seq <= *last {
+            return;
+        }
+        *last = record.seq;
+        self.apply_body(offset, writer, record, out);
+    }
+
+    fn apply_body(&mut self, offset: u64, w: MemberId, record: &Record, out: &mut Vec<Folded>) {
+        match &record.body {
+            Body::Join { domain, addr } => {
+                let member = Member {
+                    domain: domain.clone(),
+                    addr: addr.clone(),
+                    guards: Vec::new(),
+                    votes: Default::default(),
+                };
+                self.members.insert(w, member);
+                out.push(Folded::Joined(w));
+            }
+            Body::Guards { guards } => self.set_guards(w, guards, out),
+            Body::Vote { target } => self.vote(offset, w, *target, out),
+            Body::Leave { heir } => {
+                let heir = heir.filter(|h| *h != w && self.is_member(*h));
+                let ending = Ending {
+                    heir,
+                    offset,
+                    left: true,
+                };
+                self.end(w, ending, out);
+            }
+            Body::Claim { things } => {
+                self.claim(w, things);
+                out.push(Folded::Moved);
+            }
+            Body::Transfer { things, to } => {
+                self.transfer(w, things, *to);
+                out.push(Folded::Moved);
+            }
+            Body::Release { things } => {
+                self.release(w, things);
+                out.push(Folded::Moved);
+            }
+            Body::Adopted { ancestor } => {
+                if let Some(a) = self.ancestors.get_mut(&w) {
+                    a.remove(ancestor);
+                }
+            }
+            Body::Config(change) => self.configure(offset, w, record.seq, change, out),
+            // A snapshot matters only to whoever starts from it.
+            Body::Snapshot { .. } => {}
+        }
+    }
+
+    fn configure(
+        &mut self,
+        offset: u64,
+        writer: MemberId,
+        seq: u64,
+        change: &Change,
+        out: &mut Vec<Folded>,
+    ) {
+        let outcome = self.config.apply(offset, change);
+        if let Setting::Team(name, _) = &change.set {
+            let limit = self.config.teams.get(name).map_or(0, |t| t.value.limit);
+            self.allotments.limit(name, limit);
+        }
+        out.push(Folded::Config {
+            writer,
+            seq,
+            outcome,
+        });
+    }
+
+    fn set_guards(&mut self, w: MemberId, guards: &[MemberId], out: &mut Vec<Folded>) {
+        let mut valid: Vec<MemberId> = Vec::new();
+        for g in guards {
+            if *g != w && self.is_member(*g) && !valid.contains(g) && valid.len() < GUARDS {
+                valid.push(*g);
+            }
+        }
+        let member = self.members.get_mut(&w).expect("the writer is a member");
+        member.votes.retain(|v| valid.contains(v));
+        member.guards = valid;
+        out.push(Folded::GuardsChanged(w));
+    }
+
+    fn vote(&mut self, offset: u64, guard: MemberId, target: MemberId, out: &mut Vec<Folded>) {
+        let Some(member) = self.members.get_mut(&target) else {
+            return;
+        };
+        if !member.guards.contains(&guard) {
+            return;
+        }
+        member.votes.insert(guard);
+        let evicted = member.votes.len() >= EVICTING_VOTES;
+        out.push(Folded::Voted { guard, target });
+        if evicted {
+            let ending = Ending {
+                heir: Some(guard),
+                offset,
+                left: false,
+            };
+            self.end(target, ending, out);
+        }
+    }
+
+    fn end(&mut self, m: MemberId, ending: Ending, out: &mut Vec<Folded>) {
+        self.members.remove(&m);
+        self.seqs.remove(&m);
+        self.endings.insert(m, ending);
+        self.inherit(m, ending.heir);
+        self.replace_guard(m, out);
+        self.forget_endings();
+        out.push(Folded::Ended(m, ending));
+    }
+
+    /// Puts another member in the place of a guard that ended.
+    fn replace_guard(&mut self, gone: MemberId, out: &mut Vec<Folded>) {
+        let affected: Vec<MemberId> = self
+            .members
+            .iter()
+            .filter(|(_, x)| x.guards.contains(&gone))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in affected {
+            let next = self
+                .ring_after(id)
+                .find(|y| !self.members[&id].guards.contains(y));
+            let member = self.members.get_mut(&id).expect("just seen");
+            member.guards.retain(|g| *g != gone);
+            member.votes.remove(&gone);
+            member.guards.extend(next);
+            out.push(Folded::GuardsChanged(id));
+        }
+    }
+
+    fn forget_endings(&mut self) {
+        while self.endings.len() > ENDINGS_KEPT {
+            let oldest = self.endings.iter().min_by_key(|(_, e)| e.offset);
+            let id = *oldest.expect("not empty").0;
+            self.endings.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/monsoonnotch_core/src/reducer/mod.rs
@@ -0,0 +1,232 @@
+//! One reducer over all events: control state in, effects out.
+//!
+//! `Control` owns all control state of an entry. `step` takes one event and
+//! the time at which it is handled and returns what is to be done. Nothing
+//! here blocks, reads a clock or draws a random number.
+
+mod calls;
+mod check;
+mod dump;
+mod grants;
+mod holdings;
+mod jobs;
+mod journal;
+mod keyed;
+mod log;
+mod operators;
+mod peers;
+mod stop;
+mod tasks;
+mod use_count;
+mod writer;
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use crate::call::Calls;
+use crate::effect::Effect;
+use crate::event::Event;
+use crate::fleet::Fleet;
+use crate::guard::Guarding;
+use crate::ident::MemberId;
+use crate::ident::Name;
+use crate::ledger::Ledger;
+use crate::notice::Notice;
+use crate::time::Time;
+use crate::timing::Timing;
+use crate::wire::PeerAddr;
+use crate::wire::PeerMsg;
+use crate::wire::Relayed;
+
+use self::holdings::Holdings;
+use self::jobs::Jobs;
+use self::journal::Journal;
+use self::keyed::Keyed;
+use self::log::LogReader;
+use self::operators::Operators;
+use self::peers::Peers;
+use self::stop::Stopping;
+use self::tasks::Tasks;
+use self::use_count::UseCount;
+use self::writer::Writer;
+
+/// What a member is told when it starts.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// This incarnation.
+    pub me: MemberId,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Where its peers reach it, as `ip:port`.
+    pub addr: Name,
+    /// The protocols' spans.
+    pub timing: Timing,
+    /// Most requests that wait.
+    pub queue_max: usize,
+    /// Records of the control stream between two snapshots.
+    pub snapshot_every: u64,
+}
+
+/// All control state of one entry.
+#[derive(Debug)]
+pub struct Control {
+    cfg: Settings,
+    now: Time,
+    out: Vec<Effect>,
+    ledger: Ledger,
+    guarding: Guarding,
+    history: VecDeque<Relayed>,
+    log: LogReader,
+    writer: Writer,
+    holdings: Holdings,
+    fleet: Fleet,
+    used: UseCount,
+    peers: Peers,
+    calls: Calls,
+    journal: Journal,
+    keyed: Keyed,
+    jobs: Jobs,
+    tasks: Tasks,
+    operators: Operators,
+    stopping: Stopping,
+    was_certain: bool,
+    was_ready: bool,
+    refusing: BTreeMap<crate::verdict::Reason, Time>,
+}
+
+impl Control {
+    /// A member that knows nothing yet.
+    pub fn new(cfg: Settings) -> Self {
+        Self {
+            guarding: Guarding::new(cfg.me, cfg.timing),
+            cfg,
+            now: Time::default(),
+            out: Vec::new(),
+            ledger: Ledger::default(),
+            history: VecDeque::new(),
+            log: LogReader::default(),
+            writer: Writer::default(),
+            holdings: Holdings::default(),
+            fleet: Fleet::default(),
+            used: UseCount::default(),
+            peers: Peers::default(),
+            calls: Calls::default(),
+            journal: Journal::default(),
+            keyed: Keyed::default(),
+            jobs: Jobs::default(),
+            tasks: Tasks::default(),
+            operators: Operators::default(),
+            stopping: Stopping::default(),
+            was_certain: false,
+            was_ready: false,
+            refusing: BTreeMap::new(),
+        }
+    }
+
+    /// Handles one event at `now` and returns what is to be done.
+    #[must_use]
+    pub fn step(&mut self, now: Time, ev: Event) -> Vec<Effect> {
+        self.now = self.now.max(now);
+        self.handle(ev);
+        self.start_waiting_calls();
+        self.flush_writer();
+        self.flush_journal();
+        self.publish_certainty();
+        self.check_invariants();
+        std::mem::take(&mut self.out)
+    }
+
+    /// The ledger as this member has read it.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// The workers as this member knows them.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Whether this member may start work at `now`.
+    pub fn certain(&self, now: Time) -> bool {
+        self.guarding.certain(now, &self.ledger)
+    }
+
+    fn handle(&mut self, ev: Event) {
+        match ev {
+            Event::Tick => self.tick(),
+            Event::Read(reply) => self.log_read(reply),
+            Event::LogFailed(stream) => self.log_failed(stream),
+            Event::Appended { stream, token } => self.appended(stream, token),
+            Event::Journal { member, entries } => self.journal_read(member, entries),
+            Event::Peer { from, msg } => self.peer_message(from, msg),
+            Event::Vms(list) => self.vms_listed(&list),
+            Event::Synced { vm, asked, report } => self.synced(&vm, asked, &report),
+            Event::SyncFailed { vm } => self.sync_failed(&vm),
+            Event::TaskStarted { vm, task, verdict } => self.task_started(&vm, task, verdict),
+            Event::Call(call) => self.call_arrived(call),
+            Event::CallEnded { call, ended } => self.call_ended(call, ended),
+            Event::CallGone(call) => self.call_gone(call),
+            Event::Submit { ticket, key, spec } => self.submit(ticket, key, spec),
+            Event::Job { ticket, key, ask } => self.job_asked(ticket, key, ask),
+            Event::Change { ticket, change } => self.change(ticket, change),
+            Event::Dump(ticket) => self.dump(ticket),
+            Event::Stop => self.stop(),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.read_if_due();
+        self.ping_if_due();
+        self.vote_if_due();
+        self.balance_if_due();
+        self.summary_if_due();
+        self.sync_if_due();
+        self.expire_calls();
+        self.expire_grants();
+        self.tick_keyed();
+        self.tick_jobs();
+        self.tick_stop();
+    }
+
+    fn note(&mut self, notice: Notice) {
+        self.out.push(Effect::Note(notice));
+    }
+
+    /// Sends to a present member; a message to anyone else is dropped.
+    fn send(&mut self, to: MemberId, msg: PeerMsg) {
+        let Some(member) = self.ledger.members.get(&to) else {
+            return;
+        };
+        let to = PeerAddr {
+            member: to,
+            addr: member.addr.clone(),
+        };
+        self.out.push(Effect::Send { to, msg });
+    }
+
+    fn is_certain(&self) -> bool {
+        self.certain(self.now)
+    }
+
+    fn certain_until(&self) -> Time {
+        self.guarding
+            .certain_until(&self.ledger)
+            .unwrap_or_default()
+    }
+
+    fn publish_certainty(&mut self) {
+        let certain = self.is_certain();
+        if certain != self.was_certain {
+            self.was_certain = certain;
+            self.note(match certain {
+                true => Notice::CertaintyBack,
+                false => Notice::CertaintyLost,
+            });
+        }
+        let ready = certain && !self.stopping.begun() && self.fleet.held().next().is_some();
+        if ready != self.was_ready {
+            self.was_ready = ready;
+            self.out.push(Effect::Ready(ready));
+        }
+    }
+}
--- /dev/null
+++ b/crates/monsoonnotch_core/src/reducer/peers.rs
@@ -0,0 +1,145 @@
+//! Messages from and to other members: pings, promises, summaries.
+
+use std::collections::BTreeMap;
+
+use super::Control;
+use crate::ident::MemberId;
+use crate::notice::Notice;
+use crate::record::Body;
+use crate::time::Time;
+use crate::wire::PeerMsg;
+use crate::wire::Summary;
+
+/// What this member knows of the others.
+#[derive(Debug, Default)]
+pub(super) struct Peers {
+    ping_due: Time,
+    summary_due: Time,
+    /// Last summary of each peer and when it came.
+    pub(super) summaries: BTreeMap<MemberId, (Time, Summary)>,
+    /// Position of each peer on the control stream, as far as it said.
+    positions: BTreeMap<MemberId, u64>,
+}
+
+impl Control {
+    pub(super) fn peer_message(&mut self, from: MemberId, msg: PeerMsg) {
+        match msg {
+            PeerMsg::Ping {
+                sent,
+                next,
+                records,
+            } => self.pinged(from, sent, next, records),
+            PeerMsg::Promise {
+                sent,
+                next,
+                records,
+            } => {
+                self.relayed(records);
+                self.peers.positions.insert(from, next);
+                self.guarding.promise_received(from, Time(sent));
+            }
+            PeerMsg::Summary(s) => {
+                self.peers.summaries.insert(from, (self.now, s));
+            }
+            PeerMsg::SlotAsk(ask) => self.slot_asked(from, ask),
+            PeerMsg::SlotGrant { call, vm: _, addr } => self.slot_granted(from, call, addr),
+            PeerMsg::SlotNone { call, reason } => self.slot_denied(from, call, reason),
+            PeerMsg::SlotReturn { call, verdict } => self.slot_returned(from, call, verdict),
+            PeerMsg::IntentAsk { call, key, digest } => self.intent_asked(from, call, key, digest),
+            PeerMsg::IntentAnswer { call, answer } => self.intent_answered(call, answer),
+            PeerMsg::IntentSettle { key, call, verdict } => {
+                self.intent_settled(from, &key, call, verdict);
+            }
+            PeerMsg::TaskAsk { task, spec } => self.task_asked(from, task, spec),
+            PeerMsg::TaskNews { news } => self.task_news(from, news),
+            PeerMsg::TaskSeen { tasks } => self.tasks_seen(&tasks),
+            PeerMsg::TaskStop { tasks } => self.tasks_stopped(from, &tasks),
+            PeerMsg::TasksOf { question, next } => self.tasks_of(from, question, next),
+            PeerMsg::TasksHere {
+                question,
+                tasks,
+                unknown,
+            } => self.tasks_here(from, question, tasks, unknown),
+            PeerMsg::JobAsk { question, ask } => self.peer_job_asked(from, question, ask),
+            PeerMsg::JobAnswer { question, answer } => self.peer_job_answered(question, answer),
+        }
+    }
+
+    pub(super) fn ping_if_due(&mut self) {
+        if self.now < self.peers.ping_due {
+            return;
+        }
+        self.peers.ping_due = self.now + self.cfg.timing.ping;
+        for guard in self.guarding.guards(&self.ledger) {
+            let known = self.peers.positions.get(&guard).copied();
+            let records = known.map_or(Vec::new(), |next| self.relay_from(next));
+            let msg = PeerMsg::Ping {
+                sent: self.now.0,
+                next: self.ledger.next,
+                records,
+            };
+            self.send(guard, msg);
+        }
+    }
+
+    pub(super) fn vote_if_due(&mut self) {
+        if self.log.dark || self.stopping.begun() {
+            return;
+        }
+        for target in self.guarding.votes_due(self.now, &self.ledger) {
+            self.note(Notice::Voted(target));
+            self.write(Body::Vote { target });
+        }
+    }
+
+    pub(super) fn summary_if_due(&mut self) {
+        if self.now < self.peers.summary_due {
+            return;
+        }
+        self.peers.summary_due = self.now + self.cfg.timing.summary;
+        let summary = self.summary();
+        let members: Vec<MemberId> = self.ledger.members.keys().copied().collect();
+        for m in members {
+            if m != self.cfg.me {
+                self.send(m, PeerMsg::Summary(summary.clone()));
+            }
+        }
+    }
+
+    pub(super) fn peer_ended(&mut self, m: MemberId) {
+        self.peers.summaries.remove(&m);
+        self.peers.positions.remove(&m);
+        self.calls_peer_ended(m);
+        self.grants_peer_ended(m);
+    }
+
+    fn pinged(&mut self, from: MemberId, sent: u64, next: u64, records: Vec<crate::wire::Relayed>) {
+        self.relayed(records);
+        self.peers.positions.insert(from, next);
+        if self.guarding.pinged(self.now, from, &self.ledger) {
+            let msg = PeerMsg::Promise {
+                sent,
+                next: self.ledger.next,
+                records: self.relay_from(next),
+            };
+            self.send(from, msg);
+        }
+    }
+
+    fn summary(&self) -> Summary {
+        let free = match self.is_certain() {
+            true => u32::try_from(self.fleet.free_slots()).unwrap_or(u32::MAX),
+            false => 0,
+        };
+        Summary {
+            free,
+            waiting: u32::try_from(self.calls.queue.len()).unwrap_or(u32::MAX),
+            price: 0,
+            used: self
+                .used
+                .teams()
+                .map(|(t, n)| (t.clone(), u64::from(n)))
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/monsoonnotch_core/src/reducer/writer.rs
@@ -0,0 +1,97 @@
+//! Appending to the control stream, once each, in order.
+
+use std::collections::VecDeque;
+
+use super::Control;
+use crate::effect::Effect;
+use crate::record::Batch;
+use crate::record::Body;
+use crate::record::Record;
+use crate::time::Time;
+
+/// Most records in one append.
+const BATCH_MAX: usize = 256;
+
+/// Records on their way to the control stream.
+///
+/// A record stays until it is read back; one whose append got no reply is
+/// sent again under the same sequence number.
+#[derive(Debug, Default)]
+pub(super) struct Writer {
+    seq: u64,
+    token: u64,
+    pending: VecDeque<Record>,
+    /// The append that is out: when it was sent and its last sequence number.
+    out: Option<(Time, u64)>,
+    /// Last sequence number known to be in the log.
+    confirmed: u64,
+}
+
+impl Writer {
+    pub(super) fn push(&mut self, body: Body) -> u64 {
+        self.seq += 1;
+        let seq = self.seq;
+        self.pending.push_back(Record { seq, body });
+        seq
+    }
+
+    pub(super) fn read_back(&mut self, seq: u64) {
+        self.pending.retain(|r| r.seq > seq);
+        self.confirmed = self.confirmed.max(seq);
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    fn confirmed(&mut self, token: u64) -> bool {
+        let ours = token == self.token;
+        if let (true, Some((_, seq))) = (ours, self.out) {
+            self.confirmed = self.confirmed.max(seq);
+            self.out = None;
+        }
+        ours
+    }
+
+    fn next_batch(&mut self, now: Time) -> Option<Vec<Record>> {
+        let unconfirmed = |r: &&Record| r.seq > self.confirmed;
+        let records: Vec<Record> = self
+            .pending
+            .iter()
+            .filter(unconfirmed)
+            .take(BATCH_MAX)
+            .cloned()
+            .collect();
+        self.out = Some((now, records.last()?.seq));
+        self.token += 1;
+        Some(records)
+    }
+}
+
+impl Control {
+    pub(super) fn write(&mut self, body: Body) -> u64 {
+        self.writer.push(body)
+    }
+
+    pub(super) fn flush_writer(&mut self) {
+        let wait = self.cfg.timing.append;
+        let waits = |(sent, _): (Time, u64)| self.now.since(sent) < wait;
+        if self.writer.out.is_some_and(waits) {
+            return;
+        }
+        let Some(records) = self.writer.next_batch(self.now) else {
+            return;
+        };
+        let writer = self.cfg.me;
+        self.out.push(Effect::Append {
+            token: self.writer.token,
+            batch: Batch { writer, records },
+        });
+    }
+
+    pub(super) fn append_confirmed(&mut self, token: u64) {
+        if self.writer.confirmed(token) {
+            self.read_now();
+        }
+    }
+}
--- /dev/null
+++ b/crates/monsoonnotch_core/src/time/mod.rs
@@ -0,0 +1,86 @@
+//! Time on one process's own monotonic clock.
+//!
+//! A `Time` is never sent to another process and never compared with one from
+//! another process.
+
+use std::ops::Add;
+use std::ops::Sub;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Microseconds since the process started.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(transparent)]
+pub struct Time(pub u64);
+
+/// A span of time in microseconds.
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Duration(pub u64);
+
+impl Duration {
+    /// A span of whole milliseconds.
+    pub const fn from_millis(ms: u64) -> Self {
+        Self(ms * 1_000)
+    }
+
+    /// A span of whole seconds.
+    pub const fn from_secs(s: u64) -> Self {
+        Self(s * 1_000_000)
+    }
+
+    /// Whole milliseconds, rounded down.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// Whole seconds, rounded up.
+    pub const fn as_secs_ceil(self) -> u64 {
+        self.0.div_ceil(1_000_000)
+    }
+
+    /// The span `n` times over.
+    pub const fn times(self, n: u64) -> Self {
+        Self(self.0.saturating_mul(n))
+    }
+}
+
+impl From<Duration> for std::time::Duration {
+    fn from(d: Duration) -> Self {
+        Self::from_micros(d.0)
+    }
+}
+
+impl Time {
+    /// The span since `earlier`; zero when `earlier` is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Self;
+
+    fn add(self, d: Duration) -> Self {
+        Self(self.0.saturating_add(d.0))
+    }
+}
+
+impl Sub<Duration> for Time {
+    type Output = Self;
+
+    fn sub(self, d: Duration) -> Self {
+        Self(self.0.saturating_sub(d.0))
+    }
+}
+
+impl Add for Duration {
+    type Output = Self;
+
+    fn add(self, d: Self) -> Self {
+        Self(self.0.saturating_add(d.0))
+    }
+}
--- /dev/null
+++ b/crates/monsoonnotch_entry/src/args/mod.rs
@@ -0,0 +1,83 @@
+//! The command line of `monsoonnotch`.
+
+use std::process::ExitCode;
+
+use getopts::Options;
+use monsoonnotch_core::notice::Notice;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::logs;
+use crate::process;
+use crate::process::Entry;
+use crate::settings::Settings;
+
+/// Exit code for a wrong command line or wrong settings.
+const EXIT_USAGE: u8 = 2;
+/// Exit code when the process cannot start.
+const EXIT_START: u8 = 1;
+
+/// Runs the entry process.
+pub fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let mut opts = Options::new();
+    opts.reqopt("s", "settings", "the settings file", "FILE");
+    opts.optflag("c", "check", "check the settings file and exit");
+    opts.optflag("h", "help", "show this help and exit");
+    let brief = "Usage: monsoonnotch --settings FILE [--check]\n\
+                 Exit codes: 0 stopped or sound, 1 cannot start, 2 wrong command line or settings.";
+    if args.iter().any(|a| a == "-h" || a == "--help") {
+        print!("{}", opts.usage(brief));
+        return ExitCode::SUCCESS;
+    }
+    let matches = match opts.parse(&args) {
+        Ok(m) => m,
+        Err(e) => {
+            eprintln!("monsoonnotch: {e}; see monsoonnotch --help");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    let path = matches.opt_str("settings").unwrap_or_default();
+    let settings = match Settings::read(&path) {
+        Ok(s) => s,
+        Err(e) => {
+            eprintln!("monsoonnotch: {e}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if matches.opt_present("check") {
+        println!("{path}: the settings are sound");
+        return ExitCode::SUCCESS;
+    }
+    run(settings)
+}
+
+fn run(settings: Settings) -> ExitCode {
+    logs::set_up();
+    let metrics = process::set_up_metrics();
+    let entry = match Entry::start(settings, metrics) {
+        Ok(entry) => entry,
+        Err(e) => {
+            eprintln!("monsoonnotch: cannot start: {e}; check that the addresses are free");
+            return ExitCode::from(EXIT_START);
+        }
+    };
+    entry.runtime().block_on(until_stop());
+    entry.stop();
+    ExitCode::SUCCESS
+}
+
+/// Waits for SIGTERM or SIGINT; SIGHUP is logged and changes nothing.
+async fn until_stop() {
+    let handler = |kind| signal(kind).expect("a signal handler can be set");
+    let mut term = handler(SignalKind::terminate());
+    let mut int = handler(SignalKind::interrupt());
+    let mut hup = handler(SignalKind::hangup());
+    loop {
+        tokio::select! {
+            _ = term.recv() => return,
+            _ = int.recv() => return,
+            _ = hup.recv() => logs::note(&Notice::SignalIgnored),
+        }
+    }
+}
--- /dev/null
+++ b/crates/monsoonnotch_entry/src/control/runner.rs
@@ -0,0 +1,289 @@
+//! Carrying out what the reducer wants done.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use monsoonnotch_core::effect::Answer;
+use monsoonnotch_core::effect::Effect;
+use monsoonnotch_core::effect::Sync;
+use monsoonnotch_core::event::Event;
+use monsoonnotch_core::event::ReadReply;
+use monsoonnotch_core::ident::CallKey;
+use monsoonnotch_core::ident::MemberId;
+use monsoonnotch_core::ident::Ticket;
+use monsoonnotch_core::job::JournalEntry;
+use monsoonnotch_core::record;
+use monsoonnotch_core::record::Batch;
+use monsoonnotch_core::record::Stream;
+use monsoonnotch_core::verdict::Verdict;
+use monsoonnotch_peer::link::Links;
+use monsoonnotch_platform::log::Page;
+use monsoonnotch_platform::prelude::LogClient;
+use monsoonnotch_platform::prelude::WorkerClient;
+use monsoonnotch_platform::worker::StartBody;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use super::inbox::Decision;
+use super::inbox::Inbox;
+use crate::clock::Clock;
+use crate::logs;
+
+/// What the control thread reaches.
+#[derive(Debug)]
+pub struct Outside {
+    /// The process's clock.
+    pub clock: Clock,
+    /// Where traffic tasks run.
+    pub rt: Handle,
+    /// The platform's log.
+    pub log: LogClient,
+    /// The workers.
+    pub workers: WorkerClient,
+    /// Whether the balancer may send requests here.
+    pub ready: Arc<AtomicBool>,
+}
+
+/// Carries out effects.
+#[derive(Debug)]
+pub(super) struct Runner {
+    me: MemberId,
+    out: Outside,
+    inbox: Inbox,
+    links: Links,
+    calls: BTreeMap<CallKey, mpsc::UnboundedSender<Decision>>,
+    tickets: BTreeMap<Ticket, oneshot::Sender<Answer>>,
+    last_ticket: u64,
+    last_nonce: u64,
+    stopped: bool,
+    killed: bool,
+}
+
+impl Runner {
+    pub(super) fn new(me: MemberId, out: Outside, inbox: Inbox) -> Self {
+        Self {
+            me,
+            links: Links::new(me, out.rt.clone()),
+            out,
+            inbox,
+            calls: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            last_ticket: 0,
+            last_nonce: 0,
+            stopped: false,
+            killed: false,
+        }
+    }
+
+    /// Goes on as a new member; what still waits is answered by closing its channel.
+    pub(super) fn restart(&mut self, me: MemberId) {
+        self.me = me;
+        self.links = Links::new(me, self.out.rt.clone());
+        self.calls.clear();
+        self.tickets.clear();
+        self.stopped = false;
+    }
+
+    pub(super) fn stopped(&self) -> bool {
+        self.stopped
+    }
+
+    pub(super) fn kill(&mut self) {
+        self.killed = true;
+        self.stopped = true;
+    }
+
+    pub(super) fn killed(&self) -> bool {
+        self.killed
+    }
+
+    pub(super) fn close(&mut self) {
+        self.out.ready.store(false, Ordering::Relaxed);
+        self.calls.clear();
+        self.tickets.clear();
+    }
+
+    pub(super) fn open_call(&mut self, call: CallKey, tx: mpsc::UnboundedSender<Decision>) {
+        self.calls.insert(call, tx);
+    }
+
+    pub(super) fn open_ticket(&mut self, tx: oneshot::Sender<Answer>) -> Ticket {
+        self.last_ticket += 1;
+        let ticket = Ticket(self.last_ticket);
+        self.tickets.insert(ticket, tx);
+        ticket
+    }
+
+    pub(super) fn run(&mut self, effect: Effect) {
+        match effect {
+            Effect::Read { from } => self.read(from),
+            Effect::Append { token, batch } => self.append(token, &batch),
+            Effect::Journal { token, entries } => self.journal(token, &entries),
+            Effect::ReadJournal(member) => self.read_journal(member),
+            Effect::Send { to, msg } => {
+                let len = self.links.send(&to, msg) as u64;
+                metrics::counter!("monsoonnotch_peer_bytes_total").increment(len);
+            }
+            Effect::Sync(sync) => self.sync(sync),
+            Effect::StartTask {
+                vm,
+                addr,
+                epoch,
+                task,
+                spec,
+                lease,
+                certain_until,
+            } => {
+                let body = StartBody {
+                    epoch,
+                    lease_ms: lease.as_millis(),
+                    task,
+                    spec,
+                };
+                let clock = self.out.clock;
+                let workers = self.out.workers.clone();
+                self.spawn(async move {
+                    let verdict = match clock.now() < certain_until {
+                        true => workers.start(&addr, &body).await,
+                        false => Verdict::NotRun,
+                    };
+                    Event::TaskStarted { vm, task, verdict }
+                });
+            }
+            Effect::Dispatch {
+                call,
+                addr,
+                timeout,
+                certain_until,
+                repeatable,
+            } => {
+                let decision = Decision::Dispatch {
+                    addr,
+                    timeout,
+                    certain_until,
+                    repeatable,
+                };
+                self.decide(call, decision);
+            }
+            Effect::Refuse { call, refusal } => {
+                self.decide(call, Decision::Refuse(refusal));
+                self.calls.remove(&call);
+            }
+            Effect::Answer { ticket, answer } => {
+                if let Some(tx) = self.tickets.remove(&ticket) {
+                    let _ = tx.send(answer);
+                }
+            }
+            Effect::Note(notice) => logs::note(&notice),
+            Effect::Ready(ready) => self.out.ready.store(ready, Ordering::Relaxed),
+            Effect::Stopped => self.stopped = true,
+        }
+    }
+
+    fn decide(&mut self, call: CallKey, decision: Decision) {
+        let Some(tx) = self.calls.get(&call) else {
+            return;
+        };
+        if tx.send(decision).is_err() {
+            self.calls.remove(&call);
+        }
+    }
+
+    fn spawn(&self, f: impl Future<Output = Event> + Send + 'static) {
+        let inbox = self.inbox.clone();
+        self.out.rt.spawn(async move { inbox.event(f.await) });
+    }
+
+    fn read(&mut self, from: u64) {
+        self.last_nonce += 1;
+        let nonce = self.last_nonce;
+        let asked = self.out.clock.now();
+        let log = self.out.log.clone();
+        self.spawn(async move {
+            let name = Stream::Control.name();
+            match log.read(&name, from, nonce).await {
+                Ok(page) => Event::Read(read_reply(asked, page)),
+                Err(_) => Event::LogFailed(Stream::Control),
+            }
+        });
+    }
+
+    fn append(&self, token: u64, batch: &Batch) {
+        self.append_to(Stream::Control, token, record::encode(batch));
+    }
+
+    fn journal(&self, token: u64, entries: &[JournalEntry]) {
+        let buf = record::encode(&entries);
+        self.append_to(Stream::Journal(self.me), token, buf);
+    }
+
+    fn append_to(&self, stream: Stream, token: u64, buf: Vec<u8>) {
+        let len = buf.len() as u64;
+        metrics::counter!("monsoonnotch_log_bytes_total").increment(len);
+        let log = self.out.log.clone();
+        self.spawn(async move {
+            match log.append(&stream.name(), buf).await {
+                Ok(()) => Event::Appended { stream, token },
+                Err(_) => Event::LogFailed(stream),
+            }
+        });
+    }
+
+    fn read_journal(&mut self, member: MemberId) {
+        self.last_nonce += 1;
+        let nonce = self.last_nonce;
+        let log = self.out.log.clone();
+        self.spawn(async move {
+            match whole_journal(&log, member, nonce).await {
+                Some(entries) => Event::Journal { member, entries },
+                None => Event::LogFailed(Stream::Journal(member)),
+            }
+        });
+    }
+
+    fn sync(&self, sync: Sync) {
+        let asked = self.out.clock.now();
+        let workers = self.out.workers.clone();
+        self.spawn(async move {
+            let vm = sync.vm.clone();
+            match workers.sync(&sync).await {
+                Ok(report) => Event::Synced { vm, asked, report },
+                Err(_) => Event::SyncFailed { vm },
+            }
+        });
+    }
+}
+
+fn read_reply(asked: monsoonnotch_core::time::Time, page: Page) -> ReadReply {
+    let decoded = page
+        .records
+        .iter()
+        .map(|(offset, raw)| (*offset, record::decode(&raw.0)));
+    ReadReply {
+        asked,
+        first: page.first,
+        tail: page.tail,
+        batches: decoded.collect(),
+    }
+}
+
+async fn whole_journal(log: &LogClient, member: MemberId, nonce: u64) -> Option<Vec<JournalEntry>> {
+    let name = Stream::Journal(member).name();
+    let mut entries = Vec::new();
+    let mut from = 0;
+    loop {
+        let page = log.read(&name, from, nonce).await.ok()?;
+        for (offset, raw) in &page.records {
+            let batch: Vec<JournalEntry> = record::decode(&raw.0).unwrap_or_default();
+            entries.extend(batch);
+            from = offset + 1;
+        }
+        if from >= page.tail {
+            return Some(entries);
+        }
+        from = from.max(page.first);
+    }
+}
--- /dev/null
+++ b/crates/monsoonnotch_entry/src/problem/mod.rs
@@ -0,0 +1,66 @@
+//! Refusals as JSON problem details (RFC 9457).
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::combinators::BoxBody;
+use monsoonnotch_core::verdict::Refusal;
+use serde::Serialize;
+
+/// The body of an answer; an error cuts the connection.
+pub type Body = BoxBody<Bytes, std::io::Error>;
+
+/// The members of a problem document.
+#[derive(Debug, Serialize)]
+struct Problem<'a> {
+    r#type: String,
+    title: &'a str,
+    status: u16,
+    reason: u16,
+    verdict: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    detail: Option<&'a str>,
+}
+
+/// The answer for a refusal.
+pub fn answer(refusal: &Refusal, detail: Option<&str>) -> Response<Body> {
+    let reason = refusal.reason;
+    let problem = Problem {
+        r#type: format!("urn:monsoonnotch:reason:{}", reason.number()),
+        title: reason.title(),
+        status: reason.status(),
+        reason: reason.number(),
+        verdict: refusal.verdict.as_str(),
+        detail,
+    };
+    let text = serde_json::to_vec(&problem).expect("a problem has a JSON form");
+    let status = StatusCode::from_u16(reason.status()).expect("a reason has a valid status");
+    let mut res = with_type(status, "application/problem+json", text);
+    if let Some(wait) = refusal.retry_after {
+        let secs = wait.as_secs_ceil().max(1);
+        let headers = res.headers_mut();
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(secs));
+    }
+    res
+}
+
+/// An answer of JSON text.
+pub fn json(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
+    with_type(status, "application/json", text)
+}
+
+/// An answer of a content type.
+pub fn with_type(status: StatusCode, kind: &'static str, text: impl Into<Bytes>) -> Response<Body> {
+    let body = Full::new(text.into())
+        .map_err(|never| match never {})
+        .boxed();
+    let mut res = Response::new(body);
+    *res.status_mut() = status;
+    let kind = HeaderValue::from_static(kind);
+    res.headers_mut().insert(header::CONTENT_TYPE, kind);
+    res
+}
--- /dev/null
+++ b/crates/monsoonnotch_entry/src/process/mod.rs
@@ -0,0 +1,222 @@
+//! One entry: its listeners, its control thread, its end.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+use monsoonnotch_core::config::KeyHash;
+use monsoonnotch_core::event::Event;
+use monsoonnotch_core::ident::MemberId;
+use monsoonnotch_core::notice::Notice;
+use monsoonnotch_core::reducer;
+use monsoonnotch_core::timing::Timing;
+use monsoonnotch_peer::link;
+use monsoonnotch_platform::prelude::LogClient;
+use monsoonnotch_platform::prelude::VmsClient;
+use monsoonnotch_platform::prelude::WorkerClient;
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
+
+use crate::callers;
+use crate::clock::Clock;
+use crate::control;
+use crate::control::Inbox;
+use crate::control::Outside;
+use crate::logs;
+use crate::operators;
+use crate::settings::Settings;
+
+/// Where an entry listens.
+#[derive(Debug, Clone, Copy)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For peers.
+    pub peers: SocketAddr,
+}
+
+/// A running entry.
+#[derive(Debug)]
+pub struct Entry {
+    addrs: Addresses,
+    inbox: Inbox,
+    rt: Runtime,
+    control: JoinHandle<()>,
+    stop_callers: watch::Sender<bool>,
+    callers: tokio::task::JoinHandle<()>,
+    shutdown: Duration,
+}
+
+/// Sets up the metrics of the process; only the first call in a process does.
+pub fn set_up_metrics() -> Option<PrometheusHandle> {
+    PrometheusBuilder::new().install_recorder().ok()
+}
+
+impl Entry {
+    /// Starts an entry with a runtime of its own.
+    ///
+    /// # Errors
+    ///
+    /// When a listener cannot be bound or no thread is left.
+    pub fn start(settings: Settings, metrics: Option<PrometheusHandle>) -> std::io::Result<Self> {
+        let rt = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(settings.entry.threads)
+            .enable_all()
+            .build()?;
+        let listeners = rt.block_on(bind(&settings))?;
+        let addrs = listeners.addrs()?;
+        logs::note(&Notice::Listening {
+            callers: addrs.callers.to_string().into(),
+            operators: addrs.operators.to_string().into(),
+            peers: addrs.peers.to_string().into(),
+        });
+        let clock = Clock::default();
+        let ready = Arc::new(AtomicBool::new(false));
+        let (inbox, rx) = control::inbox();
+        let outside = outside(&settings, clock, &rt, &ready);
+        let member = member_settings(&settings, &addrs);
+        let control = control::start(member, outside, inbox.clone(), rx);
+        let (stop_callers, stop) = watch::channel(false);
+        let shutdown = Duration::from_millis(settings.timing.shutdown_ms);
+        let callers_shared = Arc::new(callers::Shared {
+            settings: settings.clone(),
+            clock,
+            inbox: inbox.clone(),
+            ready: Arc::clone(&ready),
+            last_call: AtomicU64::new(0),
+        });
+        let operators_shared = Arc::new(operators::Shared {
+            inbox: inbox.clone(),
+            ready,
+            token: KeyHash::from_hex(&settings.operators.token_sha256)
+                .ok_or(std::io::Error::other("the token's hash was not checked"))?,
+            metrics,
+        });
+        let callers = rt.spawn(callers::serve(listeners.callers, callers_shared, stop));
+        rt.spawn(operators::serve(listeners.operators, operators_shared));
+        let peers = inbox.clone();
+        rt.spawn(link::accept(listeners.peers, move |from, msg| {
+            peers.event(Event::Peer { from, msg });
+        }));
+        rt.spawn(watch_vms(settings, inbox.clone()));
+        Ok(Self {
+            addrs,
+            inbox,
+            rt,
+            control,
+            stop_callers,
+            callers,
+            shutdown,
+        })
+    }
+
+    /// Where it listens.
+    pub fn addrs(&self) -> Addresses {
+        self.addrs
+    }
+
+    /// The runtime that carries its traffic.
+    pub fn runtime(&self) -> &Runtime {
+        &self.rt
+    }
+
+    /// Stops gracefully: no new work, holdings handed over, requests in progress finished.
+    ///
+    /// Takes as long as the settings allow at most.
+    pub fn stop(self) {
+        let deadline = std::time::Instant::now() + self.shutdown;
+        self.inbox.event(Event::Stop);
+        while !self.control.is_finished() && std::time::Instant::now() < deadline {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let _ = self.stop_callers.send(true);
+        let left = deadline.saturating_duration_since(std::time::Instant::now());
+        let callers = self.callers;
+        let finished = self
+            .rt
+            .block_on(async { tokio::time::timeout(left, callers).await });
+        if finished.is_err() || !self.control.is_finished() {
+            logs::note(&Notice::StopTimeout(1));
+            self.inbox.kill();
+        }
+        logs::note(&Notice::Stopped);
+        self.rt.shutdown_background();
+    }
+
+    /// Ends at once, as if the process had been killed.
+    pub fn kill(self) {
+        self.inbox.kill();
+        self.rt.shutdown_background();
+        let _ = self.control.join();
+    }
+}
+
+/// The bound listeners.
+#[derive(Debug)]
+struct Listeners {
+    callers: TcpListener,
+    operators: TcpListener,
+    peers: TcpListener,
+}
+
+impl Listeners {
+    fn addrs(&self) -> std::io::Result<Addresses> {
+        Ok(Addresses {
+            callers: self.callers.local_addr()?,
+            operators: self.operators.local_addr()?,
+            peers: self.peers.local_addr()?,
+        })
+    }
+}
+
+async fn bind(settings: &Settings) -> std::io::Result<Listeners> {
+    let e = &settings.entry;
+    Ok(Listeners {
+        callers: TcpListener::bind(e.callers).await?,
+        operators: TcpListener::bind(e.operators).await?,
+        peers: TcpListener::bind(e.peers).await?,
+    })
+}
+
+fn outside(settings: &Settings, clock: Clock, rt: &Runtime, ready: &Arc<AtomicBool>) -> Outside {
+    let timeout = Duration::from_millis(settings.timing.platform_timeout_ms);
+    Outside {
+        clock,
+        rt: rt.handle().clone(),
+        log: LogClient::new(&settings.platform.log.to_string(), timeout),
+        workers: WorkerClient::new(timeout),
+        ready: Arc::clone(ready),
+    }
+}
+
+fn member_settings(settings: &Settings, addrs: &Addresses) -> reducer::Settings {
+    reducer::Settings {
+        me: MemberId(rand::random()),
+        domain: settings.entry.failure_domain.clone(),
+        addr: addrs.peers.to_string().into(),
+        timing: Timing::default(),
+        queue_max: settings.limits.queue,
+        snapshot_every: settings.timing.snapshot_every,
+    }
+}
+
+/// Looks at the platform's list for ever; a list that cannot be had changes nothing.
+async fn watch_vms(settings: Settings, inbox: Inbox) {
+    let timeout = Duration::from_millis(settings.timing.platform_timeout_ms);
+    let vms = VmsClient::new(&settings.platform.vms.to_string(), timeout);
+    let mut turn = tokio::time::interval(Duration::from_millis(settings.timing.vms_ms));
+    loop {
+        turn.tick().await;
+        if let Ok(list) = vms.list().await {
+            inbox.event(Event::Vms(list));
+        }
+    }
+}
--- /dev/null
+++ b/crates/monsoonnotch_peer/src/link/mod.rs
@@ -0,0 +1,69 @@
+//! Outgoing links by member, and the acceptor of incoming ones.
+
+mod incoming;
+mod outgoing;
+
+use std::collections::BTreeMap;
+
+use monsoonnotch_core::ident::MemberId;
+use monsoonnotch_core::wire::PeerAddr;
+use monsoonnotch_core::wire::PeerMsg;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+
+pub use self::incoming::accept;
+
+/// Messages that wait for one link; more are dropped.
+const WAITING_MAX: usize = 4_096;
+
+/// One frame.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Frame {
+    /// The sender.
+    pub(crate) from: MemberId,
+    /// The message.
+    pub(crate) msg: PeerMsg,
+}
+
+/// Links to other members; dropping it ends them.
+#[derive(Debug)]
+pub struct Links {
+    me: MemberId,
+    rt: Handle,
+    links: BTreeMap<MemberId, mpsc::Sender<Vec<u8>>>,
+}
+
+impl Links {
+    /// Links of the member `me` whose tasks run on `rt`.
+    pub fn new(me: MemberId, rt: Handle) -> Self {
+        Self {
+            me,
+            rt,
+            links: BTreeMap::new(),
+        }
+    }
+
+    /// Hands a message to the link to a peer; says how many bytes it is.
+    ///
+    /// The message is dropped when too many wait already.
+    pub fn send(&mut self, to: &PeerAddr, msg: PeerMsg) -> usize {
+        let from = self.me;
+        let frame = monsoonnotch_core::record::encode(&Frame { from, msg });
+        let len = frame.len();
+        let rt = &self.rt;
+        let dial = || outgoing::start(rt, to.addr.to_string(), WAITING_MAX);
+        let tx = self.links.entry(to.member).or_insert_with(dial);
+        // A full or closed link loses the message, which its sender must expect.
+        if tx.try_send(frame).is_err() && tx.is_closed() {
+            self.links.remove(&to.member);
+        }
+        len
+    }
+
+    /// Drops the links to all but these members.
+    pub fn retain(&mut self, keep: impl Fn(MemberId) -> bool) {
+        self.links.retain(|m, _| keep(*m));
+    }
+}
--- /dev/null
+++ b/crates/monsoonnotch_standins/src/log/mod.rs
@@ -0,0 +1,148 @@
+//! The log service.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Response;
+use http::StatusCode;
+use hyper::Request;
+use hyper::body::Incoming;
+use monsoonnotch_platform::log::Page;
+use monsoonnotch_platform::log::Raw;
+
+use crate::serve;
+use crate::serve::Body;
+use crate::serve::Server;
+
+/// How the log misbehaves.
+#[derive(Debug, Default, Clone)]
+pub struct Faults {
+    /// Nothing is answered: connections are cut.
+    pub dark: bool,
+    /// Delay of every answer.
+    pub delay: Duration,
+    /// One in so many appends takes effect without an answer; zero for none.
+    pub lose_reply_of: u64,
+    /// Records kept in a stream; zero for all.
+    pub keep: usize,
+}
+
+/// Records of one stream.
+#[derive(Debug, Default)]
+struct Stream {
+    first: u64,
+    records: Vec<Vec<u8>>,
+}
+
+/// What the service keeps.
+#[derive(Debug, Default)]
+struct State {
+    streams: BTreeMap<String, Stream>,
+    faults: Faults,
+    appends: u64,
+    bytes: u64,
+    reads: u64,
+}
+
+/// A running log service.
+#[derive(Debug)]
+pub struct Service {
+    server: Server,
+    state: Arc<Mutex<State>>,
+}
+
+impl Service {
+    /// Starts the service on any free port.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be bound.
+    pub async fn start() -> std::io::Result<Self> {
+        let state = Arc::new(Mutex::new(State::default()));
+        let shared = Arc::clone(&state);
+        let server = serve::serve(serve::any_port(), move |req| {
+            handle(Arc::clone(&shared), req)
+        });
+        let server = server.await?;
+        Ok(Self { server, state })
+    }
+
+    /// Where it answers.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr
+    }
+
+    /// Sets how it misbehaves from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        lock(&self.state).faults = faults;
+    }
+
+    /// Appends and appended bytes so far.
+    pub fn written(&self) -> (u64, u64) {
+        let state = lock(&self.state);
+        (state.appends, state.bytes)
+    }
+}
+
+fn lock(state: &Mutex<State>) -> std::sync::MutexGuard<'_, State> {
+    state.lock().expect("no holder of the lock panics")
+}
+
+async fn handle(state: Arc<Mutex<State>>, req: Request<Incoming>) -> Option<Response<Body>> {
+    let faults = lock(&state).faults.clone();
+    tokio::time::sleep(faults.delay).await;
+    if faults.dark {
+        return None;
+    }
+    let name = req.uri().path().strip_prefix("/streams/")?.to_owned();
+    match *req.method() {
+        Method::GET => Some(read(&mut lock(&state), &name, &req)),
+        Method::POST => {
+            let record = serve::whole(req.into_body()).await?;
+            append(&mut lock(&state), &name, &record)
+        }
+        _ => Some(serve::answer(StatusCode::METHOD_NOT_ALLOWED, "")),
+    }
+}
+
+fn read(state: &mut State, name: &str, req: &Request<Incoming>) -> Response<Body> {
+    state.reads += 1;
+    let param = |name| serve::query(req, name).unwrap_or(0);
+    let stream = state.streams.entry(name.to_owned()).or_default();
+    let from = param("from").max(stream.first);
+    let skip = usize::try_from(from - stream.first).unwrap_or(usize::MAX);
+    let max = usize::try_from(param("max")).unwrap_or(usize::MAX);
+    let records = stream.records.iter().skip(skip).take(max);
+    let page = Page {
+        nonce: param("nonce"),
+        first: stream.first,
+        tail: stream.first + stream.records.len() as u64,
+        records: (from..).zip(records.cloned().map(Raw)).collect(),
+    };
+    serve::answer(StatusCode::OK, monsoonnotch_core::record::encode(&page))
+}
+
+fn append(state: &mut State, name: &str, record: &Bytes) -> Option<Response<Body>> {
+    state.appends += 1;
+    state.bytes += record.len() as u64;
+    let keep = state.faults.keep;
+    let stream = state.streams.entry(name.to_owned()).or_default();
+    stream.records.push(record.to_vec());
+    if keep > 0 && stream.records.len() > keep {
+        let gone = stream.records.len() - keep;
+        stream.records.drain(..gone);
+        stream.first += gone as u64;
+    }
+    let offset = stream.first + stream.records.len() as u64 - 1;
+    let lost = state.faults.lose_reply_of;
+    if lost > 0 && state.appends.is_multiple_of(lost) {
+        return None;
+    }
+    let text = format!("{{\"offset\":{offset}}}");
+    Some(serve::answer(StatusCode::OK, text))
+}
--- /dev/null
+++ b/crates/monsoonnotch_standins/src/serve/mod.rs
@@ -0,0 +1,107 @@
+//! A minimal HTTP server for the stand-ins.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::combinators::BoxBody;
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// The body of a stand-in's answer; an error cuts the connection.
+pub type Body = BoxBody<Bytes, std::io::Error>;
+
+/// A running server; dropping it closes the port and all connections.
+#[derive(Debug)]
+pub struct Server {
+    /// Where it answers.
+    pub addr: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Serves `f` on `addr`; port 0 takes any free port.
+///
+/// When `f` answers `None` the connection is cut without an answer.
+///
+/// # Errors
+///
+/// When the port cannot be bound.
+pub async fn serve<F, A>(addr: SocketAddr, f: F) -> std::io::Result<Server>
+where
+    F: Fn(Request<Incoming>) -> A + Send + Sync + 'static,
+    A: Future<Output = Option<Response<Body>>> + Send + 'static,
+{
+    let listener = TcpListener::bind(addr).await?;
+    let addr = listener.local_addr()?;
+    let task = tokio::spawn(accept(listener, Arc::new(f)));
+    Ok(Server { addr, task })
+}
+
+async fn accept<F, A>(listener: TcpListener, f: Arc<F>)
+where
+    F: Fn(Request<Incoming>) -> A + Send + Sync + 'static,
+    A: Future<Output = Option<Response<Body>>> + Send + 'static,
+{
+    // Dropped together with this task, which ends every connection.
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let f = Arc::clone(&f);
+        let service = service_fn(move |req| {
+            let answer = f(req);
+            async move { answer.await.ok_or(std::io::Error::other("cut")) }
+        });
+        connections.spawn(async move {
+            let server = hyper::server::conn::http1::Builder::new();
+            let _ = server.serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+/// An answer whose body is at hand.
+pub fn answer(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+    let body = http_body_util::Full::new(body.into())
+        .map_err(|never| match never {})
+        .boxed();
+    let mut res = Response::new(body);
+    *res.status_mut() = status;
+    res
+}
+
+/// The whole body of a request, or nothing when it was cut.
+pub async fn whole(body: Incoming) -> Option<Bytes> {
+    Some(body.collect().await.ok()?.to_bytes())
+}
+
+/// The value of a parameter in a query.
+pub fn query(req: &Request<Incoming>, name: &str) -> Option<u64> {
+    let pairs = req.uri().query()?.split('&');
+    let value = pairs
+        .filter_map(|p| p.split_once('='))
+        .find(|(k, _)| *k == name)?
+        .1;
+    value.parse().ok()
+}
+
+/// The loopback address with any free port.
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
