Who won a change, a history of changes, redacted hashes, a metrics catalogue

Cause: a lost change named only the version in force; the dump carried the hashes of keys, and a withdrawal read the hash back from the dump; metrics were three counters with literal names; the texts of events stood in four places.

Ruled out: a push of gauges by the control loop each second. It would cost work between scrapes; the operators' listener asks for them instead.

The change: a change carries a stamp (operator, entry, time; for people only), which stays with the thing it set; the fold keeps the newest 128 changes, lost ones included; 'Withdraw' names a key alone; hashes are redacted in formats for people and exact in CBOR; events come from one table; metrics have a catalogue, counters at the control thread's inbox and outlet, a histogram of waiting time.

Not measured beyond tests: whole_path passes.

--- a/crates/monsoonnotch_core/src/config/hash.rs
+++ b/crates/monsoonnotch_core/src/config/hash.rs
@@ -4,15 +4,31 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde::Serializer;
 use sha2::Digest;
 use sha2::Sha256;
 use subtle::ConstantTimeEq;
 
+/// What stands for a hash in text that people read.
+const REDACTED: &str = "(redacted)";
+
 /// SHA-256 of a secret.
-#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// Formats for people, JSON among them, show a fixed text in its place, so
+/// that no dump or answer reveals it; binary formats carry it exactly.
+#[derive(Clone, PartialEq, Eq, Deserialize)]
 #[serde(transparent)]
 pub struct KeyHash(#[serde(with = "serde_bytes")] Vec<u8>);
 
+impl Serialize for KeyHash {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        match s.is_human_readable() {
+            true => s.serialize_str(REDACTED),
+            false => serde_bytes::serialize(&self.0, s),
+        }
+    }
+}
+
 impl fmt::Debug for KeyHash {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("KeyHash(..)")
--- a/crates/monsoonnotch_core/src/effect/mod.rs
+++ b/crates/monsoonnotch_core/src/effect/mod.rs
@@ -10,6 +10,7 @@
 use crate::job::TaskSpec;
 use crate::notice::Notice;
 use crate::record::Batch;
+use crate::reducer::Gauges;
 use crate::time::Duration;
 use crate::time::Time;
 use crate::verdict::Refusal;
@@ -79,6 +80,8 @@
         certain_until: Time,
         /// Whether a connection that was idle may be trusted with it.
         repeatable: bool,
+        /// Time since the request arrived.
+        waited: Duration,
     },
     /// Give a request its final answer.
     Refuse {
@@ -130,6 +133,8 @@
     Job(JobAnswer),
     /// The state, as JSON text.
     Dump(String),
+    /// How the process stands, in numbers.
+    Gauges(Box<Gauges>),
     /// It was refused.
     Refused(Refusal),
 }
--- a/crates/monsoonnotch_core/src/event/mod.rs
+++ b/crates/monsoonnotch_core/src/event/mod.rs
@@ -114,6 +114,8 @@
     },
     /// Someone asks for the state.
     Dump(Ticket),
+    /// Someone asks for the numbers of the metrics.
+    Gauges(Ticket),
     /// The process is to end.
     Stop,
 }
--- a/crates/monsoonnotch_core/src/notice/mod.rs
+++ b/crates/monsoonnotch_core/src/notice/mod.rs
@@ -1,4 +1,8 @@
 //! Numbered events for the log; the catalogue is docs/EVENTS.md.
+//!
+//! One table names each event once: its stable number, its level, what it
+//! carries and the text of its line. The type, its methods and the catalogue
+//! all come from that table.
 
 use crate::ident::MemberId;
 use crate::ident::Name;
@@ -15,128 +19,126 @@
     Info,
 }
 
-/// An event worth a line in the log.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Notice {
+impl Level {
+    /// The text in the catalogue.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Error => "error",
+            Self::Warn => "warn",
+            Self::Info => "info",
+        }
+    }
+}
+
+/// An event as the catalogue lists it.
+#[derive(Debug, Clone, Copy)]
+pub struct Listed {
+    /// The stable number.
+    pub number: u16,
+    /// How much it matters.
+    pub level: Level,
+    /// The text of the line, with names of values in braces.
+    pub text: &'static str,
+}
+
+macro_rules! notices {
+    ($(
+        $(#[$doc:meta])+
+        $number:literal $level:ident $variant:ident
+            $(($value:ident: $kind:ty))?
+            $({ $($(#[$field_doc:meta])+ $field:ident: $field_kind:ty),+ $(,)? })?
+            => $text:literal;
+    )+) => {
+        /// An event worth a line in the log.
+        #[derive(Debug, Clone, PartialEq, Eq)]
+        pub enum Notice {
+            $(
+                $(#[$doc])+
+                $variant $(($kind))? $({ $($(#[$field_doc])+ $field: $field_kind),+ })?,
+            )+
+        }
+
+        impl Notice {
+            /// The stable number.
+            pub fn number(&self) -> u16 {
+                match self {
+                    $(Self::$variant { .. } => $number,)+
+                }
+            }
+
+            /// How much it matters.
+            pub fn level(&self) -> Level {
+                match self {
+                    $(Self::$variant { .. } => Level::$level,)+
+                }
+            }
+
+            /// The text of the line.
+            pub fn text(&self) -> String {
+                match self {
+                    $(Self::$variant $(($value))? $({ $($field),+ })? => format!($text),)+
+                }
+            }
+        }
+
+        /// Every event there is, in the order of the table.
+        pub const CATALOGUE: &[Listed] = &[
+            $(Listed { number: $number, level: Level::$level, text: $text },)+
+        ];
+    };
+}
+
+notices! {
     /// The process accepts connections.
-    Listening {
+    1 Info Listening {
         /// The callers' listener.
         callers: Name,
         /// The operators' listener.
         operators: Name,
         /// The peers' listener.
         peers: Name,
-    },
+    } => "listening callers={callers} operators={operators} peers={peers}";
     /// The process reads as a member.
-    Joined(MemberId),
+    2 Info Joined(member: MemberId) => "joined member={member}";
     /// A member was evicted.
-    Evicted {
+    3 Warn Evicted {
         /// The member.
         member: MemberId,
         /// Its heir.
         heir: MemberId,
-    },
+    } => "evicted member={member} heir={heir}";
     /// A member left by itself.
-    Left(MemberId),
-    /// The process was evicted and ends.
-    OwnEviction,
+    4 Info Left(member: MemberId) => "left member={member}";
+    /// The process was evicted and goes on as a new member.
+    5 Error OwnEviction => "evicted; this process goes on as a new member";
     /// The right to start work lapsed.
-    CertaintyLost,
+    6 Warn CertaintyLost => "certainty lost; no new work is started";
     /// The right to start work is back.
-    CertaintyBack,
+    7 Info CertaintyBack => "certainty regained";
     /// The log cannot be reached.
-    LogDark,
+    8 Warn LogDark => "the log cannot be reached";
     /// The log can be reached again.
-    LogBack,
+    9 Info LogBack => "the log can be reached again";
     /// A record of the control stream cannot be decoded.
-    BadRecord(u64),
+    10 Error BadRecord(offset: u64) => "undecodable record offset={offset}";
     /// A guard votes against a member.
-    Voted(MemberId),
+    11 Warn Voted(member: MemberId) => "voted against member={member}";
     /// A configuration change is in force.
-    ConfigApplied(u64),
+    12 Info ConfigApplied(version: u64) => "configuration in force version={version}";
     /// A worker fails what it starts and is put aside.
-    VmAside(Name),
+    13 Warn VmAside(vm: Name) => "worker put aside vm={vm}";
     /// A worker that was put aside takes work again.
-    VmBack(Name),
+    14 Info VmBack(vm: Name) => "worker back vm={vm}";
     /// A graceful shutdown begins.
-    Stopping,
+    15 Info Stopping => "graceful shutdown begins";
     /// A graceful shutdown is complete.
-    Stopped,
+    16 Info Stopped => "graceful shutdown complete";
     /// A signal that changes nothing was received.
-    SignalIgnored,
+    17 Info SignalIgnored => "SIGHUP changes nothing; restart to read settings";
     /// Work of one kind is being refused.
-    Refusing(Reason),
+    18 Warn Refusing(reason: Reason) => "refusing reason={reason}";
     /// A graceful shutdown took too long and requests in progress were cut.
-    StopTimeout(u32),
+    19 Warn StopTimeout(cut: u32) => "shutdown timeout; cut={cut}";
     /// An invariant is broken.
-    Broken(&'static str),
-}
-
-impl Notice {
-    /// The stable number.
-    pub fn number(&self) -> u16 {
-        match self {
-            Self::Listening { .. } => 1,
-            Self::Joined(_) => 2,
-            Self::Evicted { .. } => 3,
-            Self::Left(_) => 4,
-            Self::OwnEviction => 5,
-            Self::CertaintyLost => 6,
-            Self::CertaintyBack => 7,
-            Self::LogDark => 8,
-            Self::LogBack => 9,
-            Self::BadRecord(_) => 10,
-            Self::Voted(_) => 11,
-            Self::ConfigApplied(_) => 12,
-            Self::VmAside(_) => 13,
-            Self::VmBack(_) => 14,
-            Self::Stopping => 15,
-            Self::Stopped => 16,
-            Self::SignalIgnored => 17,
-            Self::Refusing(_) => 18,
-            Self::StopTimeout(_) => 19,
-            Self::Broken(_) => 20,
-        }
-    }
-
-    /// How much it matters.
-    pub fn level(&self) -> Level {
-        match self {
-            Self::OwnEviction | Self::Broken(_) | Self::BadRecord(_) => Level::Error,
-            Self::Evicted { .. } | Self::CertaintyLost | Self::LogDark => Level::Warn,
-            Self::Voted(_) | Self::VmAside(_) | Self::Refusing(_) => Level::Warn,
-            Self::StopTimeout(_) => Level::Warn,
-            _ => Level::Info,
-        }
-    }
-
-    /// The text of the line.
-    pub fn text(&self) -> String {
-        match self {
-            Self::Listening {
-                callers,
-                operators,
-                peers,
-            } => format!("listening callers={callers} operators={operators} peers={peers}"),
-            Self::Joined(m) => format!("joined member={m}"),
-            Self::Evicted { member, heir } => format!("evicted member={member} heir={heir}"),
-            Self::Left(m) => format!("left member={m}"),
-            Self::OwnEviction => "evicted; this process ends".to_owned(),
-            Self::CertaintyLost => "certainty lost; no new work is started".to_owned(),
-            Self::CertaintyBack => "certainty regained".to_owned(),
-            Self::LogDark => "the log cannot be reached".to_owned(),
-            Self::LogBack => "the log can be reached again".to_owned(),
-            Self::BadRecord(offset) => format!("undecodable record offset={offset}"),
-            Self::Voted(m) => format!("voted against member={m}"),
-            Self::ConfigApplied(v) => format!("configuration in force version={v}"),
-            Self::VmAside(vm) => format!("worker put aside vm={vm}"),
-            Self::VmBack(vm) => format!("worker back vm={vm}"),
-            Self::Stopping => "graceful shutdown begins".to_owned(),
-            Self::Stopped => "graceful shutdown complete".to_owned(),
-            Self::SignalIgnored => "SIGHUP changes nothing; restart to read settings".to_owned(),
-            Self::Refusing(r) => format!("refusing reason={}", r.number()),
-            Self::StopTimeout(n) => format!("shutdown timeout; cut={n}"),
-            Self::Broken(what) => format!("invariant broken: {what}"),
-        }
-    }
+    20 Error Broken(what: &'static str) => "invariant broken: {what}";
 }
--- a/crates/monsoonnotch_core/src/reducer/calls.rs
+++ b/crates/monsoonnotch_core/src/reducer/calls.rs
@@ -294,6 +294,7 @@
             timeout: c.profile.timeout(),
             certain_until,
             repeatable: c.profile.repeatable,
+            waited: self.now.since(c.arrived),
         });
     }
 
--- a/crates/monsoonnotch_core/src/reducer/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/mod.rs
@@ -7,6 +7,7 @@
 mod calls;
 mod check;
 mod dump;
+mod gauges;
 mod grants;
 mod holdings;
 mod jobs;
@@ -38,6 +39,8 @@
 use crate::wire::PeerMsg;
 use crate::wire::Relayed;
 
+pub use self::gauges::Gauges;
+pub use self::gauges::TeamGauges;
 use self::holdings::Holdings;
 use self::jobs::Jobs;
 use self::journal::Journal;
@@ -170,6 +173,7 @@
             Event::Job { ticket, key, ask } => self.job_asked(ticket, key, ask),
             Event::Change { ticket, change } => self.change(ticket, change),
             Event::Dump(ticket) => self.dump(ticket),
+            Event::Gauges(ticket) => self.gauges(ticket),
             Event::Stop => self.stop(),
         }
     }
--- a/crates/monsoonnotch_core/src/verdict/mod.rs
+++ b/crates/monsoonnotch_core/src/verdict/mod.rs
@@ -1,5 +1,7 @@
 //! What is known of a request that did not get an ordinary answer.
 
+use std::fmt;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -129,6 +131,12 @@
     }
 }
 
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.number())
+    }
+}
+
 /// A final answer that is not the upstream's.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
--- a/crates/monsoonnotch_entry/src/control/mod.rs
+++ b/crates/monsoonnotch_entry/src/control/mod.rs
@@ -20,6 +20,7 @@
 pub use self::runner::Outside;
 use self::runner::Runner;
 use crate::clock::Clock;
+use crate::measure;
 
 /// Longest pause between two ticks.
 const TICK: Duration = Duration::from_millis(10);
@@ -108,6 +109,7 @@
     }
 
     fn step(&mut self, ev: Event) {
+        measure::event(&ev);
         let effects = self.control.step(self.clock.now(), ev);
         for effect in effects {
             self.runner.run(effect);
--- a/crates/monsoonnotch_entry/src/control/runner.rs
+++ b/crates/monsoonnotch_entry/src/control/runner.rs
@@ -31,6 +31,7 @@
 use super::inbox::Inbox;
 use crate::clock::Clock;
 use crate::logs;
+use crate::measure;
 
 /// What the control thread reaches.
 #[derive(Debug)]
@@ -118,6 +119,7 @@
     }
 
     pub(super) fn run(&mut self, effect: Effect) {
+        measure::effect(&effect);
         match effect {
             Effect::Read { from } => self.read(from),
             Effect::Append { token, batch } => self.append(token, &batch),
@@ -125,7 +127,7 @@
             Effect::ReadJournal(member) => self.read_journal(member),
             Effect::Send { to, msg } => {
                 let len = self.links.send(&to, msg) as u64;
-                metrics::counter!("monsoonnotch_peer_bytes_total").increment(len);
+                metrics::counter!(measure::PEER_BYTES).increment(len);
             }
             Effect::Sync(sync) => self.sync(sync),
             Effect::StartTask {
@@ -159,6 +161,7 @@
                 timeout,
                 certain_until,
                 repeatable,
+                waited: _,
             } => {
                 let decision = Decision::Dispatch {
                     addr,
@@ -222,7 +225,7 @@
 
     fn append_to(&self, stream: Stream, token: u64, buf: Vec<u8>) {
         let len = buf.len() as u64;
-        metrics::counter!("monsoonnotch_log_bytes_total").increment(len);
+        metrics::counter!(measure::LOG_BYTES).increment(len);
         let log = self.out.log.clone();
         self.spawn(async move {
             match log.append(&stream.name(), buf).await {
--- a/crates/monsoonnotch_entry/src/lib.rs
+++ b/crates/monsoonnotch_entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod control;
 pub mod logs;
+pub mod measure;
 pub mod operators;
 pub mod problem;
 pub mod process;
--- a/crates/monsoonnotch_entry/src/logs/mod.rs
+++ b/crates/monsoonnotch_entry/src/logs/mod.rs
@@ -7,6 +7,8 @@
 use monsoonnotch_core::notice;
 use monsoonnotch_core::notice::Notice;
 
+use crate::measure;
+
 /// Sets up logging to standard output, one JSON object a line.
 pub fn set_up() {
     let filter = LevelFilter::MoreSevereEqual(Level::Info);
@@ -26,6 +28,6 @@
         notice::Level::Info => log::Level::Info,
     };
     let number = notice.number();
-    metrics::counter!("monsoonnotch_events_total", "event" => number.to_string()).increment(1);
+    measure::notice(notice);
     log::log!(level, event = number; "MN{number:03} {}", notice.text());
 }
--- /dev/null
+++ b/crates/monsoonnotch_entry/src/measure/count.rs
@@ -0,0 +1,81 @@
+//! Counters, at the places that all work passes.
+
+use monsoonnotch_core::effect::Effect;
+use monsoonnotch_core::event::CallEnd;
+use monsoonnotch_core::event::Event;
+use monsoonnotch_core::notice::Notice;
+use monsoonnotch_core::record::Stream;
+use monsoonnotch_core::verdict::Reason;
+use monsoonnotch_core::verdict::Refusal;
+
+/// Microseconds in a second.
+const MICROS: f64 = 1_000_000.0;
+
+/// Counts an event before the reducer gets it.
+pub fn event(ev: &Event) {
+    match ev {
+        Event::CallEnded { ended, .. } => call_ended(*ended),
+        Event::TaskStarted { verdict, .. } => {
+            let counter = metrics::counter!(super::TASK_STARTS, "verdict" => verdict.as_str());
+            counter.increment(1);
+        }
+        Event::SyncFailed { .. } => metrics::counter!(super::SYNC_FAILURES).increment(1),
+        Event::LogFailed(stream) => {
+            let stream = match stream {
+                Stream::Control => "control",
+                Stream::Journal(_) => "journal",
+            };
+            metrics::counter!(super::LOG_FAILURES, "stream" => stream).increment(1);
+        }
+        _ => {}
+    }
+}
+
+/// Counts an effect before it is carried out.
+pub fn effect(effect: &Effect) {
+    match effect {
+        Effect::Dispatch { waited, .. } => {
+            metrics::counter!(super::DISPATCHES).increment(1);
+            metrics::histogram!(super::WAIT).record(waited.0 as f64 / MICROS);
+        }
+        Effect::Refuse { refusal, .. } => refused(super::CALL_REFUSALS, refusal),
+        Effect::Append { .. } => metrics::counter!(super::CONTROL_APPENDS).increment(1),
+        Effect::Journal { .. } => metrics::counter!(super::JOURNAL_APPENDS).increment(1),
+        _ => {}
+    }
+}
+
+/// Counts a problem document.
+pub fn answered_with(refusal: &Refusal) {
+    refused(super::PROBLEMS, refusal);
+}
+
+/// Counts a numbered event.
+pub fn notice(notice: &Notice) {
+    let number = notice.number().to_string();
+    metrics::counter!(super::EVENTS, "event" => number).increment(1);
+    match notice {
+        Notice::Evicted { .. } | Notice::OwnEviction => {
+            metrics::counter!(super::EVICTIONS).increment(1);
+        }
+        Notice::Broken(_) => metrics::counter!(super::BROKEN).increment(1),
+        _ => {}
+    }
+}
+
+fn call_ended(ended: CallEnd) {
+    let (end, reason) = match ended {
+        CallEnd::Complete => ("complete", None),
+        CallEnd::NotRun(r) => ("not_run", Some(r)),
+        CallEnd::MayHaveRun(r) => ("may_have_run", Some(r)),
+        CallEnd::Cut(r) => ("cut", Some(r)),
+    };
+    let reason = reason.map_or(String::new(), |r: Reason| r.to_string());
+    metrics::counter!(super::DISPATCH_ENDS, "end" => end, "reason" => reason).increment(1);
+}
+
+fn refused(name: &'static str, refusal: &Refusal) {
+    let verdict = refusal.verdict.as_str();
+    let reason = refusal.reason.to_string();
+    metrics::counter!(name, "verdict" => verdict, "reason" => reason).increment(1);
+}
--- a/crates/monsoonnotch_entry/src/operators/changes.rs
+++ b/crates/monsoonnotch_entry/src/operators/changes.rs
@@ -8,9 +8,10 @@
 use monsoonnotch_core::config::Outcome;
 use monsoonnotch_core::config::Profile;
 use monsoonnotch_core::config::Setting;
+use monsoonnotch_core::config::Stamp;
 use monsoonnotch_core::config::Team;
 use monsoonnotch_core::config::TeamKey;
-use monsoonnotch_core::config::Versioned;
+use monsoonnotch_core::config::sound_name;
 use monsoonnotch_core::effect::Answer;
 use monsoonnotch_core::event::Event;
 use monsoonnotch_core::ident::Name;
@@ -20,6 +21,7 @@
 use monsoonnotch_core::verdict::Verdict;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use serde_json::Value;
 use serde_json::json;
 
 use super::Refused;
@@ -40,40 +42,50 @@
     team: Name,
 }
 
+/// A change before its body is read.
+#[derive(Debug)]
+pub(super) struct Asked<'a> {
+    /// The control thread.
+    pub(super) inbox: &'a Inbox,
+    /// The version that it replaces; `None` when the request names none.
+    pub(super) replaces: Option<u64>,
+    /// Who makes it, and when.
+    pub(super) stamp: Stamp,
+}
+
 /// Publishes a profile.
 pub(super) async fn profile(
-    inbox: &Inbox,
+    asked: Asked<'_>,
     name: &str,
-    replaces: Option<u64>,
     body: &[u8],
 ) -> Result<Response<Body>, Refused> {
     let profile: Profile = parse(body)?;
     if let Some(fault) = profile.fault() {
         return Err(malformed(fault));
     }
-    let set = Setting::Profile(sound_name(name)?, profile);
-    let version = apply(inbox, replaces, set).await?;
+    let set = Setting::Profile(checked("name", name)?, profile);
+    let version = apply(asked, set).await?;
     Ok(done(version))
 }
 
 /// Sets a team.
 pub(super) async fn team(
-    inbox: &Inbox,
+    asked: Asked<'_>,
     name: &str,
-    replaces: Option<u64>,
     body: &[u8],
 ) -> Result<Response<Body>, Refused> {
     let team: Team = parse(body)?;
     if team.share == 0 {
         return Err(malformed("'share' must be at least 1."));
     }
-    let set = Setting::Team(sound_name(name)?, team);
-    let version = apply(inbox, replaces, set).await?;
+    checked("account", &team.account)?;
+    let set = Setting::Team(checked("name", name)?, team);
+    let version = apply(asked, set).await?;
     Ok(done(version))
 }
 
 /// Grants a key; its secret is in the answer and nowhere else.
-pub(super) async fn grant(inbox: &Inbox, body: &[u8]) -> Result<Response<Body>, Refused> {
+pub(super) async fn grant(asked: Asked<'_>, body: &[u8]) -> Result<Response<Body>, Refused> {
     let grant: Grant = parse(body)?;
     let id = hex::encode(rand::random::<[u8; ID_BYTES]>());
     let secret = hex::encode(rand::random::<[u8; SECRET_BYTES]>());
@@ -83,46 +95,43 @@
         withdrawn: false,
     };
     let set = Setting::Key(Name::from(id.as_str()), key);
-    let version = apply(inbox, Some(NO_VERSION), set).await?;
+    let asked = Asked {
+        replaces: Some(NO_VERSION),
+        ..asked
+    };
+    let version = apply(asked, set).await?;
     let text = json!({ "id": id, "key": format!("{id}.{secret}"), "version": version });
     Ok(problem::json(StatusCode::CREATED, text.to_string()))
 }
 
 /// Withdraws a key.
-pub(super) async fn withdraw(
-    inbox: &Inbox,
-    id: &str,
-    replaces: Option<u64>,
-) -> Result<Response<Body>, Refused> {
-    let state = reads::state(inbox).await?;
-    let found = state["ledger"]["config"]["keys"].get(id).cloned();
-    let found = found.ok_or((Refusal::not_run(Reason::NotFound), None))?;
-    let found: Versioned<TeamKey> = serde_json::from_value(found).expect("a key of the state");
-    let key = TeamKey {
-        withdrawn: true,
-        ..found.value
+pub(super) async fn withdraw(asked: Asked<'_>, id: &str) -> Result<Response<Body>, Refused> {
+    let replaces = match asked.replaces {
+        Some(v) => v,
+        None => version_of(asked.inbox, "keys", id).await?,
+    };
+    let asked = Asked {
+        replaces: Some(replaces),
+        ..asked
     };
-    let replaces = replaces.or(Some(found.version));
-    let version = apply(inbox, replaces, Setting::Key(Name::from(id), key)).await?;
+    let version = apply(asked, Setting::Withdraw(Name::from(id))).await?;
     Ok(done(version))
 }
 
-async fn apply(inbox: &Inbox, replaces: Option<u64>, set: Setting) -> Result<u64, Refused> {
-    let replaces = replaces.unwrap_or(NO_VERSION);
-    let change = Change { replaces, set };
-    let answer = inbox
+async fn apply(asked: Asked<'_>, set: Setting) -> Result<u64, Refused> {
+    let (kind, name) = set.names();
+    let name = name.clone();
+    let change = Change {
+        replaces: asked.replaces.unwrap_or(NO_VERSION),
+        set,
+        stamp: asked.stamp,
+    };
+    let answer = asked
+        .inbox
         .ask(move |ticket| Event::Change { ticket, change })
         .await;
     match answer {
-        Some(Answer::Change(Outcome::Applied(version))) => Ok(version),
-        Some(Answer::Change(Outcome::Conflict(current))) => {
-            let detail = format!("version {current} is in force; look at it and try again");
-            Err((Refusal::not_run(Reason::Conflict), Some(detail)))
-        }
-        Some(Answer::Change(Outcome::NoSuchTeam)) => {
-            let detail = "there is no such team; set it first".to_owned();
-            Err((Refusal::not_run(Reason::NotFound), Some(detail)))
-        }
+        Some(Answer::Change(outcome)) => judge(asked.inbox, kind, &name, outcome).await,
         Some(Answer::Refused(refusal)) => Err((refusal, None)),
         _ => {
             let wait = Duration::from_secs(1);
@@ -135,6 +144,51 @@
     }
 }
 
+async fn judge(inbox: &Inbox, kind: &str, name: &str, outcome: Outcome) -> Result<u64, Refused> {
+    let not_found = |detail: &str| {
+        let refusal = Refusal::not_run(Reason::NotFound);
+        Err((refusal, Some(detail.to_owned())))
+    };
+    match outcome {
+        Outcome::Applied(version) => Ok(version),
+        Outcome::Conflict(current) => {
+            let detail = winner(inbox, kind, name, current).await;
+            Err((Refusal::not_run(Reason::Conflict), Some(detail)))
+        }
+        Outcome::NoSuchTeam => not_found("there is no such team; set it first"),
+        Outcome::NoSuchKey => not_found("there is no such key; see the list of keys"),
+    }
+}
+
+/// Says which change is in force instead of one that lost.
+async fn winner(inbox: &Inbox, kind: &str, name: &str, current: u64) -> String {
+    if current == NO_VERSION {
+        return "there is no such thing yet; create it without naming a version".to_owned();
+    }
+    let advice = "look at it and try again with that version";
+    let stamp = match reads::state(inbox).await {
+        Ok(state) => stamp_of(&state["ledger"]["config"][kind][name], current),
+        Err(_) => None,
+    };
+    match stamp {
+        Some(stamp) => format!("version {current}, set {stamp}, is in force; {advice}"),
+        None => format!("version {current} is in force; {advice}"),
+    }
+}
+
+/// Who set a thing, unless it has changed again since.
+fn stamp_of(thing: &Value, version: u64) -> Option<Stamp> {
+    let same = thing["version"].as_u64() == Some(version);
+    let stamp = same.then(|| thing["stamp"].clone())?;
+    serde_json::from_value(stamp).ok()
+}
+
+async fn version_of(inbox: &Inbox, kind: &str, name: &str) -> Result<u64, Refused> {
+    let state = reads::state(inbox).await?;
+    let version = state["ledger"]["config"][kind][name]["version"].as_u64();
+    version.ok_or((Refusal::not_run(Reason::NotFound), None))
+}
+
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refused> {
     serde_json::from_slice(body).map_err(|e| malformed(&e.to_string()))
 }
@@ -143,14 +197,12 @@
     (Refusal::not_run(Reason::Malformed), Some(detail.to_owned()))
 }
 
-/// Names are short and need no escaping in a path.
-fn sound_name(name: &str) -> Result<Name, Refused> {
-    let ok = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    match !name.is_empty() && name.len() <= 64 && name.chars().all(ok) {
+fn checked(what: &str, name: &str) -> Result<Name, Refused> {
+    match sound_name(name) {
         true => Ok(Name::from(name)),
-        false => Err(malformed(
-            "a name has 1 to 64 letters, digits, '-', '_' or '.'",
-        )),
+        false => Err(malformed(&format!(
+            "'{what}' must have 1 to 64 letters, digits, '-', '_' or '.'"
+        ))),
     }
 }
 
--- a/crates/monsoonnotch_entry/src/operators/mod.rs
+++ b/crates/monsoonnotch_entry/src/operators/mod.rs
@@ -7,8 +7,10 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use bytes::Bytes;
+use http::HeaderName;
 use http::Method;
 use http::Response;
 use http::StatusCode;
@@ -22,12 +24,16 @@
 use hyper_util::rt::TokioTimer;
 use metrics_exporter_prometheus::PrometheusHandle;
 use monsoonnotch_core::config::KeyHash;
+use monsoonnotch_core::config::Stamp;
+use monsoonnotch_core::config::sound_name;
+use monsoonnotch_core::ident::Name;
 use monsoonnotch_core::verdict::Reason;
 use monsoonnotch_core::verdict::Refusal;
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
+use self::changes::Asked;
 use crate::callers;
 use crate::control::Inbox;
 use crate::problem;
@@ -37,6 +43,10 @@
 const CONNECTIONS_MAX: usize = 128;
 /// Largest body of an operator's request, in bytes.
 const BODY_MAX: usize = 1 << 20;
+/// The operator's own name, kept with what they change.
+const OPERATOR: HeaderName = HeaderName::from_static("operator");
+/// Pause between two clean-ups of the recorded metrics.
+const UPKEEP: Duration = Duration::from_secs(5);
 /// Longest time for a head, and again for a body.
 const RECEIVE: Duration = Duration::from_secs(5);
 
@@ -47,6 +57,8 @@
     pub inbox: Inbox,
     /// Whether the balancer may send requests here.
     pub ready: Arc<AtomicBool>,
+    /// The operators' listener, as `ip:port`; stamped on changes.
+    pub addr: Name,
     /// Hash of the operators' token.
     pub token: KeyHash,
     /// The process's metrics; `None` where another entry of this process owns them.
@@ -57,6 +69,7 @@
 pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
     let slots = Arc::new(Semaphore::new(CONNECTIONS_MAX));
     let mut open = JoinSet::new();
+    open.spawn(upkeep(shared.metrics.clone()));
     loop {
         while open.try_join_next().is_some() {}
         let permit = Arc::clone(&slots).acquire_owned().await;
@@ -78,6 +91,18 @@
     }
 }
 
+/// Sorts recorded values into their ranges, so that they do not pile up between scrapes.
+async fn upkeep(metrics: Option<PrometheusHandle>) {
+    let Some(handle) = metrics else {
+        return;
+    };
+    let mut turn = tokio::time::interval(UPKEEP);
+    loop {
+        turn.tick().await;
+        handle.run_upkeep();
+    }
+}
+
 /// A refusal and what to tell about it.
 type Refused = (Refusal, Option<String>);
 
@@ -107,44 +132,90 @@
 }
 
 async fn route(shared: &Shared, req: Request<Incoming>) -> Result<Response<Body>, Refused> {
-    let method = req.method().clone();
     let path = req.uri().path().to_owned();
-    let replaces = replaces(req.uri().query())?;
-    let body = body(req.into_body()).await?;
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match *req.method() {
+        Method::GET => read(shared, &parts).await,
+        _ => change(shared, &parts, req).await,
+    }
+}
+
+async fn read(shared: &Shared, parts: &[&str]) -> Result<Response<Body>, Refused> {
     let inbox = &shared.inbox;
-    match (method, parts.as_slice()) {
-        (Method::GET, ["metrics"]) => Ok(reads::metrics(shared)),
-        (Method::GET, ["v1", "state"]) => reads::part(inbox, &[]).await,
-        (Method::GET, ["v1", "vms"]) => reads::part(inbox, &["vms"]).await,
-        (Method::GET, ["v1", "config"]) => reads::part(inbox, &["ledger", "config"]).await,
-        (Method::GET, ["v1", kind @ ("profiles" | "teams" | "keys")]) => {
+    match parts {
+        ["metrics"] => Ok(reads::metrics(shared).await),
+        ["v1", "state"] => reads::part(inbox, &[]).await,
+        ["v1", "vms"] => reads::part(inbox, &["vms"]).await,
+        ["v1", "config"] => reads::part(inbox, &["ledger", "config"]).await,
+        ["v1", "config", "log"] => reads::history(inbox).await,
+        ["v1", "keys"] => reads::keys(inbox, None).await,
+        ["v1", "keys", id] => reads::keys(inbox, Some(id)).await,
+        ["v1", kind @ ("profiles" | "teams")] => {
             reads::part(inbox, &["ledger", "config", kind]).await
         }
-        (Method::GET, ["v1", kind @ ("profiles" | "teams" | "keys"), name]) => {
+        ["v1", kind @ ("profiles" | "teams"), name] => {
             reads::part(inbox, &["ledger", "config", kind, name]).await
         }
-        (Method::PUT, ["v1", "profiles", name]) => {
-            changes::profile(inbox, name, replaces, &body).await
+        ["v1", "jobs", id] => callers::operator_ask(inbox, id, false).await,
+        _ => Err((Refusal::not_run(Reason::NotFound), None)),
+    }
+}
+
+async fn change(
+    shared: &Shared,
+    parts: &[&str],
+    req: Request<Incoming>,
+) -> Result<Response<Body>, Refused> {
+    let method = req.method().clone();
+    let asked = Asked {
+        inbox: &shared.inbox,
+        replaces: replaces(req.uri().query())?,
+        stamp: stamp(shared, &req)?,
+    };
+    let body = body(req.into_body()).await?;
+    match (method, parts) {
+        (Method::PUT, ["v1", "profiles", name]) => changes::profile(asked, name, &body).await,
+        (Method::PUT, ["v1", "teams", name]) => changes::team(asked, name, &body).await,
+        (Method::POST, ["v1", "keys"]) => changes::grant(asked, &body).await,
+        (Method::DELETE, ["v1", "keys", id]) => changes::withdraw(asked, id).await,
+        (Method::POST, ["v1", "jobs"]) => callers::operator_submit(&shared.inbox, &body).await,
+        (Method::DELETE, ["v1", "jobs", id]) => {
+            callers::operator_ask(&shared.inbox, id, true).await
         }
-        (Method::PUT, ["v1", "teams", name]) => changes::team(inbox, name, replaces, &body).await,
-        (Method::POST, ["v1", "keys"]) => changes::grant(inbox, &body).await,
-        (Method::DELETE, ["v1", "keys", id]) => changes::withdraw(inbox, id, replaces).await,
-        (Method::POST, ["v1", "jobs"]) => callers::operator_submit(inbox, &body).await,
-        (Method::GET, ["v1", "jobs", id]) => callers::operator_ask(inbox, id, false).await,
-        (Method::DELETE, ["v1", "jobs", id]) => callers::operator_ask(inbox, id, true).await,
         _ => Err((Refusal::not_run(Reason::NotFound), None)),
     }
 }
 
+/// Who makes a change, and when.
+fn stamp(shared: &Shared, req: &Request<Incoming>) -> Result<Stamp, Refused> {
+    let by = req.headers().get(&OPERATOR);
+    let by = by.map_or(Some(""), |v| v.to_str().ok());
+    let sound = by.filter(|by| by.is_empty() || sound_name(by));
+    let by = sound.ok_or_else(|| {
+        let detail = "'operator' must have 1 to 64 letters, digits, '-', '_' or '.'";
+        (Refusal::not_run(Reason::Malformed), Some(detail.to_owned()))
+    })?;
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    Ok(Stamp {
+        by: Name::from(by),
+        entry: shared.addr.clone(),
+        at_unix: since.map_or(0, |d| d.as_secs()),
+    })
+}
+
 /// The version that a change replaces, from the query; `None` when it names none.
 fn replaces(query: Option<&str>) -> Result<Option<u64>, Refused> {
-    let value = query.and_then(|q| q.strip_prefix("replaces="));
-    let number = value.map(str::parse).transpose();
-    number.map_err(|_| {
-        let detail = "'replaces' must be a version number".to_owned();
-        (Refusal::not_run(Reason::Malformed), Some(detail))
-    })
+    let Some(query) = query else {
+        return Ok(None);
+    };
+    let number = query.strip_prefix("replaces=").map(str::parse);
+    match number {
+        Some(Ok(version)) => Ok(Some(version)),
+        _ => {
+            let detail = "the query must be 'replaces=VERSION'".to_owned();
+            Err((Refusal::not_run(Reason::Malformed), Some(detail)))
+        }
+    }
 }
 
 async fn body(body: Incoming) -> Result<Bytes, Refused> {
--- a/crates/monsoonnotch_entry/src/problem/mod.rs
+++ b/crates/monsoonnotch_entry/src/problem/mod.rs
@@ -11,6 +11,8 @@
 use monsoonnotch_core::verdict::Refusal;
 use serde::Serialize;
 
+use crate::measure;
+
 /// The body of an answer; an error cuts the connection.
 pub type Body = BoxBody<Bytes, std::io::Error>;
 
@@ -28,6 +30,7 @@
 
 /// The answer for a refusal.
 pub fn answer(refusal: &Refusal, detail: Option<&str>) -> Response<Body> {
+    measure::answered_with(refusal);
     let reason = refusal.reason;
     let problem = Problem {
         r#type: format!("urn:monsoonnotch:reason:{}", reason.number()),
--- a/crates/monsoonnotch_entry/src/process/mod.rs
+++ b/crates/monsoonnotch_entry/src/process/mod.rs
@@ -7,7 +7,6 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 use monsoonnotch_core::config::KeyHash;
 use monsoonnotch_core::event::Event;
@@ -29,6 +28,7 @@
 use crate::control::Inbox;
 use crate::control::Outside;
 use crate::logs;
+use crate::measure;
 use crate::operators;
 use crate::settings::Settings;
 
@@ -57,7 +57,7 @@
 
 /// Sets up the metrics of the process; only the first call in a process does.
 pub fn set_up_metrics() -> Option<PrometheusHandle> {
-    PrometheusBuilder::new().install_recorder().ok()
+    measure::set_up()
 }
 
 impl Entry {
@@ -96,6 +96,7 @@
         let operators_shared = Arc::new(operators::Shared {
             inbox: inbox.clone(),
             ready,
+            addr: addrs.operators.to_string().into(),
             token: KeyHash::from_hex(&settings.operators.token_sha256)
                 .ok_or(std::io::Error::other("the token's hash was not checked"))?,
             metrics,
