Settings: every fault at once, from one table of keys

Cause: the check stopped at the first fault, and a range fault named the first line that looked like the key, whatever its table.

Ruled out: serde alone; it stops at the first unknown key or wrong type.

'head_bytes' starts at 8192, which is what the HTTP library enforces in any case.

--- a/crates/monsoonnotch_entry/src/settings/check.rs
+++ b/crates/monsoonnotch_entry/src/settings/check.rs
@@ -1,112 +1,171 @@
-//! Checks beyond the form of the file.
+//! The check of a settings file: every fault at once, each with its line.
+
+use std::collections::BTreeSet;
+
+use toml::Spanned;
+use toml::de::DeTable;
+use toml::de::DeValue;
 
-use super::Error;
 use super::Settings;
+use super::schema;
+use super::schema::KEYS;
+use super::schema::Key;
 
-/// Longest text of a settings value that has one fixed length.
-const SHA256_HEX_LEN: usize = 64;
+/// Something that is wrong with a settings file.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Fault {
+    /// The line, from one.
+    pub line: usize,
+    /// What is wrong, and what to do.
+    pub what: String,
+}
 
-/// Names the line of an error of form.
-pub(super) fn form(path: &str, text: &str, err: &toml::de::Error) -> Error {
-    let at = err.span().map_or(0, |s| s.start);
-    let line = text[..at.min(text.len())].matches('\n').count() + 1;
-    Error::Form(path.to_owned(), line, err.message().to_owned())
+/// Collects the faults of one text.
+#[derive(Debug)]
+struct Check<'a> {
+    text: &'a str,
+    faults: Vec<Fault>,
 }
 
-/// Checks the ranges of all values.
-pub(super) fn values(path: &str, text: &str, s: &Settings) -> Result<(), Error> {
-    let check = |key: &'static str, ok: bool, advice: &str| match ok {
-        true => Ok(()),
-        false => {
-            let line = line_of(text, key);
-            Err(Error::Value(path.to_owned(), line, key, advice.to_owned()))
-        }
+/// All faults of a text, by line.
+pub(super) fn faults(text: &str) -> Vec<Fault> {
+    let mut check = Check {
+        text,
+        faults: Vec::new(),
     };
-    let hex = hex::decode(&s.operators.token_sha256);
-    let token_ok = hex.is_ok() && s.operators.token_sha256.len() == SHA256_HEX_LEN;
-    let e = &s.entry;
-    let l = &s.limits;
-    let t = &s.timing;
-    check(
-        "token_sha256",
-        token_ok,
-        "must be 64 hexadecimal digits; use sha256sum on the token",
-    )?;
-    check(
-        "failure_domain",
-        !e.failure_domain.is_empty(),
-        "must not be empty; name the zone",
-    )?;
-    check(
-        "threads",
-        (1..=256).contains(&e.threads),
-        "must be 1 to 256 threads",
-    )?;
-    check(
-        "head_bytes",
-        (1_024..=1 << 20).contains(&l.head_bytes),
-        "must be 1024 to 1048576 bytes",
-    )?;
-    check(
-        "body_bytes",
-        (1..=1 << 30).contains(&l.body_bytes),
-        "must be 1 to 1073741824 bytes",
-    )?;
-    check(
-        "receive_ms",
-        (100..=600_000).contains(&l.receive_ms),
-        "must be 100 to 600000 ms",
-    )?;
-    check(
-        "connections",
-        (1..=1 << 20).contains(&l.connections),
-        "must be 1 to 1048576",
-    )?;
-    check(
-        "queue",
-        (1..=1 << 20).contains(&l.queue),
-        "must be 1 to 1048576 requests",
-    )?;
-    let span = |ms: u64| (10..=60_000).contains(&ms);
-    check(
-        "platform_timeout_ms",
-        span(t.platform_timeout_ms),
-        "must be 10 to 60000 ms",
-    )?;
-    check("vms_ms", span(t.vms_ms), "must be 10 to 60000 ms")?;
-    check("connect_ms", span(t.connect_ms), "must be 10 to 60000 ms")?;
-    check(
-        "shutdown_ms",
-        (100..=3_600_000).contains(&t.shutdown_ms),
-        "must be 100 to 3600000 ms",
-    )?;
-    check(
-        "snapshot_every",
-        (10..=1_000_000).contains(&t.snapshot_every),
-        "must be 10 to 1000000",
-    )?;
-    let addrs = [e.callers, e.operators, e.peers];
-    let fixed: Vec<_> = addrs.iter().filter(|a| a.port() != 0).collect();
-    let twice = |i: usize| fixed[..i].contains(&fixed[i]);
-    let distinct = !(0..fixed.len()).any(twice);
-    check(
-        "callers",
-        distinct,
-        "must differ from 'operators' and 'peers'; give each its own port",
-    )?;
-    check(
-        "peers",
-        !e.peers.ip().is_unspecified(),
-        "must be an IP address that peers can reach",
-    )
+    let (document, errors) = DeTable::parse_recoverable(text);
+    for e in &errors {
+        check.form(e);
+    }
+    let document = document.get_ref();
+    check.unknown(document);
+    check.values(document);
+    // A text that cannot be read whole may set a key that seems to be missing.
+    if errors.is_empty() {
+        check.missing(document);
+    }
+    check.faults.sort();
+    check.faults.dedup();
+    check.faults
 }
 
-/// The line that sets a key, or 1.
-fn line_of(text: &str, key: &str) -> usize {
-    let sets = |l: &str| {
-        l.trim_start()
-            .strip_prefix(key)
-            .is_some_and(|r| r.trim_start().starts_with('='))
+/// Faults of values that are sound one by one.
+pub(super) fn faults_together(text: &str, s: &Settings) -> Vec<Fault> {
+    let mut check = Check {
+        text,
+        faults: Vec::new(),
     };
-    text.lines().position(sets).map_or(1, |i| i + 1)
+    let document = DeTable::parse_recoverable(text).0;
+    let entry = table(document.get_ref(), "entry");
+    let line = |key: &str| entry.and_then(|t| Some(t.get_key_value(key)?.0.span().start));
+    let e = &s.entry;
+    if e.peers.ip().is_unspecified() {
+        check.fault(
+            line("peers"),
+            "'peers' must be an IP address that peers can reach",
+        );
+    }
+    let listeners = [
+        ("callers", e.callers),
+        ("operators", e.operators),
+        ("peers", e.peers),
+    ];
+    let mut taken = BTreeSet::new();
+    for (name, addr) in listeners {
+        if addr.port() != 0 && !taken.insert(addr) {
+            let what = format!("'{name}' is the address of another listener; give each its own");
+            check.fault(line(name), &what);
+        }
+    }
+    check.faults
+}
+
+impl Check<'_> {
+    fn fault(&mut self, at: Option<usize>, what: &str) {
+        let at = at.unwrap_or(0).min(self.text.len());
+        let before = &self.text.as_bytes()[..at];
+        let line = before.iter().filter(|b| **b == b'\n').count() + 1;
+        let what = what.to_owned();
+        self.faults.push(Fault { line, what });
+    }
+
+    /// What the parser found: bad syntax, a key that is set twice.
+    fn form(&mut self, e: &toml::de::Error) {
+        let at = e.span().map(|s| s.start);
+        let what = match e.message() {
+            "duplicate key" => "the key or table is there twice; keep one".to_owned(),
+            other => format!("not TOML: {other}; correct the line"),
+        };
+        self.fault(at, &what);
+    }
+
+    fn unknown(&mut self, document: &DeTable<'_>) {
+        for (name, value) in document {
+            let table = name.get_ref().as_ref();
+            let known = names_in(table);
+            let at = Some(name.span().start);
+            if known.is_empty() {
+                let what = format!("'{table}' is not a table of settings; remove or rename it");
+                self.fault(at, &what);
+                continue;
+            }
+            match value.get_ref() {
+                DeValue::Table(keys) => self.unknown_keys(table, keys, &known),
+                _ => self.fault(at, &format!("'{table}' must be a table; write [{table}]")),
+            }
+        }
+    }
+
+    fn unknown_keys(&mut self, table: &str, keys: &DeTable<'_>, known: &[&str]) {
+        for name in keys.keys() {
+            let key = name.get_ref().as_ref();
+            if !known.contains(&key) {
+                let list = known.join(", ");
+                let what = format!("'{key}' is not a setting of [{table}]; it has {list}");
+                self.fault(Some(name.span().start), &what);
+            }
+        }
+    }
+
+    fn values(&mut self, document: &DeTable<'_>) {
+        for key in KEYS {
+            let Some(value) = value(document, key) else {
+                continue;
+            };
+            if let Some(fault) = key.form.fault(value.get_ref()) {
+                let what = format!("'{}' {fault}", key.name);
+                self.fault(Some(value.span().start), &what);
+            }
+        }
+    }
+
+    fn missing(&mut self, document: &DeTable<'_>) {
+        for key in KEYS {
+            if key.default.is_some() || value(document, key).is_some() {
+                continue;
+            }
+            let header = document.get_key_value(key.table);
+            let at = header.map(|(name, _)| name.span().start);
+            let what = format!(
+                "'{}' of [{}] is missing; set it to {}",
+                key.name,
+                key.table,
+                key.form.advice()
+            );
+            self.fault(at, &what);
+        }
+    }
+}
+
+fn names_in(table: &str) -> Vec<&'static str> {
+    let keys = KEYS.iter().filter(|k| k.table == table);
+    keys.map(|k: &schema::Key| k.name).collect()
+}
+
+fn table<'a, 'i>(document: &'a DeTable<'i>, name: &str) -> Option<&'a DeTable<'i>> {
+    document.get(name)?.get_ref().as_table()
+}
+
+fn value<'a, 'i>(document: &'a DeTable<'i>, key: &Key) -> Option<&'a Spanned<DeValue<'i>>> {
+    table(document, key.table)?.get(key.name)
 }
--- a/crates/monsoonnotch_entry/src/settings/mod.rs
+++ b/crates/monsoonnotch_entry/src/settings/mod.rs
@@ -1,12 +1,19 @@
 //! Settings of an entry process, read from a TOML file.
 
 mod check;
+mod schema;
 
 use std::net::SocketAddr;
 
 use monsoonnotch_core::ident::Name;
 use quick_error::quick_error;
 use serde::Deserialize;
+use serde::Serialize;
+
+pub use self::check::Fault;
+pub use self::schema::Form;
+pub use self::schema::KEYS;
+pub use self::schema::Key;
 
 quick_error! {
     /// What is wrong with a settings file.
@@ -16,19 +23,21 @@
         Read(path: String, err: std::io::Error) {
             display("{path}: cannot be read: {err}; check the path and its permissions")
         }
-        /// The text is not TOML of the known form.
-        Form(path: String, line: usize, what: String) {
-            display("{path}:{line}: {what}")
-        }
-        /// A value is out of its range.
-        Value(path: String, line: usize, key: &'static str, advice: String) {
-            display("{path}:{line}: '{key}' {advice}")
+        /// The text is not a sound settings file.
+        Unsound(path: String, faults: Vec<Fault>) {
+            display("{}", lines(path, faults))
         }
     }
 }
 
+fn lines(path: &str, faults: &[Fault]) -> String {
+    let line = |f: &Fault| format!("{path}:{}: {}", f.line, f.what);
+    let lines: Vec<String> = faults.iter().map(line).collect();
+    lines.join("\n")
+}
+
 /// All settings of an entry.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Addresses and place of this entry.
@@ -46,7 +55,7 @@
 }
 
 /// Addresses and place of an entry.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Entry {
     /// The failure domain.
@@ -63,7 +72,7 @@
 }
 
 /// Where the platform's services answer.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Platform {
     /// The log service.
@@ -73,7 +82,7 @@
 }
 
 /// Credentials of operators.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Operators {
     /// SHA-256 of the operators' token, in hexadecimal.
@@ -81,7 +90,7 @@
 }
 
 /// Limits on what callers may send.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Limits {
     /// Largest head of a request, in bytes.
@@ -97,7 +106,7 @@
 }
 
 /// Spans of time.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Timing {
     /// Longest exchange with the platform, in milliseconds.
@@ -146,7 +155,7 @@
     /// # Errors
     ///
     /// When the file cannot be read or holds anything but sound settings; the
-    /// error names the line and says what to do.
+    /// error names every fault with its line and says what to do.
     pub fn read(path: &str) -> Result<Self, Error> {
         let text = std::fs::read_to_string(path);
         let text = text.map_err(|e| Error::Read(path.to_owned(), e))?;
@@ -159,8 +168,24 @@
     ///
     /// As for `read`.
     pub fn parse(path: &str, text: &str) -> Result<Self, Error> {
-        let settings: Self = toml::from_str(text).map_err(|e| check::form(path, text, &e))?;
-        check::values(path, text, &settings)?;
-        Ok(settings)
+        let unsound = |faults| Error::Unsound(path.to_owned(), faults);
+        let faults = check::faults(text);
+        if !faults.is_empty() {
+            return Err(unsound(faults));
+        }
+        let settings: Self = toml::from_str(text).map_err(|e| unsound(vec![form(&e)]))?;
+        let faults = check::faults_together(text, &settings);
+        match faults.is_empty() {
+            true => Ok(settings),
+            false => Err(unsound(faults)),
+        }
+    }
+}
+
+/// A fault that only the reading of the values found.
+fn form(e: &toml::de::Error) -> Fault {
+    Fault {
+        line: 1,
+        what: e.message().to_owned(),
     }
 }
--- /dev/null
+++ b/crates/monsoonnotch_entry/src/settings/schema.rs
@@ -0,0 +1,191 @@
+//! Every setting: its unit, its default and what it may be.
+
+use std::net::SocketAddr;
+
+use monsoonnotch_core::config::sound_name;
+use toml::de::DeValue;
+
+/// Digits of a SHA-256 in hexadecimal.
+const SHA256_HEX_LEN: usize = 64;
+
+/// What a setting may be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Form {
+    /// A name of letters, digits, '-', '_' and '.'.
+    Name,
+    /// An address to listen on, as `IP:PORT`; port 0 takes a free one.
+    Listener,
+    /// An address of another service, as `IP:PORT`.
+    Service,
+    /// A SHA-256 in hexadecimal.
+    Sha256,
+    /// A whole number from the first to the second.
+    Number(i64, i64),
+}
+
+impl Form {
+    /// What is wrong with a value, and what to do; `None` when it is sound.
+    pub(super) fn fault(self, value: &DeValue<'_>) -> Option<String> {
+        let sound = match self {
+            Self::Number(min, max) => number(value).is_some_and(|n| (min..=max).contains(&n)),
+            Self::Name => value.as_str().is_some_and(sound_name),
+            Self::Listener => address(value).is_some(),
+            Self::Service => address(value).is_some_and(reachable),
+            Self::Sha256 => value.as_str().is_some_and(is_sha256),
+        };
+        (!sound).then(|| format!("must be {}", self.advice()))
+    }
+
+    /// What it may be, as a phrase.
+    pub fn advice(self) -> String {
+        match self {
+            Self::Name => "a name of 1 to 64 letters, digits, '-', '_' or '.' in quotes".to_owned(),
+            Self::Listener => "an address as \"IP:PORT\"; port 0 takes a free port".to_owned(),
+            Self::Service => "an address as \"IP:PORT\" that can be reached".to_owned(),
+            Self::Sha256 => {
+                "64 hexadecimal digits in quotes; use sha256sum on the token".to_owned()
+            }
+            Self::Number(min, max) => format!("a whole number from {min} to {max}"),
+        }
+    }
+}
+
+/// A setting.
+#[derive(Debug, Clone, Copy)]
+pub struct Key {
+    /// The table that it is in.
+    pub table: &'static str,
+    /// Its name.
+    pub name: &'static str,
+    /// The unit of its value; empty when it has none.
+    pub unit: &'static str,
+    /// Its default; `None` when it must be set.
+    pub default: Option<i64>,
+    /// What it may be.
+    pub form: Form,
+}
+
+const fn must(table: &'static str, name: &'static str, form: Form) -> Key {
+    Key {
+        table,
+        name,
+        unit: "",
+        default: None,
+        form,
+    }
+}
+
+const fn may(
+    table: &'static str,
+    name: &'static str,
+    unit: &'static str,
+    default: i64,
+    form: Form,
+) -> Key {
+    Key {
+        table,
+        name,
+        unit,
+        default: Some(default),
+        form,
+    }
+}
+
+/// Every setting there is.
+pub const KEYS: &[Key] = &[
+    must("entry", "failure_domain", Form::Name),
+    must("entry", "callers", Form::Listener),
+    must("entry", "operators", Form::Listener),
+    must("entry", "peers", Form::Listener),
+    may("entry", "threads", "threads", 2, Form::Number(1, 256)),
+    must("platform", "log", Form::Service),
+    must("platform", "vms", Form::Service),
+    must("operators", "token_sha256", Form::Sha256),
+    may(
+        "limits",
+        "head_bytes",
+        "bytes",
+        16_384,
+        Form::Number(8_192, 1 << 20),
+    ),
+    may(
+        "limits",
+        "body_bytes",
+        "bytes",
+        1 << 20,
+        Form::Number(1, 1 << 30),
+    ),
+    may(
+        "limits",
+        "receive_ms",
+        "milliseconds",
+        10_000,
+        Form::Number(100, 600_000),
+    ),
+    may(
+        "limits",
+        "connections",
+        "connections",
+        4_096,
+        Form::Number(1, 1 << 20),
+    ),
+    may(
+        "limits",
+        "queue",
+        "requests",
+        10_000,
+        Form::Number(1, 1 << 20),
+    ),
+    may(
+        "timing",
+        "platform_timeout_ms",
+        "milliseconds",
+        1_000,
+        Form::Number(10, 60_000),
+    ),
+    may(
+        "timing",
+        "vms_ms",
+        "milliseconds",
+        500,
+        Form::Number(10, 60_000),
+    ),
+    may(
+        "timing",
+        "shutdown_ms",
+        "milliseconds",
+        30_000,
+        Form::Number(100, 3_600_000),
+    ),
+    may(
+        "timing",
+        "connect_ms",
+        "milliseconds",
+        500,
+        Form::Number(10, 60_000),
+    ),
+    may(
+        "timing",
+        "snapshot_every",
+        "records",
+        1_000,
+        Form::Number(10, 1_000_000),
+    ),
+];
+
+fn number(value: &DeValue<'_>) -> Option<i64> {
+    let n = value.as_integer()?;
+    i64::from_str_radix(n.as_str(), n.radix()).ok()
+}
+
+fn address(value: &DeValue<'_>) -> Option<SocketAddr> {
+    value.as_str()?.parse().ok()
+}
+
+fn reachable(addr: SocketAddr) -> bool {
+    addr.port() != 0 && !addr.ip().is_unspecified()
+}
+
+fn is_sha256(text: &str) -> bool {
+    text.len() == SHA256_HEX_LEN && text.chars().all(|c| c.is_ascii_hexdigit())
+}
