--- /dev/null
+++ b/crates/monsoonnotch_entry/tests/catalogues.rs
@@ -0,0 +1,86 @@
+//! The pages of events and metrics beside the code.
+
+use std::collections::BTreeSet;
+
+use monsoonnotch_core::ident::MemberId;
+use monsoonnotch_core::notice;
+use monsoonnotch_core::notice::Notice;
+use monsoonnotch_core::verdict::Reason;
+use monsoonnotch_entry::measure;
+
+const EVENTS: &str = include_str!("../../../docs/EVENTS.md");
+const METRICS: &str = include_str!("../../../docs/METRICS.md");
+
+/// The cells of the table rows whose first cell begins with `start`.
+fn rows(page: &str, start: &str) -> Vec<Vec<String>> {
+    let rows = page.lines().filter(|l| l.starts_with(start));
+    let cells = |l: &str| -> Vec<String> {
+        let inner = l.trim_matches('|').split(" | ");
+        inner.map(|c| c.trim().to_owned()).collect()
+    };
+    rows.map(cells).collect()
+}
+
+#[test]
+fn the_page_of_events_is_the_catalogue_of_the_code() {
+    let rows = rows(EVENTS, "| MN");
+    let listed: Vec<(String, String, String)> = rows
+        .iter()
+        .map(|r| (r[0].clone(), r[1].clone(), r[2].clone()))
+        .collect();
+    let in_code: Vec<(String, String, String)> = notice::CATALOGUE
+        .iter()
+        .map(|e| {
+            let number = format!("MN{:03}", e.number);
+            let text = format!("`{}`", e.text);
+            (number, e.level.as_str().to_owned(), text)
+        })
+        .collect();
+    assert_eq!(listed, in_code);
+    for row in rows {
+        assert_eq!(row.len(), 5, "{row:?}");
+        assert!(row[3].ends_with('.') && row[4].ends_with('.'), "{row:?}");
+    }
+}
+
+#[test]
+fn numbers_of_events_are_never_used_twice() {
+    let numbers: BTreeSet<u16> = notice::CATALOGUE.iter().map(|e| e.number).collect();
+    assert_eq!(numbers.len(), notice::CATALOGUE.len());
+}
+
+#[test]
+fn the_text_of_a_line_names_its_values() {
+    let evicted = Notice::Evicted {
+        member: MemberId(1),
+        heir: MemberId(2),
+    };
+    let text = "evicted member=0000000000000001 heir=0000000000000002";
+    assert_eq!(evicted.text(), text);
+    assert_eq!(
+        Notice::Refusing(Reason::AtLimit).text(),
+        "refusing reason=203"
+    );
+}
+
+#[test]
+fn the_page_of_metrics_is_the_catalogue_of_the_code() {
+    let listed: Vec<Vec<String>> = rows(METRICS, "| `");
+    let in_code: Vec<Vec<String>> = measure::CATALOGUE
+        .iter()
+        .map(|m| {
+            let labels = match m.labels {
+                "" => "-",
+                labels => labels,
+            };
+            let name = format!("`{}`", m.name);
+            vec![
+                name,
+                m.kind.as_str().to_owned(),
+                labels.to_owned(),
+                m.help.to_owned(),
+            ]
+        })
+        .collect();
+    assert_eq!(listed, in_code);
+}
