monsoonctl: a table of commands, help per command, several entries, exit codes

Cause: all commands shared one set of options, so that a stray one was taken in silence; there was one entry and no help per command; a refusal was shown as raw JSON; a change without an answer looked like an entry that is down.

Ruled out: trying the next entry after a change got no answer; it could be made twice.

The change: each command has its words, options and help in one table; names are checked before anything is sent; the next entry is tried for reads, and for changes only when nothing was sent; exit codes 0 to 7; columns for people.

--- a/crates/monsoonnotch_ctl/src/client/mod.rs
+++ b/crates/monsoonnotch_ctl/src/client/mod.rs
@@ -1,100 +1,157 @@
-//! Requests to an entry's operators' listener.
+//! Requests to the entries' operators' listeners.
 
+mod error;
+
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Method;
 use http::Request;
+use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use quick_error::quick_error;
 use serde_json::Value;
 
+pub use self::error::Error;
+pub use self::error::Problem;
+
 /// Longest request.
 const TIMEOUT: Duration = Duration::from_secs(15);
+/// Longest dial.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 
-quick_error! {
-    /// Why a command failed.
-    #[derive(Debug)]
-    pub enum Error {
-        /// The command line is wrong.
-        Usage(what: String) {
-            display("{what}; see monsoonctl help")
-        }
-        /// A file or value given is wrong.
-        Input(what: String) {
-            display("{what}")
-        }
-        /// No answer came.
-        Unreachable(addr: String) {
-            display("no answer from {addr}; the change may have been made. Check the address and that the entry is up")
-        }
-        /// The entry refused.
-        Refused(status: u16, text: String) {
-            display("refused with {status}: {text}")
-        }
-    }
-}
-
-/// An entry's operators' listener and the token for it.
+/// The entries' operators' listeners and what to show them.
 #[derive(Debug)]
-pub struct Entry {
-    /// Its address, as `ip:port`.
-    pub addr: String,
+pub struct Entries {
+    /// Their addresses, in the order in which they are tried.
+    pub addrs: Vec<SocketAddr>,
     /// The operators' token.
     pub token: String,
+    /// The operator's own name; empty when none is given.
+    pub operator: String,
+}
+
+/// Why one exchange with one entry failed.
+#[derive(Debug)]
+enum Failure {
+    /// Nothing was sent.
+    NotSent,
+    /// It was sent, and no whole answer came.
+    NoAnswer,
+    /// An error that another entry would not help with.
+    Final(Error),
 }
 
-impl Entry {
-    /// Sends one request and returns the JSON answer.
+impl Entries {
+    /// Asks for something; the next entry is tried when one does not answer.
     ///
     /// # Errors
     ///
-    /// When no answer came, or one other than success.
-    pub fn send(&self, method: Method, path: &str, body: &Value) -> Result<Value, Error> {
-        let rt = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .map_err(|e| Error::Input(format!("cannot start: {e}")))?;
-        let answer = rt.block_on(async {
-            tokio::time::timeout(TIMEOUT, self.exchange(method, path, body)).await
-        });
-        answer.unwrap_or_else(|_| Err(Error::Unreachable(self.addr.clone())))
+    /// When no entry answered, or one refused.
+    pub fn get(&self, path: &str) -> Result<Value, Error> {
+        let nothing = Value::Null;
+        for addr in &self.addrs {
+            match self.exchange(addr, &Method::GET, path, &nothing) {
+                Ok(answer) => return Ok(answer),
+                Err(Failure::Final(e)) => return Err(e),
+                Err(Failure::NotSent | Failure::NoAnswer) => {}
+            }
+        }
+        Err(self.unreachable())
     }
 
-    /// Asks for something.
+    /// Changes something; the next entry is tried only when nothing was sent.
     ///
     /// # Errors
     ///
-    /// As for `send`.
-    pub fn get(&self, path: &str) -> Result<Value, Error> {
-        self.send(Method::GET, path, &Value::Null)
+    /// When no entry could be reached, one refused, or no answer came.
+    pub fn change(&self, method: &Method, path: &str, body: &Value) -> Result<Value, Error> {
+        for addr in &self.addrs {
+            match self.exchange(addr, method, path, body) {
+                Ok(answer) => return Ok(answer),
+                Err(Failure::Final(e)) => return Err(e),
+                Err(Failure::NoAnswer) => return Err(Error::Doubtful(addr.to_string())),
+                Err(Failure::NotSent) => {}
+            }
+        }
+        Err(self.unreachable())
     }
 
-    async fn exchange(&self, method: Method, path: &str, body: &Value) -> Result<Value, Error> {
+    fn unreachable(&self) -> Error {
+        let addrs: Vec<String> = self.addrs.iter().map(ToString::to_string).collect();
+        Error::Unreachable(addrs.join(", "))
+    }
+
+    fn exchange(
+        &self,
+        addr: &SocketAddr,
+        method: &Method,
+        path: &str,
+        body: &Value,
+    ) -> Result<Value, Failure> {
+        let rt = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(|e| Failure::Final(Error::Input(format!("cannot start: {e}"))))?;
+        let req = self.request(addr, method, path, body)?;
+        let answer = rt.block_on(async { tokio::time::timeout(TIMEOUT, send(req)).await });
+        answer.unwrap_or(Err(Failure::NoAnswer))
+    }
+
+    fn request(
+        &self,
+        addr: &SocketAddr,
+        method: &Method,
+        path: &str,
+        body: &Value,
+    ) -> Result<Request<Full<Bytes>>, Failure> {
         let text = match body {
             Value::Null => String::new(),
             body => body.to_string(),
         };
-        let req = Request::builder()
+        let mut req = Request::builder()
             .method(method)
-            .uri(format!("http://{}{path}", self.addr))
-            .header("authorization", format!("Bearer {}", self.token))
-            .body(Full::new(Bytes::from(text)))
-            .map_err(|e| Error::Input(format!("not an address or name: {e}")))?;
-        let unreachable = || Error::Unreachable(self.addr.clone());
-        let client = Client::builder(TokioExecutor::new()).build_http();
-        let res = client.request(req).await.map_err(|_| unreachable())?;
-        let status = res.status();
-        let body = res.into_body().collect().await.map_err(|_| unreachable())?;
-        let body = body.to_bytes();
-        if !status.is_success() {
-            let text = String::from_utf8_lossy(&body).into_owned();
-            let status = status.as_u16();
-            return Err(Error::Refused(status, text));
+            .uri(format!("http://{addr}{path}"))
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.token));
+        if !self.operator.is_empty() {
+            req = req.header("operator", &self.operator);
         }
-        serde_json::from_slice(&body).map_err(|_| unreachable())
+        let wrong = |e| {
+            let what = format!("the token or a name cannot be sent: {e}");
+            Failure::Final(Error::Input(what))
+        };
+        req.body(Full::new(Bytes::from(text))).map_err(wrong)
+    }
+}
+
+async fn send(req: Request<Full<Bytes>>) -> Result<Value, Failure> {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    let client = Client::builder(TokioExecutor::new())
+        .retry_canceled_requests(false)
+        .build(connector);
+    let res = client
+        .request(req)
+        .await
+        .map_err(|e| match e.is_connect() {
+            true => Failure::NotSent,
+            false => Failure::NoAnswer,
+        })?;
+    let (parts, body) = res.into_parts();
+    let body = body.collect().await.map_err(|_| Failure::NoAnswer)?;
+    let document = serde_json::from_slice(&body.to_bytes());
+    if parts.status.is_success() {
+        return document.map_err(|_| Failure::NoAnswer);
     }
+    let wait = parts.headers.get(header::RETRY_AFTER);
+    let wait = wait.and_then(|v| v.to_str().ok());
+    Err(Failure::Final(Error::Refused(Problem {
+        status: parts.status.as_u16(),
+        retry_after: wait.and_then(|v| v.parse().ok()),
+        document: document.unwrap_or_default(),
+    })))
 }
--- /dev/null
+++ b/crates/monsoonnotch_ctl/src/commands/check.rs
@@ -0,0 +1,18 @@
+//! The check of a settings file.
+
+use monsoonnotch_entry::settings::Settings;
+use serde_json::json;
+
+use super::Cx;
+use crate::client::Error;
+use crate::output;
+
+pub(super) fn run(cx: &Cx) -> Result<(), Error> {
+    let path = cx.arg(0);
+    Settings::read(path).map_err(|e| Error::Input(e.to_string()))?;
+    match cx.json {
+        true => output::line(&json!({ "file": path, "sound": true }).to_string()),
+        false => output::line(&format!("{path}: the settings are sound")),
+    }
+    Ok(())
+}
--- a/crates/monsoonnotch_ctl/src/commands/job.rs
+++ b/crates/monsoonnotch_ctl/src/commands/job.rs
@@ -9,56 +9,89 @@
 
 use super::Cx;
 use crate::client::Error;
+use crate::output;
 
 /// Pause between looks at a watched job.
 const WATCH: Duration = Duration::from_secs(1);
 
+/// Options of a submission that are numbers.
+const NUMBERS: [&str; 7] = [
+    "count",
+    "cpu-milli",
+    "memory-mib",
+    "accelerators",
+    "priority",
+    "run-ms",
+    "deadline-ms",
+];
+
 pub(super) fn submit(cx: &Cx) -> Result<(), Error> {
     let mut body = Map::new();
-    body.insert("team".to_owned(), cx.need("team")?.into());
-    body.insert("profile".to_owned(), cx.need("profile")?.into());
-    for name in [
-        "count",
-        "cpu-milli",
-        "memory-mib",
-        "accelerators",
-        "priority",
-        "run-ms",
-        "deadline-ms",
-    ] {
+    body.insert("team".to_owned(), cx.name("team")?.into());
+    body.insert("profile".to_owned(), cx.name("profile")?.into());
+    for name in NUMBERS {
         if let Some(n) = cx.number(name)? {
             body.insert(name.replace('-', "_"), n.into());
         }
     }
-    if let Some(command) = cx.matches.opt_str("command") {
+    if let Some(command) = cx.text("command") {
         body.insert("command".to_owned(), command.into());
     }
-    let answer = cx
-        .entry
-        .send(Method::POST, "/v1/jobs", &Value::Object(body))?;
-    cx.print(&answer);
+    let body = Value::Object(body);
+    let answer = cx.entries()?.change(&Method::POST, "/v1/jobs", &body)?;
+    output::one(&answer, cx.json);
+    Ok(())
+}
+
+pub(super) fn show(cx: &Cx) -> Result<(), Error> {
+    let job = cx.entries()?.get(&path(cx))?;
+    output::one(&job, cx.json);
     Ok(())
 }
 
-pub(super) fn cancel(cx: &Cx, id: &str) -> Result<(), Error> {
-    let path = format!("/v1/jobs/{id}");
-    let answer = cx.entry.send(Method::DELETE, &path, &Value::Null)?;
-    cx.print(&answer);
+pub(super) fn cancel(cx: &Cx) -> Result<(), Error> {
+    let answer = cx
+        .entries()?
+        .change(&Method::DELETE, &path(cx), &Value::Null)?;
+    output::one(&answer, cx.json);
     Ok(())
 }
 
 /// Prints a job each time that it changes, until it ends.
-pub(super) fn watch(cx: &Cx, id: &str) -> Result<(), Error> {
+pub(super) fn watch(cx: &Cx) -> Result<(), Error> {
+    let entries = cx.entries()?;
     let mut last = Value::Null;
     loop {
-        let job = cx.entry.get(&format!("/v1/jobs/{id}"))?;
+        let job = entries.get(&path(cx))?;
         if job != last {
-            cx.print(&job);
+            print_progress(&job, cx.json);
         }
-        if job["phase"] != "active" {
-            return Ok(());
+        match job["phase"].as_str() {
+            Some("active") => {}
+            Some("done") => return Ok(()),
+            phase => {
+                let phase = phase.unwrap_or("unknown").to_owned();
+                return Err(Error::JobEnded(phase));
+            }
         }
         last = job;
         thread::sleep(WATCH);
     }
 }
+
+fn print_progress(job: &Value, json: bool) {
+    if json {
+        return output::line(&job.to_string());
+    }
+    let parts = ["phase", "waiting", "running", "done", "failed"];
+    let part = |name: &&str| {
+        let value = job[name].as_str().map(str::to_owned);
+        format!("{name}={}", value.unwrap_or(job[name].to_string()))
+    };
+    let parts: Vec<String> = parts.iter().map(part).collect();
+    output::line(&parts.join(" "));
+}
+
+fn path(cx: &Cx) -> String {
+    format!("/v1/jobs/{}", cx.arg(0))
+}
--- a/crates/monsoonnotch_ctl/src/commands/publish.rs
+++ b/crates/monsoonnotch_ctl/src/commands/publish.rs
@@ -1,4 +1,4 @@
-//! Profiles, teams and keys.
+//! Changes of profiles, teams and keys.
 
 use http::Method;
 use monsoonnotch_core::config::Profile;
@@ -6,93 +6,76 @@
 use serde_json::json;
 
 use super::Cx;
+use crate::client::Entries;
 use crate::client::Error;
+use crate::output;
 
-pub(super) fn profile(cx: &Cx, name: &str) -> Result<(), Error> {
-    let path = cx.need("file")?;
-    let text = std::fs::read_to_string(&path);
-    let text = text.map_err(|e| Error::Input(format!("{path}: {e}")))?;
-    let profile: Profile =
-        toml::from_str(&text).map_err(|e| Error::Input(format!("{path}: {e}")))?;
+pub(super) fn profile(cx: &Cx) -> Result<(), Error> {
+    let profile = read_profile(&cx.need("file")?)?;
     let body = serde_json::to_value(&profile).expect("a profile has a JSON form");
-    put(cx, &format!("/v1/profiles/{name}"), &body)
+    put(cx, &format!("/v1/profiles/{}", cx.arg(0)), &body)
 }
 
-pub(super) fn team(cx: &Cx, name: &str) -> Result<(), Error> {
-    let number = |name: &str| {
-        let missing = || Error::Usage(format!("--{name} is missing"));
-        cx.number(name)?.ok_or_else(missing)
-    };
+pub(super) fn team(cx: &Cx) -> Result<(), Error> {
     let body = json!({
-        "account": cx.need("account")?,
-        "share": number("share")?,
-        "limit": number("limit")?,
+        "account": cx.name("account")?,
+        "share": cx.whole("share", 1)?,
+        "limit": cx.whole("limit", 0)?,
     });
-    put(cx, &format!("/v1/teams/{name}"), &body)
-}
-
-pub(super) fn grant(cx: &Cx, team: &str) -> Result<(), Error> {
-    let body = json!({ "team": team });
-    let answer = cx.entry.send(Method::POST, "/v1/keys", &body)?;
-    cx.print(&answer);
-    Ok(())
+    put(cx, &format!("/v1/teams/{}", cx.arg(0)), &body)
 }
 
-pub(super) fn withdraw(cx: &Cx, id: &str) -> Result<(), Error> {
-    let path = with_version(&format!("/v1/keys/{id}"), cx.number("replaces")?);
-    let answer = cx.entry.send(Method::DELETE, &path, &Value::Null)?;
-    cx.print(&answer);
+pub(super) fn grant(cx: &Cx) -> Result<(), Error> {
+    let body = json!({ "team": cx.arg(0) });
+    let answer = cx.entries()?.change(&Method::POST, "/v1/keys", &body)?;
+    output::one(&answer, cx.json);
     Ok(())
 }
 
-/// The keys without their hashes.
-pub(super) fn keys(cx: &Cx) -> Result<(), Error> {
-    let mut keys = cx.entry.get("/v1/keys")?;
-    let all = keys
-        .as_object_mut()
-        .into_iter()
-        .flat_map(|m| m.values_mut());
-    for key in all {
-        if let Some(value) = key["value"].as_object_mut() {
-            value.remove("hash");
-        }
-    }
-    cx.print(&keys);
+pub(super) fn withdraw(cx: &Cx) -> Result<(), Error> {
+    let path = format!("/v1/keys/{}", cx.arg(0));
+    let path = with_version(&path, cx.number("replaces")?);
+    let answer = cx.entries()?.change(&Method::DELETE, &path, &Value::Null)?;
+    output::one(&answer, cx.json);
     Ok(())
 }
 
-/// What is in force, newest first.
-pub(super) fn log(cx: &Cx) -> Result<(), Error> {
-    let config = cx.entry.get("/v1/config")?;
-    let mut rows = Vec::new();
-    for kind in ["profiles", "teams", "keys"] {
-        let things = config[kind].as_object().into_iter().flatten();
-        rows.extend(
-            things.map(|(name, v)| json!({ "version": v["version"], "kind": kind, "name": name })),
-        );
+fn read_profile(path: &str) -> Result<Profile, Error> {
+    let text = std::fs::read_to_string(path);
+    let text = text.map_err(|e| Error::Input(format!("{path}: cannot be read: {e}")))?;
+    let profile: Profile = toml::from_str(&text).map_err(|e| {
+        let at = e.span().map_or(0, |s| s.start).min(text.len());
+        let line = text.as_bytes()[..at]
+            .iter()
+            .filter(|b| **b == b'\n')
+            .count()
+            + 1;
+        Error::Input(format!("{path}:{line}: {}", e.message()))
+    })?;
+    match profile.fault() {
+        Some(fault) => Err(Error::Input(format!("{path}: {fault}"))),
+        None => Ok(profile),
     }
-    rows.sort_by_key(|r| std::cmp::Reverse(r["version"].as_u64()));
-    cx.print(&Value::Array(rows));
-    Ok(())
 }
 
 /// Sets a thing; the version that it replaces is the present one unless it is given.
 fn put(cx: &Cx, path: &str, body: &Value) -> Result<(), Error> {
-    let replaces = match cx.number("replaces")? {
+    let given = cx.number("replaces")?;
+    let entries = cx.entries()?;
+    let replaces = match given {
         Some(v) => Some(v),
-        None => present_version(cx, path)?,
+        None => present_version(&entries, path)?,
     };
-    let answer = cx
-        .entry
-        .send(Method::PUT, &with_version(path, replaces), body)?;
-    cx.print(&answer);
+    let path = with_version(path, replaces);
+    let answer = entries.change(&Method::PUT, &path, body)?;
+    output::one(&answer, cx.json);
     Ok(())
 }
 
-fn present_version(cx: &Cx, path: &str) -> Result<Option<u64>, Error> {
-    match cx.entry.get(path) {
+fn present_version(entries: &Entries, path: &str) -> Result<Option<u64>, Error> {
+    match entries.get(path) {
         Ok(thing) => Ok(thing["version"].as_u64()),
-        Err(Error::Refused(404, _)) => Ok(None),
+        Err(Error::Refused(p)) if p.status == 404 => Ok(None),
         Err(e) => Err(e),
     }
 }
--- a/crates/monsoonnotch_ctl/src/lib.rs
+++ b/crates/monsoonnotch_ctl/src/lib.rs
@@ -27,7 +27,10 @@
     match e {
         Error::Usage(_) | Error::Input(_) => 2,
         Error::Unreachable(_) => 3,
-        Error::Refused(409, _) => 4,
-        Error::Refused(..) => 5,
+        Error::Refused(p) if p.is_conflict() => 4,
+        Error::Refused(p) if p.may_have_run() => 6,
+        Error::Refused(_) => 5,
+        Error::Doubtful(_) => 6,
+        Error::JobEnded(_) => 7,
     }
 }
