--- /dev/null
+++ b/examples/small_site/load.rs
@@ -0,0 +1,135 @@
+//! Callers: holds, deposits and quick checks.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use monsoonnotch_standins::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::task::JoinHandle;
+
+use crate::site::Balancer;
+use crate::site::Site;
+use crate::site::TEAMS;
+use crate::tally::Outcome;
+use crate::tally::Tally;
+
+/// Callers of each team; together they can keep most slots busy.
+const CALLERS: usize = 12;
+/// Longest wait of a caller for any outcome; longer counts as lost.
+const CALLER_PATIENCE: Duration = Duration::from_secs(60);
+/// Longest pause between two requests of one caller, in milliseconds.
+const THINK_MAX_MS: u64 = 40;
+
+/// A kind of request: its profile, its work in milliseconds, whether it may be repeated.
+type Kind = (&'static str, u64, bool);
+
+/// The kinds, the likelier ones more than once.
+const KINDS: [Kind; 5] = [
+    ("hold", 20, true),
+    ("hold", 30, true),
+    ("deposit", 30, false),
+    ("check", 5, true),
+    ("check", 10, true),
+];
+
+/// The running callers.
+pub(crate) struct Load {
+    stop: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    /// Lets each caller finish its last request.
+    pub(crate) async fn stop(self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for c in self.callers {
+            c.await.expect("a caller does not panic");
+        }
+    }
+}
+
+/// Starts all callers.
+pub(crate) fn start(site: &Site, seed: u64, tally: &Arc<Tally>) -> Load {
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut callers = Vec::new();
+    for (team, key) in site.keys.iter().enumerate() {
+        for n in 0..CALLERS {
+            let caller = Caller {
+                name: format!("{}-{n}", TEAMS[team].0),
+                bearer: format!("Bearer {key}"),
+                balancer: Arc::clone(&site.balancer),
+                rnd: StdRng::seed_from_u64(seed ^ ((team * CALLERS + n) as u64) << 32),
+                tally: Arc::clone(tally),
+            };
+            callers.push(site.rt.spawn(caller.run(Arc::clone(&stop))));
+        }
+    }
+    Load { stop, callers }
+}
+
+/// One caller.
+struct Caller {
+    name: String,
+    bearer: String,
+    balancer: Balancer,
+    rnd: StdRng,
+    tally: Arc<Tally>,
+}
+
+impl Caller {
+    async fn run(mut self, stop: Arc<AtomicBool>) {
+        let mut n = 0;
+        while !stop.load(Ordering::Relaxed) {
+            n += 1;
+            let id = format!("{}-{n}", self.name);
+            let kind = KINDS[self.rnd.random_range(0..KINDS.len())];
+            let start = Instant::now();
+            let sent = tokio::time::timeout(CALLER_PATIENCE, self.send(&id, kind)).await;
+            let outcome = sent.unwrap_or(Outcome::Lost);
+            self.tally.add(id, kind.2, outcome, start.elapsed());
+            let think = self.rnd.random_range(0..THINK_MAX_MS);
+            tokio::time::sleep(Duration::from_millis(think)).await;
+        }
+    }
+
+    async fn send(&mut self, id: &str, (profile, work_ms, repeatable): Kind) -> Outcome {
+        let work = work_ms.to_string();
+        let path = format!("/{profile}/{id}");
+        let mut headers = vec![
+            ("authorization", self.bearer.as_str()),
+            ("profile", profile),
+            ("x-work-ms", work.as_str()),
+        ];
+        // Repeatable requests may run more than once; only the others are counted.
+        if !repeatable {
+            headers.push(("idempotency-key", id));
+            headers.push(("x-once", id));
+        }
+        let addr = pick(&self.balancer, &mut self.rnd);
+        match call(addr, "POST", &path, &headers, id).await {
+            Some(a) if a.status == 200 && !a.whole => Outcome::MayHaveRun,
+            Some(a) if a.status == 200 => match a.body == format!("{path}\n{id}").as_bytes() {
+                true => Outcome::Answered,
+                false => Outcome::Lost,
+            },
+            Some(a) => match a.verdict().as_deref() {
+                Some("not_run") => Outcome::NotRun,
+                Some("may_have_run") => Outcome::MayHaveRun,
+                _ => Outcome::Lost,
+            },
+            // The connection was refused or cut: the caller sees an error.
+            None => Outcome::MayHaveRun,
+        }
+    }
+}
+
+fn pick(balancer: &Balancer, rnd: &mut StdRng) -> SocketAddr {
+    let list = balancer.lock().expect("no holder of the lock panics");
+    list[rnd.random_range(0..list.len())]
+}
