small_site: the workers check the teams' limits for requests too

Cause: over_limit counted tasks only, since requests did not name their team. The change: callers name their team to the workers. Conclusion: the count covers all work; nothing else changed.

--- a/examples/small_site/load.rs
+++ b/examples/small_site/load.rs
@@ -61,6 +61,7 @@
     for (team, key) in site.keys.iter().enumerate() {
         for n in 0..CALLERS {
             let caller = Caller {
+                team: TEAMS[team].0,
                 name: format!("{}-{n}", TEAMS[team].0),
                 bearer: format!("Bearer {key}"),
                 balancer: Arc::clone(&site.balancer),
@@ -75,6 +76,7 @@
 
 /// One caller.
 struct Caller {
+    team: &'static str,
     name: String,
     bearer: String,
     balancer: Balancer,
@@ -104,6 +106,7 @@
         let mut headers = vec![
             ("authorization", self.bearer.as_str()),
             ("profile", profile),
+            ("x-team", self.team),
             ("x-work-ms", work.as_str()),
         ];
         // Repeatable requests may run more than once; only the others are counted.
