--- a/examples/small_site/site.rs
+++ b/examples/small_site/site.rs
@@ -127,11 +127,12 @@
     pub(crate) fn ask(&self, method: http::Method, path: &str, body: &Value) -> Option<Value> {
         let entries = self.entries.iter().flatten();
         let mut answers = entries.filter_map(|e| {
-            let entry = client::Entry {
-                addr: e.addrs().operators.to_string(),
+            let entry = client::Entries {
+                addrs: vec![e.addrs().operators],
                 token: TOKEN.to_owned(),
+                operator: String::new(),
             };
-            entry.send(method.clone(), path, body).ok()
+            entry.change(&method, path, body).ok()
         });
         answers.next()
     }
