small_site: ask entries by the command line's new client

Cause: the command line's client now takes several entries and tells reads from changes. The change: the example asks one entry at a time, as before. Conclusion: nothing else changed.

--- a/examples/small_site/site.rs
+++ b/examples/small_site/site.rs
@@ -127,11 +127,15 @@
     pub(crate) fn ask(&self, method: http::Method, path: &str, body: &Value) -> Option<Value> {
         let entries = self.entries.iter().flatten();
         let mut answers = entries.filter_map(|e| {
-            let entry = client::Entry {
-                addr: e.addrs().operators.to_string(),
+            let one = client::Entries {
+                addrs: vec![e.addrs().operators],
                 token: TOKEN.to_owned(),
+                operator: String::new(),
             };
-            entry.send(method.clone(), path, body).ok()
+            match method {
+                http::Method::GET => one.get(path).ok(),
+                _ => one.change(&method, path, body).ok(),
+            }
         });
         answers.next()
     }
