Decisions under load: the measurement, before any change

Cause: nothing measured how long work waits, how close teams come to their shares or how full the fleet gets.

The example drives six reducers with an injected clock over the same arrivals as a first-come queue with a random worker. Both deployments, four loads.

--- /dev/null
+++ b/examples/decisions/cell.rs
@@ -0,0 +1,453 @@
+//! Six members in one process: the core's reducers, joined by an in-process
+//! log and by messages that take the deployment's time one way.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use monsoonnotch_core::config::Change;
+use monsoonnotch_core::config::KeyHash;
+use monsoonnotch_core::config::Lane;
+use monsoonnotch_core::config::NO_VERSION;
+use monsoonnotch_core::config::Profile;
+use monsoonnotch_core::config::Setting;
+use monsoonnotch_core::config::TeamKey;
+use monsoonnotch_core::event::CallArrived;
+use monsoonnotch_core::event::CallEnd;
+use monsoonnotch_core::event::KeyProof;
+use monsoonnotch_core::event::ReadReply;
+use monsoonnotch_core::event::Report;
+use monsoonnotch_core::event::RunningTask;
+use monsoonnotch_core::event::VmInfo;
+use monsoonnotch_core::job::Spec;
+use monsoonnotch_core::prelude::*;
+use monsoonnotch_core::record::Batch;
+use monsoonnotch_core::record::Stream;
+use monsoonnotch_core::reducer::Settings;
+use monsoonnotch_core::timing::Timing;
+
+use crate::mix::Arrival;
+use crate::mix::DOMAINS;
+use crate::mix::END;
+use crate::mix::ENTRIES;
+use crate::mix::RACK;
+use crate::mix::SECOND;
+use crate::mix::Site;
+use crate::mix::TEAMS;
+use crate::mix::WARM;
+use crate::mix::WORKERS;
+use crate::tally::Tally;
+
+/// Time for members to join and take their holdings before the first arrival.
+const SETTLE: u64 = 8 * SECOND;
+/// Pause between a member's ticks.
+const TICK: u64 = 10_000;
+/// Time of one exchange with the log, in microseconds.
+const LOG: u64 = 4_000;
+/// Pause between two samples of what is free.
+const SAMPLE: u64 = SECOND / 10;
+/// Most requests that wait at one entry.
+const QUEUE_MAX: usize = 20_000;
+
+/// Something that will happen to a member.
+#[derive(Debug)]
+enum Due {
+    /// An event.
+    Event(usize, Event),
+    /// The next tick.
+    Tick(usize),
+    /// The next arrival.
+    Arrive(usize),
+    /// A request ends.
+    End(usize, CallKey),
+    /// A task ends on a worker.
+    TaskEnd(usize, TaskId),
+    /// What is free is sampled.
+    Sample,
+}
+
+/// A task on a worker.
+#[derive(Debug)]
+struct Running {
+    team: Name,
+    size: Resources,
+    job: usize,
+    from: u64,
+}
+
+/// What a worker knows of itself.
+#[derive(Debug, Default)]
+struct Worker {
+    requests: u32,
+    running: BTreeMap<TaskId, Running>,
+    ended: BTreeMap<TaskId, bool>,
+}
+
+/// The cell.
+#[derive(Debug)]
+struct Cell<'a> {
+    site: &'a Site,
+    arrivals: &'a [Arrival],
+    members: Vec<Control>,
+    due: BTreeMap<(u64, u64), Due>,
+    seq: u64,
+    now: u64,
+    log: Vec<Batch>,
+    workers: Vec<Worker>,
+    /// Requests in progress: arrival, worker, start.
+    calls: BTreeMap<CallKey, (usize, usize, u64)>,
+    tally: Tally,
+}
+
+/// Runs the cell over the arrivals.
+pub(crate) fn run(site: &Site, arrivals: &[Arrival]) -> Tally {
+    let mut cell = Cell {
+        site,
+        arrivals,
+        members: (0..ENTRIES).map(member).collect(),
+        due: BTreeMap::new(),
+        seq: 0,
+        now: 0,
+        log: Vec::new(),
+        workers: (0..WORKERS).map(|_| Worker::default()).collect(),
+        calls: BTreeMap::new(),
+        tally: Tally::new(site),
+    };
+    cell.set_up();
+    cell.run();
+    cell.tally
+}
+
+fn member(i: usize) -> Control {
+    Control::new(Settings {
+        me: MemberId(i as u64 + 1),
+        domain: domain(i),
+        addr: Name::new(format!("10.0.0.{i}:1")),
+        timing: Timing::default(),
+        queue_max: QUEUE_MAX,
+        snapshot_every: 1_000,
+    })
+}
+
+fn domain(i: usize) -> Name {
+    Name::new(format!("domain-{}", i % DOMAINS))
+}
+
+fn vm_name(i: usize) -> Name {
+    Name::new(format!("vm-{i}"))
+}
+
+fn vm_index(addr: &str) -> usize {
+    let (_, i) = addr.rsplit_once('-').expect("every worker has a number");
+    i.parse().expect("every worker has a number")
+}
+
+impl Cell<'_> {
+    fn set_up(&mut self) {
+        for m in 0..ENTRIES {
+            self.at(m as u64 * 1_000, Due::Tick(m));
+            let list = self.list();
+            self.at(10_000, Due::Event(m, Event::Vms(list)));
+        }
+        let settings = self.settings();
+        for (i, set) in (0..).zip(settings) {
+            let change = Change {
+                replaces: NO_VERSION,
+                set,
+            };
+            let ticket = Ticket(i);
+            let ev = Event::Change { ticket, change };
+            self.at(SECOND + i * 50_000, Due::Event(0, ev));
+        }
+        if !self.arrivals.is_empty() {
+            self.at(SETTLE + self.arrivals[0].at, Due::Arrive(0));
+        }
+        self.at(SETTLE + WARM, Due::Sample);
+    }
+
+    fn list(&self) -> Vec<VmInfo> {
+        let vm = |i| VmInfo {
+            name: vm_name(i),
+            addr: vm_name(i),
+            domain: domain(i / RACK),
+            rack: Name::new(format!("rack-{}", i / RACK)),
+            total: self.site.worker,
+            leaving: false,
+        };
+        (0..WORKERS).map(vm).collect()
+    }
+
+    fn settings(&self) -> Vec<Setting> {
+        let mut all = Vec::new();
+        for t in &TEAMS {
+            let team = monsoonnotch_core::config::Team {
+                account: Name::new(t.name),
+                share: t.share,
+                limit: 2_400,
+            };
+            all.push(Setting::Team(Name::new(t.name), team));
+        }
+        for t in &TEAMS {
+            let key = TeamKey {
+                team: Name::new(t.name),
+                hash: KeyHash::of(t.name),
+                withdrawn: false,
+            };
+            all.push(Setting::Key(Name::new(t.name), key));
+        }
+        for k in self.site.kinds {
+            let profile = Profile {
+                lane: k.lane,
+                priority: k.priority,
+                size: k.size,
+                max_wait_ms: k.max_wait_ms,
+                timeout_ms: 600_000,
+                ..Profile::default()
+            };
+            all.push(Setting::Profile(Name::new(k.name), profile));
+        }
+        all
+    }
+
+    fn at(&mut self, t: u64, due: Due) {
+        self.seq += 1;
+        self.due.insert((t, self.seq), due);
+    }
+
+    fn run(&mut self) {
+        while let Some(((t, _), due)) = self.due.pop_first() {
+            self.now = t;
+            if t >= SETTLE + END {
+                break;
+            }
+            self.happen(due);
+        }
+        for (a, _, from) in std::mem::take(&mut self.calls).into_values() {
+            self.ran(a, from, SETTLE + END);
+        }
+        for w in std::mem::take(&mut self.workers) {
+            for r in w.running.into_values() {
+                self.ran(r.job, r.from, SETTLE + END);
+            }
+        }
+    }
+
+    fn happen(&mut self, due: Due) {
+        match due {
+            Due::Event(m, ev) => self.step(m, ev),
+            Due::Tick(m) => {
+                self.at(self.now + TICK, Due::Tick(m));
+                self.step(m, Event::Tick);
+            }
+            Due::Arrive(i) => self.arrive(i),
+            Due::End(m, call) => self.end_call(m, call),
+            Due::TaskEnd(w, id) => self.end_task(w, id),
+            Due::Sample => self.sample(),
+        }
+    }
+
+    fn step(&mut self, m: usize, ev: Event) {
+        let begun = Instant::now();
+        let effects = self.members[m].step(Time(self.now), ev);
+        if self.now >= SETTLE + WARM {
+            self.tally.control.0 += begun.elapsed().as_micros() as u64;
+            self.tally.control.1 += 1;
+        }
+        for e in effects {
+            self.effect(m, e);
+        }
+    }
+
+    fn effect(&mut self, m: usize, e: Effect) {
+        let hop = self.now + self.site.link_us;
+        match e {
+            Effect::Read { from } => self.read(m, from),
+            Effect::Append { token, batch } => {
+                self.log.push(batch);
+                let stream = Stream::Control;
+                let ev = Event::Appended { stream, token };
+                self.at(self.now + LOG, Due::Event(m, ev));
+            }
+            Effect::Journal { token, .. } => {
+                let stream = Stream::Journal(MemberId(m as u64 + 1));
+                let ev = Event::Appended { stream, token };
+                self.at(self.now + LOG, Due::Event(m, ev));
+            }
+            Effect::Send { to, msg } => {
+                if self.now >= SETTLE + WARM {
+                    self.tally.messages += 1;
+                }
+                let from = MemberId(m as u64 + 1);
+                let ev = Event::Peer { from, msg };
+                self.at(hop, Due::Event(to.member.0 as usize - 1, ev));
+            }
+            Effect::Sync(sync) => self.sync(m, sync),
+            Effect::StartTask { vm, task, spec, .. } => self.start_task(m, &vm, task, spec),
+            Effect::Dispatch { call, addr, .. } => self.dispatch(m, call, &addr),
+            Effect::Refuse { call, .. } => {
+                let a = self.arrivals[call.0 as usize];
+                self.tally.refused(&a);
+            }
+            Effect::Answer { ticket, answer } => self.answer(ticket, answer),
+            _ => {}
+        }
+    }
+
+    fn read(&mut self, m: usize, from: u64) {
+        let skip = from as usize;
+        let batches = (from..).zip(self.log[skip..].iter().cloned().map(Some));
+        let reply = ReadReply {
+            asked: Time(self.now),
+            first: 0,
+            tail: self.log.len() as u64,
+            batches: batches.collect(),
+        };
+        self.at(self.now + LOG, Due::Event(m, Event::Read(reply)));
+    }
+
+    fn arrive(&mut self, i: usize) {
+        let a = self.arrivals[i];
+        if let Some(next) = self.arrivals.get(i + 1) {
+            self.at(SETTLE + next.at, Due::Arrive(i + 1));
+        }
+        self.tally.arrived(self.site, &a);
+        let k = &self.site.kinds[a.kind];
+        let team = TEAMS[a.team].name;
+        let key = Some(KeyProof {
+            id: Name::new(team),
+            hash: KeyHash::of(team),
+        });
+        let ev = match k.lane {
+            Lane::Short => Event::Call(CallArrived {
+                call: CallKey(i as u64),
+                key,
+                profile: Name::new(k.name),
+                idem: k.keyed.then(|| Name::new(format!("key-{i}"))),
+                digest: i as u64,
+                deadline: None,
+            }),
+            _ => Event::Submit {
+                ticket: Ticket(1_000 + i as u64),
+                key,
+                spec: Spec {
+                    team: Name::new(team),
+                    profile: Name::new(k.name),
+                    count: k.count,
+                    size: k.size,
+                    priority: k.priority,
+                    deadline_ms: 0,
+                    run_ms: k.mean_ms,
+                    command: Name::new(format!("{i}")),
+                },
+            },
+        };
+        self.step(a.entry, ev);
+    }
+
+    fn dispatch(&mut self, m: usize, call: CallKey, addr: &str) {
+        let i = call.0 as usize;
+        let a = self.arrivals[i];
+        let w = vm_index(addr);
+        self.tally.started(&a, self.now - SETTLE);
+        self.workers[w].requests += 1;
+        self.calls.insert(call, (i, w, self.now));
+        self.at(self.now + a.run_us, Due::End(m, call));
+    }
+
+    fn end_call(&mut self, m: usize, call: CallKey) {
+        let (i, w, from) = self.calls.remove(&call).expect("the request runs");
+        self.workers[w].requests -= 1;
+        self.ran(i, from, self.now);
+        let ended = CallEnd::Complete;
+        self.step(m, Event::CallEnded { call, ended });
+    }
+
+    fn ran(&mut self, i: usize, from: u64, to: u64) {
+        let a = self.arrivals[i];
+        let from = from.saturating_sub(SETTLE);
+        self.tally.ran(self.site, a.kind, a.team, from, to - SETTLE);
+    }
+
+    fn start_task(
+        &mut self,
+        m: usize,
+        vm: &Name,
+        task: TaskId,
+        spec: monsoonnotch_core::job::TaskSpec,
+    ) {
+        let i: usize = spec
+            .command
+            .parse()
+            .expect("the command names the submission");
+        let w = vm_index(vm);
+        let a = self.arrivals[i];
+        if task.attempt == 1 || !self.workers[w].running.contains_key(&task) {
+            self.tally.started(&a, self.now - SETTLE);
+        }
+        let running = Running {
+            team: spec.team,
+            size: spec.size,
+            job: i,
+            from: self.now,
+        };
+        self.workers[w].running.insert(task, running);
+        self.at(self.now + a.run_us, Due::TaskEnd(w, task));
+        let vm = vm.clone();
+        let verdict = Verdict::Ran;
+        let ev = Event::TaskStarted { vm, task, verdict };
+        self.at(self.now + 2 * self.site.link_us, Due::Event(m, ev));
+    }
+
+    fn end_task(&mut self, w: usize, id: TaskId) {
+        if let Some(r) = self.workers[w].running.remove(&id) {
+            self.workers[w].ended.insert(id, true);
+            self.ran(r.job, r.from, self.now);
+        }
+    }
+
+    fn sync(&mut self, m: usize, sync: monsoonnotch_core::effect::Sync) {
+        let w = &mut self.workers[vm_index(&sync.vm)];
+        for id in &sync.acknowledge {
+            w.ended.remove(id);
+        }
+        let running = w.running.iter().map(|(id, r)| RunningTask {
+            id: *id,
+            team: r.team.clone(),
+            size: r.size,
+        });
+        let report = Report {
+            age_ms: 0,
+            requests: w.requests,
+            running: running.collect(),
+            ended: w.ended.iter().map(|(id, well)| (*id, *well)).collect(),
+        };
+        let ev = Event::Synced {
+            vm: sync.vm,
+            asked: Time(self.now),
+            report,
+        };
+        self.at(self.now + 2 * self.site.link_us, Due::Event(m, ev));
+    }
+
+    fn answer(&mut self, ticket: Ticket, answer: monsoonnotch_core::effect::Answer) {
+        use monsoonnotch_core::effect::Answer;
+        match answer {
+            Answer::Refused(_) if ticket.0 >= 1_000 => {
+                let a = self.arrivals[(ticket.0 - 1_000) as usize];
+                self.tally.refused(&a);
+            }
+            Answer::Change(o) => {
+                let applied = matches!(o, monsoonnotch_core::config::Outcome::Applied(_));
+                assert!(applied, "a setting was not applied: {o:?}");
+            }
+            _ => {}
+        }
+    }
+
+    fn sample(&mut self) {
+        self.at(self.now + SAMPLE, Due::Sample);
+        let held = self.members.iter().flat_map(|m| m.fleet().held());
+        let free: Vec<u64> = held.map(|(_, vm)| vm.free().slots).collect();
+        self.tally.free.push(free.iter().sum());
+        self.tally.largest.push(free.into_iter().max().unwrap_or(0));
+    }
+}
--- /dev/null
+++ b/examples/decisions/main.rs
@@ -0,0 +1,79 @@
+//! The decisions under load, side by side over the same arrivals.
+//!
+//! `cargo run --release --example decisions -- --seed N [--load L] [--site S]`
+
+mod cell;
+mod fifo;
+mod mix;
+mod tally;
+
+use mix::DASOM;
+use mix::FERNWAERME;
+use mix::Site;
+
+/// Loads, as fractions of the fleet's slots.
+const LOADS: [f64; 4] = [0.5, 0.8, 0.95, 1.2];
+
+fn main() {
+    let args = Args::read();
+    let mut lines = Vec::new();
+    for load in LOADS {
+        if args.load.is_some_and(|l| l != load) {
+            continue;
+        }
+        for site in [&DASOM, &FERNWAERME] {
+            if args.site.as_ref().is_none_or(|s| s == site.name) {
+                lines.push(compare(site, load, args.seed));
+            }
+        }
+    }
+    for line in lines {
+        println!("{line}");
+    }
+}
+
+/// What the command line asks for.
+#[derive(Debug, Default)]
+struct Args {
+    seed: u64,
+    load: Option<f64>,
+    site: Option<String>,
+}
+
+impl Args {
+    fn read() -> Self {
+        let mut args = Self {
+            seed: 1,
+            ..Self::default()
+        };
+        let mut words = std::env::args().skip(1);
+        while let Some(word) = words.next() {
+            let value = words.next().expect("every option takes a value");
+            match word.as_str() {
+                "--seed" => args.seed = value.parse().expect("a seed is a number"),
+                "--load" => args.load = Some(value.parse().expect("a load is a number")),
+                "--site" => args.site = Some(value),
+                _ => panic!("unknown option {word}"),
+            }
+        }
+        args
+    }
+}
+
+fn compare(site: &Site, load: f64, seed: u64) -> String {
+    let arrivals = mix::arrivals(site, load, seed);
+    println!("{} load={load} arrivals={}", site.name, arrivals.len());
+    let fifo = fifo::run(site, &arrivals, seed);
+    fifo.print(site, "first-come");
+    let ours = cell::run(site, &arrivals);
+    ours.print(site, "ours");
+    format!(
+        "decisions: seed={seed} load={load} site={} fifo_p99_ms={:.1} ours_p99_ms={:.1} fifo_share_dev={:.3} ours_share_dev={:.3} packed={:.3}",
+        site.name,
+        fifo.p(0, 0.99),
+        ours.p(0, 0.99),
+        fifo.share_dev(),
+        ours.share_dev(),
+        ours.packed(),
+    )
+}
