decisions: make changes by the constructor

Cause: a change now carries a stamp, and the example spelled its members out. The change: the constructor is used.

--- a/examples/decisions/cell.rs
+++ b/examples/decisions/cell.rs
@@ -150,10 +150,7 @@
         }
         let settings = self.settings();
         for (i, set) in (0..).zip(settings) {
-            let change = Change {
-                replaces: NO_VERSION,
-                set,
-            };
+            let change = Change::new(NO_VERSION, set);
             let ticket = Ticket(i);
             let ev = Event::Change { ticket, change };
             self.at(SECOND + i * 50_000, Due::Event(0, ev));
