Operators during outages: refused, made once, or told as doubtful

Cause: nothing showed what an operator sees when the log is dark, loses a reply or falls silent with a change on its way; the page of reasons was unchecked.

The change: three tests with real processes; 'Reason::ALL' and a test that the page of operations lists every reason with its status and title.

--- a/crates/monsoonnotch_core/src/verdict/mod.rs
+++ b/crates/monsoonnotch_core/src/verdict/mod.rs
@@ -80,6 +80,31 @@
 }
 
 impl Reason {
+    /// Every reason there is, by number.
+    pub const ALL: [Self; 21] = [
+        Self::KeyMissing,
+        Self::KeyRefused,
+        Self::ProfileUnknown,
+        Self::Malformed,
+        Self::TooLarge,
+        Self::TooSlow,
+        Self::NotFound,
+        Self::FitsNowhere,
+        Self::Conflict,
+        Self::KeyInUse,
+        Self::QueueFull,
+        Self::WaitedTooLong,
+        Self::AtLimit,
+        Self::Uncertain,
+        Self::Stopping,
+        Self::LogDark,
+        Self::Cancelled,
+        Self::UpstreamRefused,
+        Self::UpstreamCut,
+        Self::UpstreamTimeout,
+        Self::AlreadyRan,
+    ];
+
     /// The stable number.
     pub fn number(self) -> u16 {
         self as u16
--- a/crates/monsoonnotch_entry/tests/catalogues.rs
+++ b/crates/monsoonnotch_entry/tests/catalogues.rs
@@ -9,6 +9,7 @@
 use monsoonnotch_entry::measure;
 
 const EVENTS: &str = include_str!("../../../docs/EVENTS.md");
+const OPERATIONS: &str = include_str!("../../../docs/OPERATIONS.md");
 const METRICS: &str = include_str!("../../../docs/METRICS.md");
 
 /// The cells of the table rows whose first cell begins with `start`.
@@ -84,3 +85,25 @@
         .collect();
     assert_eq!(listed, in_code);
 }
+
+#[test]
+fn the_page_of_operations_lists_every_reason() {
+    let start = OPERATIONS
+        .find("\n## Reasons\n")
+        .expect("the section is there");
+    let section = &OPERATIONS[start..];
+    let end = section
+        .find("\n## Failures")
+        .expect("the next section is there");
+    let mut listed = rows(&section[..end], "| ");
+    listed.retain(|r| r[0].parse::<u16>().is_ok());
+    let listed: Vec<[String; 3]> = listed
+        .iter()
+        .map(|r| [r[0].clone(), r[1].clone(), r[2].clone()])
+        .collect();
+    let in_code: Vec<[String; 3]> = Reason::ALL
+        .iter()
+        .map(|r| [r.to_string(), r.status().to_string(), r.title().to_owned()])
+        .collect();
+    assert_eq!(listed, in_code);
+}
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -311,3 +311,86 @@
     assert_eq!(answer.map(|a| a.status), Some(401));
     assert_eq!(entry.ctl_json(&["config", "log"]), before);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_of_the_log_is_shown_and_changes_are_refused_as_not_run() {
+    let platform = Platform::start(2, PROGRAMS).await;
+    let entry = platform.entry("fd-0");
+    ready(&entry).await;
+    entry.team("hall", 1, 30);
+    platform.log.set_faults(LogFaults {
+        dark: true,
+        ..LogFaults::default()
+    });
+    eventually("the outage is shown", || async {
+        let text = metrics(&entry).await;
+        let shown = ["monsoonnotch_log_dark 1\n", "monsoonnotch_certain 0\n"];
+        shown.iter().all(|s| text.contains(s))
+    })
+    .await;
+    let refused = entry.ctl(&set_team("hall", "3"));
+    assert_eq!(code(&refused), 5);
+    let told = stderr(&refused);
+    assert!(
+        told.contains("reason 206") && told.contains("Try again in"),
+        "{told}"
+    );
+    platform.log.set_faults(LogFaults::default());
+    ready(&entry).await;
+    assert_eq!(
+        entry.ctl_json(&["team", "show", "hall"])["value"]["limit"],
+        30
+    );
+    entry.team("hall", 1, 3);
+    let text = metrics(&entry).await;
+    for event in ["6", "7", "8", "9"] {
+        let sample = format!("monsoonnotch_events_total{{event=\"{event}\"}} ");
+        assert!(text.contains(&sample), "{sample} is not in {text}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_whose_reply_was_lost_is_made_once() {
+    let platform = Platform::start(2, PROGRAMS).await;
+    let entry = platform.entry("fd-0");
+    ready(&entry).await;
+    platform.log.set_faults(LogFaults {
+        lose_reply_of: 1,
+        ..LogFaults::default()
+    });
+    for limit in ["3", "4", "5"] {
+        // A lost reply looks like an outage until the next read, and a change is refused then.
+        eventually("the change is made", || async {
+            let set = entry.ctl(&set_team("hall", limit));
+            assert!([0, 5].contains(&code(&set)), "{}", stderr(&set));
+            code(&set) == 0
+        })
+        .await;
+    }
+    let past = entry.ctl_json(&["config", "log"]);
+    assert_eq!(past.as_array().map(Vec::len), Some(3), "{past}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_that_may_have_been_made_is_told_so() {
+    let platform = Platform::start(2, PROGRAMS).await;
+    let entry = platform.entry("fd-0");
+    ready(&entry).await;
+    entry.team("hall", 1, 30);
+    let version = entry.ctl_json(&["team", "show", "hall"])["version"].to_string();
+    // Appends take effect at once, but nothing is heard of them.
+    platform.log.set_faults(LogFaults {
+        delay: Duration::from_secs(60),
+        ..LogFaults::default()
+    });
+    let change = [&set_team("hall", "3")[..], &["--replaces", &version]].concat();
+    let doubtful = entry.ctl(&change);
+    assert_eq!(code(&doubtful), 6, "{}", stderr(&doubtful));
+    assert!(stderr(&doubtful).contains("look before trying again"));
+    platform.log.set_faults(LogFaults::default());
+    ready(&entry).await;
+    eventually("the change is in force after all", || async {
+        entry.ctl_json(&["team", "show", "hall"])["value"]["limit"] == 3
+    })
+    .await;
+}
