Operators' reads write out only what is asked for

Cause: each read of one team wrote the whole state as JSON on the control thread.

Ruled out: writing the dump on another thread; it needs a copy of the state, which costs the control thread as much.

The change: 'Event::Look' names a part.

--- a/crates/monsoonnotch_core/src/effect/mod.rs
+++ b/crates/monsoonnotch_core/src/effect/mod.rs
@@ -131,7 +131,7 @@
     Change(Outcome),
     /// How a job stands.
     Job(JobAnswer),
-    /// The state, as JSON text.
+    /// The state or a part of it, as JSON text.
     Dump(String),
     /// How the process stands, in numbers.
     Gauges(Box<Gauges>),
--- a/crates/monsoonnotch_core/src/event/mod.rs
+++ b/crates/monsoonnotch_core/src/event/mod.rs
@@ -114,12 +114,42 @@
     },
     /// Someone asks for the state.
     Dump(Ticket),
+    /// Someone asks for a part of the state.
+    Look {
+        /// Names the answer.
+        ticket: Ticket,
+        /// Which part.
+        look: Look,
+    },
     /// Someone asks for the numbers of the metrics.
     Gauges(Ticket),
     /// The process is to end.
     Stop,
 }
 
+/// A part of the state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Look {
+    /// The VMs.
+    Vms,
+    /// All that is published.
+    Config,
+    /// The newest changes, newest first.
+    History,
+    /// The profiles.
+    Profiles,
+    /// The teams.
+    Teams,
+    /// The keys, without their secrets.
+    Keys,
+    /// One profile.
+    Profile(Name),
+    /// One team.
+    Team(Name),
+    /// One key, without its secret.
+    Key(Name),
+}
+
 /// What a read of the control stream brought.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ReadReply {
--- a/crates/monsoonnotch_core/src/reducer/dump.rs
+++ b/crates/monsoonnotch_core/src/reducer/dump.rs
@@ -44,7 +44,7 @@
 
 /// A VM and what this member knows of it.
 #[derive(Debug, Serialize)]
-struct VmState<'a> {
+pub(super) struct VmState<'a> {
     info: &'a VmInfo,
     held: bool,
     known: bool,
@@ -95,7 +95,7 @@
             .collect()
     }
 
-    fn vm_states(&self) -> Vec<VmState<'_>> {
+    pub(super) fn vm_states(&self) -> Vec<VmState<'_>> {
         let vms = self.fleet.iter();
         vms.map(|(_, vm)| VmState {
             info: &vm.info,
--- /dev/null
+++ b/crates/monsoonnotch_core/src/reducer/look.rs
@@ -0,0 +1,68 @@
+//! Parts of the state, for operators.
+//!
+//! Only what is asked for is written out, so that a look at one team costs
+//! the control thread little however large the fleet is.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use super::Control;
+use crate::config::Config;
+use crate::config::TeamKey;
+use crate::config::Versioned;
+use crate::effect::Answer;
+use crate::effect::Effect;
+use crate::event::Look;
+use crate::ident::Name;
+use crate::ident::Ticket;
+use crate::verdict::Reason;
+use crate::verdict::Refusal;
+
+/// A key, without anything of its secret.
+#[derive(Debug, Serialize)]
+struct KeyView<'a> {
+    team: &'a Name,
+    withdrawn: bool,
+}
+
+impl Control {
+    pub(super) fn look(&mut self, ticket: Ticket, look: &Look) {
+        let config = &self.ledger.config;
+        let text = match look {
+            Look::Vms => Some(json(&self.vm_states())),
+            Look::Config => Some(json(config)),
+            Look::History => Some(json(&config.recent.iter().rev().collect::<Vec<_>>())),
+            Look::Profiles => Some(json(&config.profiles)),
+            Look::Teams => Some(json(&config.teams)),
+            Look::Keys => Some(json(&keys(config))),
+            Look::Profile(name) => config.profiles.get(name).map(json),
+            Look::Team(name) => config.teams.get(name).map(json),
+            Look::Key(id) => config.keys.get(id).map(|k| json(&key(k))),
+        };
+        let answer = match text {
+            Some(text) => Answer::Dump(text),
+            None => Answer::Refused(Refusal::not_run(Reason::NotFound)),
+        };
+        self.out.push(Effect::Answer { ticket, answer });
+    }
+}
+
+fn keys(config: &Config) -> BTreeMap<&Name, Versioned<KeyView<'_>>> {
+    config.keys.iter().map(|(id, k)| (id, key(k))).collect()
+}
+
+fn key(k: &Versioned<TeamKey>) -> Versioned<KeyView<'_>> {
+    Versioned {
+        version: k.version,
+        stamp: k.stamp.clone(),
+        value: KeyView {
+            team: &k.value.team,
+            withdrawn: k.value.withdrawn,
+        },
+    }
+}
+
+fn json<T: Serialize>(value: &T) -> String {
+    serde_json::to_string(value).expect("the state has a JSON form")
+}
--- a/crates/monsoonnotch_core/src/reducer/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/mod.rs
@@ -14,6 +14,7 @@
 mod journal;
 mod keyed;
 mod log;
+mod look;
 mod operators;
 mod peers;
 mod stop;
@@ -173,6 +174,7 @@
             Event::Job { ticket, key, ask } => self.job_asked(ticket, key, ask),
             Event::Change { ticket, change } => self.change(ticket, change),
             Event::Dump(ticket) => self.dump(ticket),
+            Event::Look { ticket, look } => self.look(ticket, &look),
             Event::Gauges(ticket) => self.gauges(ticket),
             Event::Stop => self.stop(),
         }
--- a/crates/monsoonnotch_entry/src/operators/changes.rs
+++ b/crates/monsoonnotch_entry/src/operators/changes.rs
@@ -11,9 +11,11 @@
 use monsoonnotch_core::config::Stamp;
 use monsoonnotch_core::config::Team;
 use monsoonnotch_core::config::TeamKey;
+use monsoonnotch_core::config::Versioned;
 use monsoonnotch_core::config::sound_name;
 use monsoonnotch_core::effect::Answer;
 use monsoonnotch_core::event::Event;
+use monsoonnotch_core::event::Look;
 use monsoonnotch_core::ident::Name;
 use monsoonnotch_core::time::Duration;
 use monsoonnotch_core::verdict::Reason;
@@ -108,7 +110,7 @@
 pub(super) async fn withdraw(asked: Asked<'_>, id: &str) -> Result<Response<Body>, Refused> {
     let replaces = match asked.replaces {
         Some(v) => v,
-        None => version_of(asked.inbox, "keys", id).await?,
+        None => thing(asked.inbox, Look::Key(Name::from(id))).await?.version,
     };
     let asked = Asked {
         replaces: Some(replaces),
@@ -119,8 +121,7 @@
 }
 
 async fn apply(asked: Asked<'_>, set: Setting) -> Result<u64, Refused> {
-    let (kind, name) = set.names();
-    let name = name.clone();
+    let look = look_at(&set);
     let change = Change {
         replaces: asked.replaces.unwrap_or(NO_VERSION),
         set,
@@ -131,7 +132,7 @@
         .ask(move |ticket| Event::Change { ticket, change })
         .await;
     match answer {
-        Some(Answer::Change(outcome)) => judge(asked.inbox, kind, &name, outcome).await,
+        Some(Answer::Change(outcome)) => judge(asked.inbox, look, outcome).await,
         Some(Answer::Refused(refusal)) => Err((refusal, None)),
         _ => {
             let wait = Duration::from_secs(1);
@@ -144,7 +145,16 @@
     }
 }
 
-async fn judge(inbox: &Inbox, kind: &str, name: &str, outcome: Outcome) -> Result<u64, Refused> {
+/// How to look at what a change sets.
+fn look_at(set: &Setting) -> Look {
+    match set {
+        Setting::Profile(name, _) => Look::Profile(name.clone()),
+        Setting::Team(name, _) => Look::Team(name.clone()),
+        Setting::Key(id, _) | Setting::Withdraw(id) => Look::Key(id.clone()),
+    }
+}
+
+async fn judge(inbox: &Inbox, look: Look, outcome: Outcome) -> Result<u64, Refused> {
     let not_found = |detail: &str| {
         let refusal = Refusal::not_run(Reason::NotFound);
         Err((refusal, Some(detail.to_owned())))
@@ -152,7 +162,7 @@
     match outcome {
         Outcome::Applied(version) => Ok(version),
         Outcome::Conflict(current) => {
-            let detail = winner(inbox, kind, name, current).await;
+            let detail = winner(inbox, look, current).await;
             Err((Refusal::not_run(Reason::Conflict), Some(detail)))
         }
         Outcome::NoSuchTeam => not_found("there is no such team; set it first"),
@@ -161,32 +171,22 @@
 }
 
 /// Says which change is in force instead of one that lost.
-async fn winner(inbox: &Inbox, kind: &str, name: &str, current: u64) -> String {
+async fn winner(inbox: &Inbox, look: Look, current: u64) -> String {
     if current == NO_VERSION {
         return "there is no such thing yet; create it without naming a version".to_owned();
     }
     let advice = "look at it and try again with that version";
-    let stamp = match reads::state(inbox).await {
-        Ok(state) => stamp_of(&state["ledger"]["config"][kind][name], current),
-        Err(_) => None,
-    };
-    match stamp {
-        Some(stamp) => format!("version {current}, set {stamp}, is in force; {advice}"),
+    let found = thing(inbox, look).await.ok();
+    // It may have changed again since.
+    match found.filter(|t| t.version == current) {
+        Some(t) => format!("version {current}, set {}, is in force; {advice}", t.stamp),
         None => format!("version {current} is in force; {advice}"),
     }
 }
 
-/// Who set a thing, unless it has changed again since.
-fn stamp_of(thing: &Value, version: u64) -> Option<Stamp> {
-    let same = thing["version"].as_u64() == Some(version);
-    let stamp = same.then(|| thing["stamp"].clone())?;
-    serde_json::from_value(stamp).ok()
-}
-
-async fn version_of(inbox: &Inbox, kind: &str, name: &str) -> Result<u64, Refused> {
-    let state = reads::state(inbox).await?;
-    let version = state["ledger"]["config"][kind][name]["version"].as_u64();
-    version.ok_or((Refusal::not_run(Reason::NotFound), None))
+async fn thing(inbox: &Inbox, look: Look) -> Result<Versioned<Value>, Refused> {
+    let text = reads::look_at(inbox, look).await?;
+    Ok(serde_json::from_str(&text).expect("a thing with its version"))
 }
 
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refused> {
--- a/crates/monsoonnotch_entry/src/operators/mod.rs
+++ b/crates/monsoonnotch_entry/src/operators/mod.rs
@@ -26,6 +26,7 @@
 use monsoonnotch_core::config::KeyHash;
 use monsoonnotch_core::config::Stamp;
 use monsoonnotch_core::config::sound_name;
+use monsoonnotch_core::event::Look;
 use monsoonnotch_core::ident::Name;
 use monsoonnotch_core::verdict::Reason;
 use monsoonnotch_core::verdict::Refusal;
@@ -142,23 +143,22 @@
 
 async fn read(shared: &Shared, parts: &[&str]) -> Result<Response<Body>, Refused> {
     let inbox = &shared.inbox;
-    match parts {
-        ["metrics"] => Ok(reads::metrics(shared).await),
-        ["v1", "state"] => reads::part(inbox, &[]).await,
-        ["v1", "vms"] => reads::part(inbox, &["vms"]).await,
-        ["v1", "config"] => reads::part(inbox, &["ledger", "config"]).await,
-        ["v1", "config", "log"] => reads::history(inbox).await,
-        ["v1", "keys"] => reads::keys(inbox, None).await,
-        ["v1", "keys", id] => reads::keys(inbox, Some(id)).await,
-        ["v1", kind @ ("profiles" | "teams")] => {
-            reads::part(inbox, &["ledger", "config", kind]).await
-        }
-        ["v1", kind @ ("profiles" | "teams"), name] => {
-            reads::part(inbox, &["ledger", "config", kind, name]).await
-        }
-        ["v1", "jobs", id] => callers::operator_ask(inbox, id, false).await,
-        _ => Err((Refusal::not_run(Reason::NotFound), None)),
-    }
+    let look = match parts {
+        ["metrics"] => return Ok(reads::metrics(shared).await),
+        ["v1", "state"] => return reads::state(inbox).await,
+        ["v1", "jobs", id] => return callers::operator_ask(inbox, id, false).await,
+        ["v1", "vms"] => Look::Vms,
+        ["v1", "config"] => Look::Config,
+        ["v1", "config", "log"] => Look::History,
+        ["v1", "profiles"] => Look::Profiles,
+        ["v1", "teams"] => Look::Teams,
+        ["v1", "keys"] => Look::Keys,
+        ["v1", "profiles", name] => Look::Profile(Name::from(*name)),
+        ["v1", "teams", name] => Look::Team(Name::from(*name)),
+        ["v1", "keys", id] => Look::Key(Name::from(*id)),
+        _ => return Err((Refusal::not_run(Reason::NotFound), None)),
+    };
+    reads::part(inbox, look).await
 }
 
 async fn change(
--- a/crates/monsoonnotch_entry/src/operators/reads.rs
+++ b/crates/monsoonnotch_entry/src/operators/reads.rs
@@ -6,10 +6,10 @@
 use http::StatusCode;
 use monsoonnotch_core::effect::Answer;
 use monsoonnotch_core::event::Event;
+use monsoonnotch_core::event::Look;
 use monsoonnotch_core::time::Duration;
 use monsoonnotch_core::verdict::Reason;
 use monsoonnotch_core::verdict::Refusal;
-use serde_json::Value;
 
 use super::Refused;
 use super::Shared;
@@ -36,47 +36,28 @@
     text(handle.render())
 }
 
-/// The part of the state at a path of member names.
-pub(super) async fn part(inbox: &Inbox, path: &[&str]) -> Result<Response<Body>, Refused> {
-    let value = state(inbox).await?;
-    let found = path.iter().try_fold(&value, |v, name| v.get(name));
-    let found = found.ok_or((Refusal::not_run(Reason::NotFound), None))?;
-    Ok(problem::json(StatusCode::OK, found.to_string()))
+/// The whole state of the process.
+pub(super) async fn state(inbox: &Inbox) -> Result<Response<Body>, Refused> {
+    let text = dumped(inbox.ask(Event::Dump).await)?;
+    Ok(problem::json(StatusCode::OK, text))
 }
 
-/// The keys, without anything of their secrets.
-pub(super) async fn keys(inbox: &Inbox, id: Option<&str>) -> Result<Response<Body>, Refused> {
-    let mut value = state(inbox).await?;
-    let keys = &mut value["ledger"]["config"]["keys"];
-    for key in keys
-        .as_object_mut()
-        .into_iter()
-        .flat_map(|m| m.values_mut())
-    {
-        if let Some(shown) = key["value"].as_object_mut() {
-            shown.remove("hash");
-        }
-    }
-    let found = id.map_or(Some(&*keys), |id| keys.get(id));
-    let found = found.ok_or((Refusal::not_run(Reason::NotFound), None))?;
-    Ok(problem::json(StatusCode::OK, found.to_string()))
+/// A part of the state.
+pub(super) async fn part(inbox: &Inbox, look: Look) -> Result<Response<Body>, Refused> {
+    let text = look_at(inbox, look).await?;
+    Ok(problem::json(StatusCode::OK, text))
 }
 
-/// The newest changes of the configuration, newest first.
-pub(super) async fn history(inbox: &Inbox) -> Result<Response<Body>, Refused> {
-    let value = state(inbox).await?;
-    let recent = value["ledger"]["config"]["recent"].as_array();
-    let newest_first: Vec<&Value> = recent.into_iter().flatten().rev().collect();
-    let text = serde_json::to_string(&newest_first).expect("JSON values have a JSON form");
-    Ok(problem::json(StatusCode::OK, text))
+/// A part of the state, as JSON text.
+pub(super) async fn look_at(inbox: &Inbox, look: Look) -> Result<String, Refused> {
+    let answer = inbox.ask(move |ticket| Event::Look { ticket, look });
+    dumped(answer.await)
 }
 
-/// The whole state.
-pub(super) async fn state(inbox: &Inbox) -> Result<Value, Refused> {
-    match inbox.ask(Event::Dump).await {
-        Some(Answer::Dump(text)) => {
-            Ok(serde_json::from_str(&text).expect("the state is valid JSON"))
-        }
+fn dumped(answer: Option<Answer>) -> Result<String, Refused> {
+    match answer {
+        Some(Answer::Dump(text)) => Ok(text),
+        Some(Answer::Refused(refusal)) => Err((refusal, None)),
         _ => {
             let wait = Duration::from_secs(1);
             Err((Refusal::later(Reason::Stopping, wait), None))
