--- /dev/null
+++ b/crates/monsoonnotch_entry/src/callers/dispatched.rs
@@ -0,0 +1,162 @@
+//! One caller's request on its way: decisions in, dispatches out.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::Response;
+use http::request::Parts;
+use http_body_util::Full;
+use monsoonnotch_core::event::CallArrived;
+use monsoonnotch_core::event::CallEnd;
+use monsoonnotch_core::event::Event;
+use monsoonnotch_core::ident::CallKey;
+use monsoonnotch_core::time::Duration;
+use monsoonnotch_core::time::Time;
+use monsoonnotch_core::timing::Timing;
+use monsoonnotch_core::verdict::Reason;
+use monsoonnotch_core::verdict::Refusal;
+use monsoonnotch_core::verdict::Verdict;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::Instant;
+
+use super::Shared;
+use super::fields;
+use crate::control::Decision;
+use crate::control::Inbox;
+use crate::problem::Body;
+use crate::upstream;
+use crate::upstream::Dispatch;
+use crate::upstream::Ending;
+use crate::upstream::guarded::Window;
+
+/// A request that the control thread knows; dropping it tells that the caller went away.
+#[derive(Debug)]
+pub(super) struct Call {
+    key: CallKey,
+    inbox: Inbox,
+    decisions: UnboundedReceiver<Decision>,
+    /// Whether the caller got its final answer.
+    answered: bool,
+    /// Whether an earlier dispatch may have run.
+    may_have_run: bool,
+}
+
+impl Call {
+    /// Hands a request to the control thread.
+    pub(super) fn new(inbox: &Inbox, arrived: CallArrived) -> Self {
+        Self {
+            key: arrived.call,
+            inbox: inbox.clone(),
+            decisions: inbox.call(arrived),
+            answered: false,
+            may_have_run: false,
+        }
+    }
+
+    /// Does as the control thread decides until there is an answer.
+    pub(super) async fn run(
+        mut self,
+        shared: &Arc<Shared>,
+        parts: &Parts,
+        body: &Bytes,
+    ) -> Result<Response<Body>, Refusal> {
+        loop {
+            let decision = self.decisions.recv().await;
+            let answer = match decision {
+                None => Some(Err(self.nobody_decides())),
+                Some(Decision::Refuse(refusal)) => Some(Err(self.honest(refusal))),
+                Some(Decision::Dispatch {
+                    addr,
+                    timeout,
+                    certain_until,
+                    ..
+                }) => {
+                    let sent = self.dispatch(shared, parts, body, &addr, timeout, certain_until);
+                    sent.await.map(Ok)
+                }
+            };
+            if let Some(answer) = answer {
+                self.answered = true;
+                return answer;
+            }
+        }
+    }
+
+    /// Sends it once; `None` when no answer came, which the control thread has been told.
+    async fn dispatch(
+        &mut self,
+        shared: &Arc<Shared>,
+        parts: &Parts,
+        body: &Bytes,
+        addr: &str,
+        timeout: Duration,
+        certain_until: Time,
+    ) -> Option<Response<Body>> {
+        let ending = Ending::new(self.key, self.inbox.clone());
+        let Ok(to) = addr.parse() else {
+            ending.report(CallEnd::NotRun(Reason::UpstreamRefused));
+            return None;
+        };
+        let connect = std::time::Duration::from_millis(shared.settings.timing.connect_ms);
+        let d = Dispatch {
+            addr: to,
+            connect,
+            deadline: Instant::now() + timeout.into(),
+            clock: shared.clock,
+            window: window(certain_until),
+        };
+        let req = fields::request(parts, Full::new(body.clone()), addr);
+        match upstream::start(d, req, ending).await {
+            Ok(Ok(mut res)) => {
+                fields::strip(res.headers_mut());
+                Some(res)
+            }
+            Ok(Err(CallEnd::NotRun(_))) => None,
+            _ => {
+                self.may_have_run = true;
+                None
+            }
+        }
+    }
+
+    /// A refusal that takes earlier dispatches into account.
+    fn honest(&self, refusal: Refusal) -> Refusal {
+        let verdict = match self.may_have_run {
+            true if refusal.verdict == Verdict::NotRun => Verdict::MayHaveRun,
+            _ => refusal.verdict,
+        };
+        Refusal { verdict, ..refusal }
+    }
+
+    /// The answer when nobody is left to decide.
+    fn nobody_decides(&self) -> Refusal {
+        let wait = Duration::from_secs(1);
+        self.honest(Refusal::later(Reason::Uncertain, wait))
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        // A dispatch that was decided on and not begun still holds a slot.
+        self.decisions.close();
+        let call = self.key;
+        while let Ok(decision) = self.decisions.try_recv() {
+            if let Decision::Dispatch { .. } = decision {
+                let ended = CallEnd::NotRun(Reason::Cancelled);
+                self.inbox.event(Event::CallEnded { call, ended });
+            }
+        }
+        self.inbox.event(Event::CallGone(call));
+    }
+}
+
+/// When a request may be written whose right to be started lapses at `until`.
+fn window(until: Time) -> Window {
+    Window {
+        begin: until,
+        end: until + Timing::default().dispatch,
+    }
+}
--- /dev/null
+++ b/crates/monsoonnotch_entry/src/callers/fields.rs
@@ -0,0 +1,75 @@
+//! Header fields that are passed on between caller and upstream.
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Request;
+use http::header;
+use http::request::Parts;
+
+/// Fields that belong to one connection and are not passed on.
+const HOP_BY_HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+];
+
+/// Removes what belongs to one connection only.
+pub(super) fn strip(headers: &mut HeaderMap) {
+    for name in named_by_connection(headers) {
+        headers.remove(name);
+    }
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+}
+
+/// The fields that `Connection` names as belonging to it.
+fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
+    let values = headers.get_all(header::CONNECTION).iter();
+    let texts = values.filter_map(|v| v.to_str().ok());
+    let names = texts.flat_map(|t| t.split(','));
+    names.filter_map(|n| n.trim().parse().ok()).collect()
+}
+
+/// Makes a caller's head one for an upstream.
+pub(super) fn towards_upstream(parts: &mut Parts, id: &HeaderValue) {
+    let headers = &mut parts.headers;
+    let trailers = takes_trailers(headers);
+    strip(headers);
+    headers.remove(header::AUTHORIZATION);
+    headers.remove(header::CONTENT_LENGTH);
+    headers.insert(super::head::REQUEST_ID, id.clone());
+    if trailers {
+        headers.insert(header::TE, HeaderValue::from_static("trailers"));
+        headers.insert(header::CONNECTION, HeaderValue::from_static("te"));
+    }
+}
+
+/// Whether whoever sent these headers accepts trailers.
+fn takes_trailers(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::TE).iter();
+    let mut texts = values.filter_map(|v| v.to_str().ok());
+    texts.any(|t| {
+        t.split(',')
+            .any(|c| c.trim().eq_ignore_ascii_case("trailers"))
+    })
+}
+
+/// The request as an upstream at `addr` gets it.
+pub(super) fn request<B>(parts: &Parts, body: B, addr: &str) -> Request<B> {
+    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    let mut req = Request::new(body);
+    *req.method_mut() = parts.method.clone();
+    *req.uri_mut() = path.parse().expect("the path was part of a valid address");
+    *req.headers_mut() = parts.headers.clone();
+    let host = HeaderValue::from_str(addr).expect("an address is a valid value");
+    req.headers_mut().insert(header::HOST, host);
+    req
+}
--- a/crates/monsoonnotch_entry/src/callers/head.rs
+++ b/crates/monsoonnotch_entry/src/callers/head.rs
@@ -1,5 +1,7 @@
 //! What a request's head says about how to treat it.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
@@ -8,12 +10,15 @@
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use monsoonnotch_core::config::KeyHash;
 use monsoonnotch_core::event::KeyProof;
 use monsoonnotch_core::ident::Name;
+use monsoonnotch_core::time::Duration;
 use monsoonnotch_core::verdict::Reason;
 use monsoonnotch_core::verdict::Refusal;
+use tokio::sync::OwnedSemaphorePermit;
 
 use super::Shared;
 
@@ -28,6 +33,10 @@
 
 /// Longest name or key in a header, in bytes.
 const TEXT_MAX: usize = 256;
+/// A longer wait of a caller counts as this long, in milliseconds.
+const TIMEOUT_MAX_MS: u64 = 24 * 3_600 * 1_000;
+/// When to come back after too much was in memory.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A header's text; `None` when there is none.
 ///
@@ -72,7 +81,8 @@
 pub(super) fn timeout_ms(headers: &HeaderMap) -> Result<Option<u64>, Refusal> {
     let text = text(headers, &REQUEST_TIMEOUT_MS)?;
     let number = text.map(|t| t.parse().map_err(|_| Refusal::not_run(Reason::Malformed)));
-    number.transpose()
+    let number: Option<u64> = number.transpose()?;
+    Ok(number.map(|ms| ms.min(TIMEOUT_MAX_MS)))
 }
 
 /// The request's own name, or one made here.
@@ -86,17 +96,40 @@
 
 /// Reads a whole body within the limits.
 ///
+/// The reservation stands for the memory that the body takes.
+///
 /// # Errors
 ///
-/// When it is too large, too slow or cut.
-pub(super) async fn body(shared: &Shared, body: Incoming) -> Result<Bytes, Refusal> {
+/// When it is too large, too slow or cut, or when too much is in memory already.
+pub(super) async fn body(
+    shared: &Shared,
+    body: Incoming,
+) -> Result<(Bytes, OwnedSemaphorePermit), Refusal> {
     let limits = &shared.settings.limits;
+    let reserved = reserve(shared, &body)?;
     let receive = std::time::Duration::from_millis(limits.receive_ms);
     let whole = Limited::new(body, limits.body_bytes).collect();
     match tokio::time::timeout(receive, whole).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Ok(body)) => Ok((body.to_bytes(), reserved)),
         Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Refusal::not_run(Reason::TooLarge)),
         Ok(Err(_)) => Err(Refusal::not_run(Reason::Malformed)),
         Err(_) => Err(Refusal::not_run(Reason::TooSlow)),
     }
 }
+
+/// Reserves memory for a body: what it says it takes, or else what it may take at most.
+fn reserve(shared: &Shared, body: &Incoming) -> Result<OwnedSemaphorePermit, Refusal> {
+    let max = shared.settings.limits.body_bytes;
+    let hint = body.size_hint();
+    let least = usize::try_from(hint.lower()).unwrap_or(usize::MAX);
+    if least > max {
+        return Err(Refusal::not_run(Reason::TooLarge));
+    }
+    let bytes = match hint.exact() {
+        Some(_) => least,
+        None => max,
+    };
+    let kib = u32::try_from(bytes.div_ceil(1_024)).unwrap_or(u32::MAX);
+    let reserved = Arc::clone(&shared.body_memory).try_acquire_many_owned(kib);
+    reserved.map_err(|_| Refusal::later(Reason::QueueFull, RETRY_AFTER))
+}
--- a/crates/monsoonnotch_entry/src/callers/jobs.rs
+++ b/crates/monsoonnotch_entry/src/callers/jobs.rs
@@ -113,9 +113,8 @@
     let id = path.strip_prefix("/v1/jobs/");
     match (req.method().clone(), id) {
         (Method::POST, None) => {
-            let body = head::body(shared, req.into_body())
-                .await
-                .map_err(|r| (r, None))?;
+            let read = head::body(shared, req.into_body()).await;
+            let (body, _reserved) = read.map_err(|r| (r, None))?;
             submit(&shared.inbox, Some(key), &body, None).await
         }
         (Method::GET, Some(id)) => ask(&shared.inbox, Some(key), id, false).await,
--- a/crates/monsoonnotch_entry/src/callers/mod.rs
+++ b/crates/monsoonnotch_entry/src/callers/mod.rs
@@ -1,29 +1,34 @@
 //! The callers' listener: HTTP requests in, upstreams' answers out.
 
+mod connection;
+mod dispatched;
+mod fields;
 mod head;
 mod jobs;
 mod proxy;
+mod stream;
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
+use http::header;
 use hyper::Request;
 use hyper::body::Incoming;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
+use monsoonnotch_core::time::Duration as Span;
+use monsoonnotch_core::verdict::Reason;
 use monsoonnotch_core::verdict::Refusal;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::timeout;
 
 use crate::clock::Clock;
 use crate::control::Inbox;
@@ -31,6 +36,15 @@
 use crate::problem::Body;
 use crate::settings::Settings;
 
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Connections beyond the limit that are served a refusal at a time.
+const REFUSED_MAX: usize = 256;
+/// When to come back after a connection too many.
+const RETRY_AFTER: Span = Span::from_secs(1);
+/// Memory for the bodies of requests in progress, in units of the largest body.
+const BODIES_MAX: usize = 256;
+
 /// What the handlers of callers' requests share.
 #[derive(Debug)]
 pub struct Shared {
@@ -42,61 +56,95 @@
     pub inbox: Inbox,
     /// Whether the balancer may send requests here.
     pub ready: Arc<AtomicBool>,
+    /// Whether a graceful shutdown has begun.
+    pub stopping: AtomicBool,
     /// Number of the last request.
     pub last_call: AtomicU64,
+    /// Memory left for bodies, in KiB.
+    pub body_memory: Arc<Semaphore>,
+}
+
+impl Shared {
+    /// What the handlers of an entry share.
+    pub fn new(settings: Settings, clock: Clock, inbox: Inbox, ready: Arc<AtomicBool>) -> Self {
+        let kib = settings.limits.body_bytes.div_ceil(1_024) * BODIES_MAX;
+        Self {
+            settings,
+            clock,
+            inbox,
+            ready,
+            stopping: AtomicBool::new(false),
+            last_call: AtomicU64::new(0),
+            body_memory: Arc::new(Semaphore::new(kib.min(Semaphore::MAX_PERMITS))),
+        }
+    }
 }
 
 /// Accepts connections until `stop` changes, then finishes those that are open.
 pub async fn serve(listener: TcpListener, shared: Arc<Shared>, mut stop: watch::Receiver<bool>) {
-    let slots = Arc::new(Semaphore::new(shared.settings.limits.connections));
     let mut open = JoinSet::new();
     loop {
         while open.try_join_next().is_some() {}
-        let permit = Arc::clone(&slots).acquire_owned().await;
-        let stream = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let accepted = tokio::select! {
+            biased;
             _ = stop.changed() => break,
+            accepted = listener.accept() => accepted,
         };
-        if let Ok((stream, _)) = stream {
-            let conn = connection(stream, Arc::clone(&shared), stop.clone());
-            open.spawn(async move {
-                conn.await;
-                drop(permit);
-            });
+        match accepted {
+            Ok((stream, _)) => open_one(&mut open, stream, &shared, &stop),
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
+    // The system has accepted these already, so they get an answer.
+    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+        open_one(&mut open, stream, &shared, &stop);
+    }
     drop(listener);
     while open.join_next().await.is_some() {}
 }
 
-async fn connection(stream: TcpStream, shared: Arc<Shared>, mut stop: watch::Receiver<bool>) {
-    let _ = stream.set_nodelay(true);
-    let limits = &shared.settings.limits;
-    let receive = Duration::from_millis(limits.receive_ms);
-    let mut builder = hyper::server::conn::http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(receive)
-        .max_buf_size(limits.head_bytes.max(8_192));
-    let service = service_fn(|req| route(Arc::clone(&shared), req));
-    let conn = builder.serve_connection(TokioIo::new(stream), service);
-    let mut conn = std::pin::pin!(conn);
-    tokio::select! {
-        _ = conn.as_mut() => return,
-        _ = stop.changed() => conn.as_mut().graceful_shutdown(),
+fn open_one(
+    open: &mut JoinSet<()>,
+    stream: TcpStream,
+    shared: &Arc<Shared>,
+    stop: &watch::Receiver<bool>,
+) {
+    let max = shared.settings.limits.connections;
+    // Beyond that not even a refusal is served.
+    if open.len() >= max + REFUSED_MAX {
+        return;
     }
-    let _ = conn.await;
+    let refuse = (open.len() >= max).then(|| Refusal::later(Reason::QueueFull, RETRY_AFTER));
+    let conn = connection::serve(stream, Arc::clone(shared), stop.clone(), refuse);
+    open.spawn(conn);
 }
 
-async fn route(shared: Arc<Shared>, req: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+/// Answers one request; `refuse` is the answer to any of a connection too many.
+async fn answer(
+    shared: Arc<Shared>,
+    req: Request<Incoming>,
+    refuse: Option<Refusal>,
+) -> Response<Body> {
+    let stopping = Arc::clone(&shared);
+    let mut res = match refuse {
+        Some(refusal) => problem::answer(&refusal, None),
+        None => route(shared, req).await,
+    };
+    if stopping.stopping.load(Ordering::Relaxed) {
+        let close = HeaderValue::from_static("close");
+        res.headers_mut().insert(header::CONNECTION, close);
+    }
+    res
+}
+
+async fn route(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
     let path = req.uri().path();
-    let res = match path {
+    match path {
         "/livez" => problem::json(StatusCode::OK, "{\"live\":true}"),
         "/readyz" => ready(&shared.ready),
         _ if path == "/v1/jobs" || path.starts_with("/v1/jobs/") => jobs::handle(shared, req).await,
         _ => proxy::handle(shared, req).await,
-    };
-    Ok(res)
+    }
 }
 
 /// The answer to the balancer's question.
--- a/crates/monsoonnotch_entry/src/control/inbox.rs
+++ b/crates/monsoonnotch_entry/src/control/inbox.rs
@@ -1,19 +1,27 @@
 //! What reaches the control thread, and how it answers.
 
 use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::Sender;
 
 use monsoonnotch_core::effect::Answer;
 use monsoonnotch_core::event::CallArrived;
 use monsoonnotch_core::event::Event;
+use monsoonnotch_core::ident::MemberId;
 use monsoonnotch_core::ident::Name;
 use monsoonnotch_core::ident::Ticket;
 use monsoonnotch_core::time::Duration;
 use monsoonnotch_core::time::Time;
 use monsoonnotch_core::verdict::Refusal;
+use monsoonnotch_core::wire::PeerMsg;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+/// Messages of peers that wait for the control thread at most.
+const FROM_PEERS_MAX: usize = 16_384;
+
 /// What is to be done with a caller's request.
 #[derive(Debug)]
 pub enum Decision {
@@ -39,6 +47,8 @@
 pub enum Input {
     /// An event.
     Event(Event),
+    /// A peer's message.
+    Peer(MemberId, PeerMsg),
     /// A caller's request and where its decisions go.
     Call(CallArrived, mpsc::UnboundedSender<Decision>),
     /// A question and where its answer goes.
@@ -51,6 +61,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Event(ev) => f.debug_tuple("Event").field(ev).finish(),
+            Self::Peer(from, _) => f.debug_tuple("Peer").field(from).finish(),
             Self::Call(call, _) => f.debug_tuple("Call").field(call).finish(),
             Self::Ask(..) => f.write_str("Ask"),
             Self::Kill => f.write_str("Kill"),
@@ -62,11 +73,14 @@
 #[derive(Debug, Clone)]
 pub struct Inbox {
     tx: Sender<Input>,
+    /// Messages of peers that wait.
+    from_peers: Arc<AtomicUsize>,
 }
 
 impl Inbox {
     pub(super) fn new(tx: Sender<Input>) -> Self {
-        Self { tx }
+        let from_peers = Arc::default();
+        Self { tx, from_peers }
     }
 
     /// Hands over an event; it is lost once the control thread has ended.
@@ -74,6 +88,20 @@
         let _ = self.tx.send(Input::Event(ev));
     }
 
+    /// Hands over a peer's message, which is dropped when too many wait already.
+    pub fn peer(&self, from: MemberId, msg: PeerMsg) {
+        if self.from_peers.fetch_add(1, Ordering::Relaxed) >= FROM_PEERS_MAX {
+            self.peer_taken();
+            metrics::counter!("monsoonnotch_peer_messages_dropped_total").increment(1);
+            return;
+        }
+        let _ = self.tx.send(Input::Peer(from, msg));
+    }
+
+    pub(super) fn peer_taken(&self) {
+        self.from_peers.fetch_sub(1, Ordering::Relaxed);
+    }
+
     /// Hands over a caller's request; its decisions come on the receiver.
     pub fn call(&self, arrived: CallArrived) -> mpsc::UnboundedReceiver<Decision> {
         let (tx, rx) = mpsc::unbounded_channel();
--- a/crates/monsoonnotch_entry/src/control/mod.rs
+++ b/crates/monsoonnotch_entry/src/control/mod.rs
@@ -9,10 +9,13 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use monsoonnotch_core::event::CallEnd;
 use monsoonnotch_core::event::Event;
+use monsoonnotch_core::ident::CallKey;
 use monsoonnotch_core::ident::MemberId;
 use monsoonnotch_core::reducer::Control;
 use monsoonnotch_core::reducer::Settings;
+use tokio::sync::oneshot;
 
 pub use self::inbox::Decision;
 pub use self::inbox::Inbox;
@@ -34,6 +37,8 @@
 
 /// Starts the control thread; it ends when the member has left or the inbox is closed.
 ///
+/// The receiver's channel is closed when the thread ends.
+///
 /// # Panics
 ///
 /// When the system has no thread left.
@@ -42,10 +47,15 @@
     outside: Outside,
     inbox: Inbox,
     rx: mpsc::Receiver<Input>,
-) -> JoinHandle<()> {
-    let run = move || Loop::new(settings, outside, inbox).run(&rx);
+) -> (JoinHandle<()>, oneshot::Receiver<()>) {
+    let (running, ended) = oneshot::channel::<()>();
+    let run = move || {
+        Loop::new(settings, outside, inbox).run(&rx);
+        drop(running);
+    };
     let builder = thread::Builder::new().name("control".to_owned());
-    builder.spawn(run).expect("a thread can be started")
+    let thread = builder.spawn(run).expect("a thread can be started");
+    (thread, ended)
 }
 
 /// The state of the control thread.
@@ -54,15 +64,28 @@
     clock: Clock,
     control: Control,
     runner: Runner,
+    inbox: Inbox,
     stop_asked: bool,
 }
 
+/// The call that needs no further decision after an event.
+fn answered(ev: &Event) -> Option<CallKey> {
+    match ev {
+        Event::CallEnded { call, ended } => match ended {
+            CallEnd::Complete | CallEnd::Cut(_) => Some(*call),
+            CallEnd::NotRun(_) | CallEnd::MayHaveRun(_) => None,
+        },
+        _ => None,
+    }
+}
+
 impl Loop {
     fn new(settings: Settings, outside: Outside, inbox: Inbox) -> Self {
         Self {
             clock: outside.clock,
             control: Control::new(settings.clone()),
-            runner: Runner::new(settings.me, outside, inbox),
+            runner: Runner::new(settings.me, outside, inbox.clone()),
+            inbox,
             settings,
             stop_asked: false,
         }
@@ -93,7 +116,15 @@
         match input {
             Input::Event(ev) => {
                 self.stop_asked |= ev == Event::Stop;
+                let answered = answered(&ev);
                 self.step(ev);
+                if let Some(call) = answered {
+                    self.runner.close_call(call);
+                }
+            }
+            Input::Peer(from, msg) => {
+                self.inbox.peer_taken();
+                self.step(Event::Peer { from, msg });
             }
             Input::Call(arrived, tx) => {
                 self.runner.open_call(arrived.call, tx);
--- a/crates/monsoonnotch_entry/src/control/runner.rs
+++ b/crates/monsoonnotch_entry/src/control/runner.rs
@@ -8,6 +8,7 @@
 use monsoonnotch_core::effect::Answer;
 use monsoonnotch_core::effect::Effect;
 use monsoonnotch_core::effect::Sync;
+use monsoonnotch_core::event::CallEnd;
 use monsoonnotch_core::event::Event;
 use monsoonnotch_core::event::ReadReply;
 use monsoonnotch_core::ident::CallKey;
@@ -17,6 +18,7 @@
 use monsoonnotch_core::record;
 use monsoonnotch_core::record::Batch;
 use monsoonnotch_core::record::Stream;
+use monsoonnotch_core::verdict::Reason;
 use monsoonnotch_core::verdict::Verdict;
 use monsoonnotch_peer::link::Links;
 use monsoonnotch_platform::log::Page;
@@ -25,6 +27,7 @@
 use monsoonnotch_platform::worker::StartBody;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::SendError;
 use tokio::sync::oneshot;
 
 use super::inbox::Decision;
@@ -185,13 +188,27 @@
 
     fn decide(&mut self, call: CallKey, decision: Decision) {
         let Some(tx) = self.calls.get(&call) else {
-            return;
+            return self.undo(call, &decision);
         };
-        if tx.send(decision).is_err() {
+        if let Err(SendError(decision)) = tx.send(decision) {
             self.calls.remove(&call);
+            self.undo(call, &decision);
         }
     }
 
+    /// The caller has gone; a slot that was taken for it is free again.
+    fn undo(&self, call: CallKey, decision: &Decision) {
+        if let Decision::Dispatch { .. } = decision {
+            let ended = CallEnd::NotRun(Reason::Cancelled);
+            self.inbox.event(Event::CallEnded { call, ended });
+        }
+    }
+
+    /// Forgets a call that needs no further decision.
+    pub(super) fn close_call(&mut self, call: CallKey) {
+        self.calls.remove(&call);
+    }
+
     fn spawn(&self, f: impl Future<Output = Event> + Send + 'static) {
         let inbox = self.inbox.clone();
         self.out.rt.spawn(async move { inbox.event(f.await) });
--- a/crates/monsoonnotch_entry/src/process/mod.rs
+++ b/crates/monsoonnotch_entry/src/process/mod.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -21,7 +21,10 @@
 use monsoonnotch_platform::prelude::WorkerClient;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
 
 use crate::callers;
 use crate::clock::Clock;
@@ -32,6 +35,11 @@
 use crate::operators;
 use crate::settings::Settings;
 
+/// Time that a balancer has to notice that an entry is not ready any more.
+const NOTICE: Duration = Duration::from_secs(1);
+/// Part of a graceful shutdown that is kept for closing connections.
+const CLOSING: Duration = Duration::from_secs(2);
+
 /// Where an entry listens.
 #[derive(Debug, Clone, Copy)]
 pub struct Addresses {
@@ -50,6 +58,8 @@
     inbox: Inbox,
     rt: Runtime,
     control: JoinHandle<()>,
+    control_ended: oneshot::Receiver<()>,
+    shared: Arc<callers::Shared>,
     stop_callers: watch::Sender<bool>,
     callers: tokio::task::JoinHandle<()>,
     shutdown: Duration,
@@ -83,16 +93,11 @@
         let (inbox, rx) = control::inbox();
         let outside = outside(&settings, clock, &rt, &ready);
         let member = member_settings(&settings, &addrs);
-        let control = control::start(member, outside, inbox.clone(), rx);
+        let (control, control_ended) = control::start(member, outside, inbox.clone(), rx);
         let (stop_callers, stop) = watch::channel(false);
         let shutdown = Duration::from_millis(settings.timing.shutdown_ms);
-        let callers_shared = Arc::new(callers::Shared {
-            settings: settings.clone(),
-            clock,
-            inbox: inbox.clone(),
-            ready: Arc::clone(&ready),
-            last_call: AtomicU64::new(0),
-        });
+        let shared = callers::Shared::new(settings.clone(), clock, inbox.clone(), ready.clone());
+        let shared = Arc::new(shared);
         let operators_shared = Arc::new(operators::Shared {
             inbox: inbox.clone(),
             ready,
@@ -100,11 +105,11 @@
                 .ok_or(std::io::Error::other("the token's hash was not checked"))?,
             metrics,
         });
-        let callers = rt.spawn(callers::serve(listeners.callers, callers_shared, stop));
+        let callers = rt.spawn(callers::serve(listeners.callers, Arc::clone(&shared), stop));
         rt.spawn(operators::serve(listeners.operators, operators_shared));
         let peers = inbox.clone();
         rt.spawn(link::accept(listeners.peers, move |from, msg| {
-            peers.event(Event::Peer { from, msg });
+            peers.peer(from, msg);
         }));
         rt.spawn(watch_vms(settings, inbox.clone()));
         Ok(Self {
@@ -112,6 +117,8 @@
             inbox,
             rt,
             control,
+            control_ended,
+            shared,
             stop_callers,
             callers,
             shutdown,
@@ -131,26 +138,35 @@
     /// Stops gracefully: no new work, holdings handed over, requests in progress finished.
     ///
     /// Takes as long as the settings allow at most.
-    pub fn stop(self) {
-        let deadline = std::time::Instant::now() + self.shutdown;
-        self.inbox.event(Event::Stop);
-        while !self.control.is_finished() && std::time::Instant::now() < deadline {
-            std::thread::sleep(Duration::from_millis(5));
-        }
-        let _ = self.stop_callers.send(true);
-        let left = deadline.saturating_duration_since(std::time::Instant::now());
-        let callers = self.callers;
-        let finished = self
-            .rt
-            .block_on(async { tokio::time::timeout(left, callers).await });
-        if finished.is_err() || !self.control.is_finished() {
-            logs::note(&Notice::StopTimeout(1));
-            self.inbox.kill();
+    pub fn stop(mut self) {
+        let rt = self.rt.handle().clone();
+        let deadline = Instant::now() + self.shutdown;
+        let cut = rt.block_on(self.finish(deadline));
+        if cut > 0 {
+            logs::note(&Notice::StopTimeout(cut));
         }
+        self.inbox.kill();
         logs::note(&Notice::Stopped);
         self.rt.shutdown_background();
     }
 
+    /// Finishes what is in progress; says how many connections are still open at the deadline.
+    async fn finish(&mut self, deadline: Instant) -> u32 {
+        // The reducer's first answer to this is that the entry is not ready.
+        self.inbox.event(Event::Stop);
+        self.shared.stopping.store(true, Ordering::Relaxed);
+        let closing = deadline - CLOSING.min(self.shutdown / 2);
+        // A balancer still sends requests here until it has looked at readiness again.
+        let noticed = tokio::time::sleep_until(closing.min(Instant::now() + NOTICE));
+        let _ = timeout_at(closing, &mut self.control_ended).await;
+        noticed.await;
+        let _ = self.stop_callers.send(true);
+        match timeout_at(deadline, &mut self.callers).await {
+            Ok(_) => 0,
+            Err(_) => u32::try_from(self.stop_callers.receiver_count()).unwrap_or(u32::MAX),
+        }
+    }
+
     /// Ends at once, as if the process had been killed.
     pub fn kill(self) {
         self.inbox.kill();
--- /dev/null
+++ b/crates/monsoonnotch_entry/src/upstream/ending.rs
@@ -0,0 +1,44 @@
+//! Telling the control thread, once, how a dispatched request ended.
+
+use monsoonnotch_core::event::CallEnd;
+use monsoonnotch_core::event::Event;
+use monsoonnotch_core::ident::CallKey;
+use monsoonnotch_core::verdict::Reason;
+
+use crate::control::Inbox;
+
+/// The duty to report the end of a request.
+///
+/// One that is dropped unused reports that the request may have run.
+#[derive(Debug)]
+pub struct Ending {
+    call: CallKey,
+    /// `None` once the end was reported.
+    inbox: Option<Inbox>,
+}
+
+impl Ending {
+    /// The duty to report the end of `call` to `inbox`.
+    pub fn new(call: CallKey, inbox: Inbox) -> Self {
+        let inbox = Some(inbox);
+        Self { call, inbox }
+    }
+
+    /// Reports the end.
+    pub fn report(mut self, ended: CallEnd) {
+        self.tell(ended);
+    }
+
+    fn tell(&mut self, ended: CallEnd) {
+        let call = self.call;
+        if let Some(inbox) = self.inbox.take() {
+            inbox.event(Event::CallEnded { call, ended });
+        }
+    }
+}
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        self.tell(CallEnd::MayHaveRun(Reason::UpstreamCut));
+    }
+}
--- a/crates/monsoonnotch_entry/src/upstream/guarded.rs
+++ b/crates/monsoonnotch_entry/src/upstream/guarded.rs
@@ -1,4 +1,4 @@
-//! A connection that checks the right to write right before the first write.
+//! A connection that checks the right to write around each write.
 
 use std::io;
 use std::pin::Pin;
@@ -11,68 +11,96 @@
 use hyper::rt::Read;
 use hyper::rt::ReadBufCursor;
 use hyper::rt::Write;
-use hyper_util::rt::TokioIo;
 use monsoonnotch_core::time::Time;
-use tokio::net::TcpStream;
 
 use crate::clock::Clock;
 
 // Zero stands for nothing written yet.
 const SOMETHING: u8 = 1;
 const LAPSED: u8 = 2;
+const LATE: u8 = 3;
 
-/// Whether any byte was written, seen from outside the connection.
+/// What was written, seen from outside the connection.
 #[derive(Debug, Default, Clone)]
-pub(super) struct Written {
+pub struct Written {
     state: Arc<AtomicU8>,
 }
 
 impl Written {
     /// Whether a byte may have reached the upstream.
-    pub(super) fn any(&self) -> bool {
-        self.state.load(Ordering::Acquire) == SOMETHING
+    pub fn any(&self) -> bool {
+        matches!(self.state.load(Ordering::Acquire), SOMETHING | LATE)
     }
 
-    /// Whether the right to write lapsed before the first byte.
-    pub(super) fn lapsed(&self) -> bool {
-        self.state.load(Ordering::Acquire) == LAPSED
+    /// Whether the right to write lapsed before the last byte was written.
+    pub fn lapsed(&self) -> bool {
+        matches!(self.state.load(Ordering::Acquire), LAPSED | LATE)
     }
+
+    fn set(&self, state: u8) {
+        self.state.store(state, Ordering::Release);
+    }
+}
+
+/// When a request may be written.
+#[derive(Debug, Clone, Copy)]
+pub struct Window {
+    /// The first write begins before this.
+    pub begin: Time,
+    /// The last write ends before this.
+    pub end: Time,
 }
 
 /// A connection to an upstream.
+///
+/// The process may be paused between a check and the write that follows it.
+/// So the clock is read again after each write, and a request that was written
+/// too late counts as one that may have run.
 #[derive(Debug)]
-pub(super) struct Guarded {
-    io: TokioIo<TcpStream>,
+pub struct Guarded<S> {
+    io: S,
     clock: Clock,
-    until: Time,
+    window: Window,
     written: Written,
 }
 
-impl Guarded {
-    pub(super) fn new(io: TokioIo<TcpStream>, clock: Clock, until: Time, written: Written) -> Self {
+impl<S> Guarded<S> {
+    /// Guards the writes to `io`; what is written shows in `written`.
+    pub fn new(io: S, clock: Clock, window: Window, written: Written) -> Self {
         Self {
             io,
             clock,
-            until,
+            window,
             written,
         }
     }
 
-    /// Marks the request as written, unless the right to write it has lapsed.
-    fn begin(&self) -> io::Result<()> {
+    fn before_write(&self) -> io::Result<()> {
         if self.written.any() {
-            return Ok(());
+            return self.check_end();
         }
-        if self.clock.now() >= self.until {
-            self.written.state.store(LAPSED, Ordering::Release);
-            return Err(io::Error::other("the right to start work lapsed"));
+        if self.clock.now() >= self.window.begin {
+            self.written.set(LAPSED);
+            return Err(lapsed());
         }
-        self.written.state.store(SOMETHING, Ordering::Release);
+        self.written.set(SOMETHING);
         Ok(())
     }
+
+    fn check_end(&self) -> io::Result<()> {
+        if self.clock.now() < self.window.end {
+            return Ok(());
+        }
+        self.written.set(LATE);
+        Err(lapsed())
+    }
+}
+
+fn lapsed() -> io::Error {
+    io::Error::other("the right to start work lapsed")
 }
 
-impl Read for Guarded {
+impl<S: Read + Unpin> Read for Guarded<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -82,14 +110,16 @@
     }
 }
 
-impl Write for Guarded {
+impl<S: Write + Unpin> Write for Guarded<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.begin()?;
-        Pin::new(&mut self.io).poll_write(cx, buf)
+        self.before_write()?;
+        let n = std::task::ready!(Pin::new(&mut self.io).poll_write(cx, buf))?;
+        self.check_end()?;
+        Poll::Ready(Ok(n))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/monsoonnotch_entry/src/upstream/mod.rs
+++ b/crates/monsoonnotch_entry/src/upstream/mod.rs
@@ -1,9 +1,12 @@
 //! Sending one request to an upstream and passing its answer on.
 //!
 //! Each request has a connection of its own. Whether a byte of it was handed
-//! to the system is known, so that "not run" is said only when none was.
+//! to the system is known, so that "not run" is said only when none was. The
+//! exchange runs in a task of its own, so that a caller who leaves does not
+//! stop it halfway and the end of the request is always known.
 
-mod guarded;
+mod ending;
+pub mod guarded;
 mod relay;
 
 use std::net::SocketAddr;
@@ -12,20 +15,26 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
+use http::StatusCode;
+use http::header;
 use http_body_util::Full;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use monsoonnotch_core::event::CallEnd;
-use monsoonnotch_core::time::Time;
 use monsoonnotch_core::verdict::Reason;
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+pub use self::ending::Ending;
 use self::guarded::Guarded;
+use self::guarded::Window;
 use self::guarded::Written;
-pub use self::relay::Relay;
 use crate::clock::Clock;
+use crate::problem::Body;
 
 /// One dispatch of a request.
 #[derive(Debug, Clone)]
@@ -38,22 +47,44 @@
     pub deadline: Instant,
     /// The process's clock.
     pub clock: Clock,
-    /// When the right to write the request lapses.
-    pub certain_until: Time,
+    /// When the request may be written.
+    pub window: Window,
+}
+
+/// The head of an answer with a body that follows, or how the request ended without one.
+pub type Answer = Result<Response<Body>, CallEnd>;
+
+/// Starts an exchange; how the request ends is reported through `ending`.
+pub fn start(d: Dispatch, req: Request<Full<Bytes>>, ending: Ending) -> oneshot::Receiver<Answer> {
+    let (tx, rx) = oneshot::channel();
+    tokio::spawn(run(d, req, ending, tx));
+    rx
+}
+
+async fn run(d: Dispatch, req: Request<Full<Bytes>>, ending: Ending, tx: oneshot::Sender<Answer>) {
+    // Dropped together with this task, which closes the connection.
+    let mut conns = JoinSet::new();
+    match send(&d, req, &mut conns).await {
+        Ok(res) => relay::pass_on(res, d.deadline, ending, tx).await,
+        Err(ended) => {
+            ending.report(ended);
+            let _ = tx.send(Err(ended));
+        }
+    }
 }
 
 /// Sends a request and waits for the head of the answer.
-///
-/// # Errors
-///
-/// How the request ended, when no head came: never `Complete`.
-pub async fn send(d: &Dispatch, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallEnd> {
+async fn send(
+    d: &Dispatch,
+    req: Request<Full<Bytes>>,
+    conns: &mut JoinSet<hyper::Result<()>>,
+) -> Result<Response<Incoming>, CallEnd> {
     let written = Written::default();
-    let sent = tokio::time::timeout_at(d.deadline, exchange(d, req, &written)).await;
-    match sent {
-        Ok(Ok(res)) => Ok(res),
-        Ok(Err(end)) => Err(end),
-        Err(_) => Err(ended(&written, Reason::UpstreamTimeout)),
+    let sent = tokio::time::timeout_at(d.deadline, exchange(d, req, &written, conns)).await;
+    let res = sent.unwrap_or_else(|_| Err(ended(&written, Reason::UpstreamTimeout)))?;
+    match has_known_end(&res) {
+        true => Ok(res),
+        false => Err(CallEnd::MayHaveRun(Reason::UpstreamCut)),
     }
 }
 
@@ -61,6 +92,7 @@
     d: &Dispatch,
     req: Request<Full<Bytes>>,
     written: &Written,
+    conns: &mut JoinSet<hyper::Result<()>>,
 ) -> Result<Response<Incoming>, CallEnd> {
     let dial = tokio::time::timeout(d.connect, TcpStream::connect(d.addr)).await;
     let stream = match dial {
@@ -68,23 +100,32 @@
         _ => return Err(CallEnd::NotRun(Reason::UpstreamRefused)),
     };
     let _ = stream.set_nodelay(true);
-    let io = Guarded::new(
-        TokioIo::new(stream),
-        d.clock,
-        d.certain_until,
-        written.clone(),
-    );
+    let io = Guarded::new(TokioIo::new(stream), d.clock, d.window, written.clone());
     let shake = http1::handshake(io).await;
     let (mut sender, conn) = shake.map_err(|_| ended(written, Reason::UpstreamCut))?;
-    tokio::spawn(conn);
+    conns.spawn(conn);
     let res = sender.send_request(req).await;
     res.map_err(|_| ended(written, Reason::UpstreamCut))
 }
 
+/// Whether a cut of the answer can be told from its end.
+///
+/// An answer that ends with its connection looks whole wherever it is cut.
+fn has_known_end(res: &Response<Incoming>) -> bool {
+    let headers = res.headers();
+    let framed = headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING);
+    let bare = res.body().is_end_stream();
+    (framed || bare) && res.status() != StatusCode::SWITCHING_PROTOCOLS
+}
+
 fn ended(written: &Written, reason: Reason) -> CallEnd {
+    let reason = match written.lapsed() {
+        true => Reason::Uncertain,
+        false => reason,
+    };
     match written.any() {
         true => CallEnd::MayHaveRun(reason),
-        false if written.lapsed() => CallEnd::NotRun(Reason::Uncertain),
         false => CallEnd::NotRun(reason),
     }
 }
--- a/crates/monsoonnotch_entry/src/upstream/relay.rs
+++ b/crates/monsoonnotch_entry/src/upstream/relay.rs
@@ -1,68 +1,90 @@
 //! The body of an answer on its way from upstream to caller.
+//!
+//! One task reads the upstream and hands frames to the caller's connection
+//! over a short channel. A caller that is slow or stalled holds the request's
+//! slot up to the deadline at most. Only an explicit mark ends the body well.
 
-use std::future::Future;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
 
 use bytes::Bytes;
+use http::Response;
 use http_body_util::BodyExt;
-use hyper::body::Body;
+use http_body_util::Empty;
+use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::body::Incoming;
-use hyper::body::SizeHint;
 use monsoonnotch_core::event::CallEnd;
-use monsoonnotch_core::event::Event;
-use monsoonnotch_core::ident::CallKey;
 use monsoonnotch_core::verdict::Reason;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::time::Instant;
-use tokio::time::Sleep;
 
-use crate::control::Inbox;
+use super::Answer;
+use super::Ending;
 
-/// Passes a body on and reports how it ended.
-///
-/// When the caller goes away the rest is read and thrown away, so that the end
-/// of the request is known and its slot can be used again.
+/// Frames that wait for the caller.
+const FRAMES_MAX: usize = 4;
+
+/// One thing on the way to the caller.
 #[derive(Debug)]
-pub struct Relay {
-    /// `None` once the end was reported.
-    body: Option<Incoming>,
-    deadline: Pin<Box<Sleep>>,
-    call: CallKey,
-    inbox: Inbox,
+enum Item {
+    Frame(Frame<Bytes>),
+    End,
 }
 
-impl Relay {
-    /// Passes on `body`, which is due at `deadline`.
-    pub fn new(body: Incoming, deadline: Instant, call: CallKey, inbox: Inbox) -> Self {
-        let deadline = Box::pin(tokio::time::sleep_until(deadline));
-        let mut relay = Self {
-            body: Some(body),
-            deadline,
-            call,
-            inbox,
-        };
-        if relay.body.as_ref().is_some_and(Incoming::is_end_stream) {
-            relay.end(CallEnd::Complete);
-        }
-        relay
+/// Passes an answer on and reports how it ended.
+///
+/// When the caller has gone away the rest is read and thrown away, so that the
+/// end of the request is known and its slot can be used again.
+pub(super) async fn pass_on(
+    res: Response<Incoming>,
+    deadline: Instant,
+    ending: Ending,
+    tx: oneshot::Sender<Answer>,
+) {
+    let (parts, body) = res.into_parts();
+    if body.is_end_stream() {
+        ending.report(CallEnd::Complete);
+        let none = Empty::new().map_err(|never| match never {}).boxed();
+        let _ = tx.send(Ok(Response::from_parts(parts, none)));
+        return;
     }
-
-    fn end(&mut self, ended: CallEnd) {
-        self.body = None;
-        let call = self.call;
-        self.inbox.event(Event::CallEnded { call, ended });
+    let (items, rx) = mpsc::channel(FRAMES_MAX);
+    let relay = Relay { rx, ended: false }.boxed();
+    let _ = tx.send(Ok(Response::from_parts(parts, relay)));
+    let ended = carry(body, deadline, &items).await;
+    ending.report(ended);
+    if ended == CallEnd::Complete {
+        let _ = items.send(Item::End).await;
     }
+}
 
-    fn cut(&mut self, reason: Reason) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
-        self.end(CallEnd::Cut(reason));
-        let err = std::io::Error::other(reason.title());
-        Poll::Ready(Some(Err(err)))
+/// Reads a body to its end and passes its frames on for as long as someone takes them.
+async fn carry(mut body: Incoming, deadline: Instant, items: &mpsc::Sender<Item>) -> CallEnd {
+    loop {
+        let frame = match tokio::time::timeout_at(deadline, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(_))) => return CallEnd::Cut(Reason::UpstreamCut),
+            Ok(None) => return CallEnd::Complete,
+            Err(_) => return CallEnd::Cut(Reason::UpstreamTimeout),
+        };
+        let passed = tokio::time::timeout_at(deadline, items.send(Item::Frame(frame)));
+        if passed.await.is_err() {
+            return CallEnd::Cut(Reason::UpstreamTimeout);
+        }
     }
 }
 
-impl Body for Relay {
+/// The caller's end of the channel; a body that ends unmarked is an error.
+#[derive(Debug)]
+struct Relay {
+    rx: mpsc::Receiver<Item>,
+    ended: bool,
+}
+
+impl hyper::body::Body for Relay {
     type Data = Bytes;
     type Error = std::io::Error;
 
@@ -70,63 +92,19 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
-        let Some(body) = self.body.as_mut() else {
+        if self.ended {
             return Poll::Ready(None);
-        };
-        let frame = Pin::new(body).poll_frame(cx);
-        match frame {
-            Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
-            Poll::Ready(Some(Err(_))) => self.cut(Reason::UpstreamCut),
-            Poll::Ready(None) => {
-                self.end(CallEnd::Complete);
-                Poll::Ready(None)
-            }
-            Poll::Pending if self.deadline.as_mut().poll(cx).is_ready() => {
-                self.cut(Reason::UpstreamTimeout)
-            }
-            Poll::Pending => Poll::Pending,
         }
+        let item = std::task::ready!(self.rx.poll_recv(cx));
+        self.ended = !matches!(item, Some(Item::Frame(_)));
+        Poll::Ready(match item {
+            Some(Item::Frame(frame)) => Some(Ok(frame)),
+            Some(Item::End) => None,
+            None => Some(Err(std::io::Error::other(Reason::UpstreamCut.title()))),
+        })
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_none()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body
-            .as_ref()
-            .map_or(SizeHint::with_exact(0), Body::size_hint)
-    }
-}
-
-impl Drop for Relay {
-    fn drop(&mut self) {
-        let Some(body) = self.body.take() else {
-            return;
-        };
-        let call = self.call;
-        let inbox = self.inbox.clone();
-        let deadline = self.deadline.deadline();
-        let Ok(rt) = tokio::runtime::Handle::try_current() else {
-            return;
-        };
-        rt.spawn(async move {
-            let ended = match tokio::time::timeout_at(deadline, drain(body)).await {
-                Ok(true) => CallEnd::Complete,
-                Ok(false) => CallEnd::Cut(Reason::UpstreamCut),
-                Err(_) => CallEnd::Cut(Reason::UpstreamTimeout),
-            };
-            inbox.event(Event::CallEnded { call, ended });
-        });
-    }
-}
-
-/// Reads a body to its end; says whether it came whole.
-async fn drain(mut body: Incoming) -> bool {
-    while let Some(frame) = body.frame().await {
-        if frame.is_err() {
-            return false;
-        }
+        self.ended
     }
-    true
 }
--- /dev/null
+++ b/crates/monsoonnotch_entry/tests/guarded.rs
@@ -0,0 +1,88 @@
+//! Writes to an upstream when the right to write lapses or the process is paused.
+
+use std::io;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::task::Waker;
+use std::time::Duration;
+
+use hyper::rt::Write;
+use monsoonnotch_core::time::Duration as Span;
+use monsoonnotch_core::time::Time;
+use monsoonnotch_entry::clock::Clock;
+use monsoonnotch_entry::upstream::guarded::Guarded;
+use monsoonnotch_entry::upstream::guarded::Window;
+use monsoonnotch_entry::upstream::guarded::Written;
+use rstest::rstest;
+
+/// A far end that takes everything, after a pause of the whole process.
+struct Paused {
+    pause: Duration,
+}
+
+impl Write for Paused {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        std::thread::sleep(self.pause);
+        Poll::Ready(Ok(buf.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// So far away that no test reaches it, in microseconds.
+const FAR: u64 = 3_600_000_000;
+
+#[rstest]
+#[case::in_time(0, FAR, FAR, (true, true, false))]
+#[case::lapsed_before(0, 0, FAR, (false, false, true))]
+#[case::paused_across_the_check(300, FAR, 200_000, (false, true, true))]
+fn a_write_says_whether_it_may_have_arrived(
+    #[case] pause_ms: u64,
+    #[case] begin: u64,
+    #[case] end: u64,
+    #[case] done_any_lapsed: (bool, bool, bool),
+) {
+    let written = Written::default();
+    let pause = Duration::from_millis(pause_ms);
+    let window = Window {
+        begin: Time(begin),
+        end: Time(end),
+    };
+    let far = Paused { pause };
+    let mut conn = Guarded::new(far, Clock::default(), window, written.clone());
+    let mut cx = Context::from_waker(Waker::noop());
+    let wrote = Pin::new(&mut conn).poll_write(&mut cx, b"GET / HTTP/1.1");
+    let done = matches!(wrote, Poll::Ready(Ok(14)));
+    assert_eq!((done, written.any(), written.lapsed()), done_any_lapsed);
+}
+
+#[test]
+fn a_body_is_not_written_on_after_the_right_lapsed() {
+    let written = Written::default();
+    let pause = Duration::ZERO;
+    let clock = Clock::default();
+    let soon = clock.now() + Span::from_millis(200);
+    let window = Window {
+        begin: soon,
+        end: soon,
+    };
+    let mut conn = Guarded::new(Paused { pause }, clock, window, written.clone());
+    let mut cx = Context::from_waker(Waker::noop());
+    let head = Pin::new(&mut conn).poll_write(&mut cx, b"head");
+    assert!(matches!(head, Poll::Ready(Ok(4))));
+    std::thread::sleep(Duration::from_millis(300));
+    let body = Pin::new(&mut conn).poll_write(&mut cx, b"body");
+    assert!(matches!(body, Poll::Ready(Err(_))));
+    assert!(written.any() && written.lapsed());
+}
--- a/crates/monsoonnotch_standins/src/lib.rs
+++ b/crates/monsoonnotch_standins/src/lib.rs
@@ -5,9 +5,11 @@
 //! records each breach that it sees and prevents none.
 
 pub mod caller;
+pub mod load;
 pub mod log;
 pub mod serve;
 pub mod site;
+pub mod tap;
 pub mod vms;
 pub mod worker;
 
@@ -16,12 +18,17 @@
     pub use crate::caller::Answer;
     pub use crate::caller::call;
     pub use crate::caller::eventually;
+    pub use crate::load::Load;
+    pub use crate::load::Plan;
+    pub use crate::load::Seen;
     pub use crate::log::Faults as LogFaults;
     pub use crate::log::Service as LogService;
     pub use crate::site::Platform;
     pub use crate::site::Process;
     pub use crate::site::Programs;
     pub use crate::site::ready;
+    pub use crate::tap::Fault;
+    pub use crate::tap::Tap;
     pub use crate::vms::VmDirectory;
     pub use crate::worker::Breach;
     pub use crate::worker::Faults as WorkerFaults;
--- a/crates/monsoonnotch_standins/src/site/mod.rs
+++ b/crates/monsoonnotch_standins/src/site/mod.rs
@@ -22,6 +22,7 @@
 use crate::caller::call;
 use crate::caller::eventually;
 use crate::log::Service as LogService;
+use crate::tap::Tap;
 use crate::vms::VmDirectory;
 use crate::worker::Fleet;
 use crate::worker::Worker;
@@ -104,9 +105,28 @@
     ///
     /// When that fails.
     pub fn entry_with(&self, domain: &str, more: &str) -> Process {
-        let text = settings(domain, self.log.addr(), self.vms.addr(), more);
+        self.entry_by(domain, self.log.addr(), more)
+    }
+
+    /// Starts an entry process that reaches the log at `log`.
+    ///
+    /// # Panics
+    ///
+    /// When that fails.
+    pub fn entry_by(&self, domain: &str, log: SocketAddr, more: &str) -> Process {
+        let text = settings(domain, log, self.vms.addr(), more);
         Process::start(&text, self.programs)
     }
+
+    /// Puts a tap in front of a worker; entries that start from now on go through it.
+    pub async fn tap_worker(&self, i: usize) -> Tap {
+        let mut info = self.workers[i].info(&format!("fd-{}", i % 3), &format!("rack-{}", i / 8));
+        let addr = info.addr.parse().expect("a worker has an address");
+        let tap = Tap::start(addr).await;
+        info.addr = tap.addr.to_string().into();
+        self.vms.put(info);
+        tap
+    }
 }
 
 fn settings(domain: &str, log: SocketAddr, vms: SocketAddr, more: &str) -> String {
--- /dev/null
+++ b/tests/failures/main.rs
@@ -0,0 +1,9 @@
+//! What must always hold, with real processes whose surroundings fail.
+//!
+//! One module per point; a test's name begins with the point's number.
+
+mod answers;
+mod limits;
+mod not_run;
+mod silence;
+mod site;
--- /dev/null
+++ b/tests/failures/site.rs
@@ -0,0 +1,115 @@
+//! The site of a test: stand-ins, entries, profiles, one team and its key.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use monsoonnotch_standins::prelude::*;
+
+pub(crate) const PROGRAMS: Programs = Programs {
+    entry: env!("CARGO_BIN_EXE_monsoonnotch"),
+    ctl: env!("CARGO_BIN_EXE_monsoonctl"),
+};
+
+/// A profile whose requests run at most once.
+const HOLD: &str = "lane = \"short\"\ntimeout_ms = 2000\n";
+/// A profile whose requests may be repeated.
+const CHECK: &str = "lane = \"short\"\nrepeatable = true\ntimeout_ms = 2000\nmax_attempts = 3\n";
+/// A profile for answers that take long.
+const WATCH: &str = "lane = \"short\"\ntimeout_ms = 60000\n";
+/// The failure domains of the entries, in turn.
+const DOMAINS: [&str; 3] = ["fd-0", "fd-1", "fd-2"];
+
+pub(crate) struct Site {
+    pub(crate) platform: Platform,
+    pub(crate) entries: Vec<Process>,
+    pub(crate) key: String,
+    bearer: String,
+}
+
+impl Site {
+    /// Starts `n` entries on the platform and publishes what the tests use.
+    pub(crate) async fn start(platform: Platform, n: usize, more: &str) -> Self {
+        let domains = DOMAINS.iter().cycle().take(n);
+        let entries: Vec<Process> = domains.map(|d| platform.entry_with(d, more)).collect();
+        Self::with(platform, entries).await
+    }
+
+    /// Publishes what the tests use at entries that run already.
+    pub(crate) async fn with(platform: Platform, entries: Vec<Process>) -> Self {
+        for e in &entries {
+            ready(e).await;
+        }
+        entries[0].publish("hold", HOLD);
+        entries[0].publish("check", CHECK);
+        entries[0].publish("watch", WATCH);
+        entries[0].team("hall", 1, 300);
+        let key = entries[0].grant("hall");
+        let site = Self {
+            bearer: format!("Bearer {key}"),
+            platform,
+            entries,
+            key,
+        };
+        for e in &site.entries {
+            eventually("an entry answers", || site.answers(e.callers, &site.bearer)).await;
+        }
+        site
+    }
+
+    /// Whether an entry answers a request under a key.
+    pub(crate) async fn answers(&self, entry: SocketAddr, bearer: &str) -> bool {
+        let headers = [("authorization", bearer), ("profile", "check")];
+        let answer = call(entry, "GET", "/", &headers, "").await;
+        answer.is_some_and(|a| a.status == 200)
+    }
+
+    /// The callers' address of entry `i`.
+    pub(crate) fn addr(&self, i: usize) -> SocketAddr {
+        self.entries[i].callers
+    }
+
+    /// Sends a request under a profile with more headers.
+    pub(crate) async fn send(
+        &self,
+        entry: SocketAddr,
+        method: &str,
+        profile: &str,
+        more: &[(&str, &str)],
+    ) -> Option<Answer> {
+        let base = [
+            ("authorization", self.bearer.as_str()),
+            ("profile", profile),
+        ];
+        let headers = [&base[..], more].concat();
+        call(entry, method, "/street/7", &headers, "a body").await
+    }
+
+    /// A load of requests that run at most once.
+    pub(crate) fn plan(&self, profile: &str, callers: usize) -> Plan {
+        let headers = [
+            ("authorization", self.bearer.as_str()),
+            ("profile", profile),
+        ];
+        Plan {
+            callers,
+            prefix: String::new(),
+            headers: headers.map(|(n, v)| (n.to_owned(), v.to_owned())).to_vec(),
+            work_ms: 20,
+            chunks: 0,
+            pause: Duration::from_millis(10),
+        }
+    }
+}
+
+/// The number of a refusal's reason.
+pub(crate) fn reason(a: &Answer) -> Option<u64> {
+    let v: serde_json::Value = serde_json::from_slice(&a.body).ok()?;
+    v["reason"].as_u64()
+}
+
+/// A platform with one worker behind a tap.
+pub(crate) async fn tapped() -> (Platform, Tap) {
+    let platform = Platform::start(1, PROGRAMS).await;
+    let tap = platform.tap_worker(0).await;
+    (platform, tap)
+}
