Decide which request starts next: shares, headroom, early refusal, forwarding

Cause: requests were refused that a peer had room for, a team whose callers reach one entry got a third of its share, and long requests kept short ones waiting for seconds.

Ruled out: weighing a team's local turns by its use elsewhere alone, because a team that waits at one entry cannot be served by the others that way.

Change: each team has one virtual time over dominant cost, with run times learned; three classes of turns; room kept for short requests by their seen use; a request waits here and in one peer's queue; refusal on arrival from the drain rate; retry budgets; workers that fail what they start are put aside; workers ordered by their scarcest resource; syncs found by time.

--- a/crates/monsoonnotch_core/src/call/mod.rs
+++ b/crates/monsoonnotch_core/src/call/mod.rs
@@ -8,9 +8,11 @@
 use crate::ident::MemberId;
 use crate::ident::Name;
 use crate::ident::VmKey;
+use crate::queue::Class;
 use crate::queue::Queue;
 use crate::resource::Resources;
 use crate::time::Time;
+use crate::wire::SlotAsk;
 
 /// Where a request stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -53,6 +55,39 @@
     pub attempts: u32,
     /// Peers that had no slot for it.
     pub refused_by: BTreeSet<MemberId>,
+    /// No peer is asked before this time.
+    pub ask_after: Time,
+    /// How it started, while it runs.
+    pub started: Option<Started>,
+}
+
+/// How something started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Started {
+    /// When.
+    pub at: Time,
+    /// What its team was charged.
+    pub charged: u64,
+    /// The turn that it waited for.
+    pub class: Class,
+}
+
+/// Something that waits for a slot here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Waiter {
+    /// A request of an own caller.
+    Own(CallKey),
+    /// A request of a peer's caller.
+    Peer(MemberId, CallKey),
+}
+
+/// A peer's request that waits for a slot here.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Asked {
+    /// The request.
+    pub ask: SlotAsk,
+    /// When the peer is told that there is none.
+    pub until: Time,
 }
 
 impl Call {
@@ -73,6 +108,8 @@
     pub size: Resources,
     /// When the peer has certainly stopped using it or should have said so.
     pub until: Time,
+    /// How it started.
+    pub started: Started,
 }
 
 /// All requests that this member has to do with.
@@ -80,10 +117,16 @@
 pub struct Calls {
     /// Requests of own callers.
     pub open: BTreeMap<CallKey, Call>,
-    /// Those that wait.
-    pub queue: Queue<CallKey>,
-    /// Those that wait, by when they are given up.
+    /// What waits.
+    pub queue: Queue<Waiter>,
+    /// Own requests that wait, by when they are given up.
     pub give_up: BTreeSet<(Time, CallKey)>,
     /// Slots granted to peers.
     pub granted: BTreeMap<(MemberId, CallKey), Granted>,
+    /// Peers' requests that wait.
+    pub asked: BTreeMap<(MemberId, CallKey), Asked>,
+    /// The same, by when the peer is told that there is no slot.
+    pub asked_until: BTreeSet<(Time, MemberId, CallKey)>,
+    /// Slots in use by urgent and quick requests.
+    pub short_slots: u64,
 }
--- a/crates/monsoonnotch_core/src/config/profile.rs
+++ b/crates/monsoonnotch_core/src/config/profile.rs
@@ -52,6 +52,8 @@
     pub max_wait_ms: u64,
     /// Longest time from dispatch to the end of the answer, in milliseconds.
     pub timeout_ms: u64,
+    /// Expected run time in milliseconds, until it has been seen; zero when unknown.
+    pub run_ms: u64,
     /// Most attempts at one task or repeatable request.
     pub max_attempts: u32,
     /// How tasks lie on the fleet.
@@ -68,6 +70,7 @@
             size: Resources::one_request(),
             max_wait_ms: 2_000,
             timeout_ms: 30_000,
+            run_ms: 0,
             max_attempts: 3,
             spread: Spread::Pack,
         }
--- a/crates/monsoonnotch_core/src/event/mod.rs
+++ b/crates/monsoonnotch_core/src/event/mod.rs
@@ -162,6 +162,8 @@
 pub enum CallEnd {
     /// The whole answer came.
     Complete,
+    /// The whole answer came, and it says that the upstream failed (status 500 to 599).
+    Failed,
     /// The upstream did not take it.
     NotRun(Reason),
     /// It may have run, or may still run.
--- a/crates/monsoonnotch_core/src/fleet/mod.rs
+++ b/crates/monsoonnotch_core/src/fleet/mod.rs
@@ -4,12 +4,15 @@
 //! certainly ended. A request whose end is unknown keeps its slot, as doubt,
 //! until a report of the worker that is newer than the doubt shows it idle.
 
+mod health;
 mod place;
 mod vm;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+pub use self::health::Health;
+pub use self::health::Judged;
 pub use self::vm::Doubt;
 pub use self::vm::Task;
 pub use self::vm::TaskState;
@@ -26,8 +29,27 @@
 pub struct Fleet {
     vms: Arena<VmKey, Vm>,
     names: BTreeMap<Name, VmKey>,
-    /// Held workers that may take work, by free slots.
-    by_free: BTreeSet<(u64, VmKey)>,
+    /// Held workers.
+    held: BTreeSet<VmKey>,
+    /// Held workers that may take work, by their level.
+    by_level: BTreeSet<(u64, VmKey)>,
+    /// Held workers whose last sync is not out, by when it was sent.
+    by_sync: BTreeSet<(Option<Time>, VmKey)>,
+    /// Workers that are put aside, by when they are tried again.
+    by_probe: BTreeSet<(Time, VmKey)>,
+    /// What workers that may take work have and use.
+    slots: Slots,
+    /// The largest amount of each resource that a VM of the list has.
+    reference: Resources,
+}
+
+/// Slots of the workers that may take work.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Slots {
+    /// All.
+    pub total: u64,
+    /// Those in use.
+    pub used: u64,
 }
 
 impl Fleet {
@@ -48,12 +70,29 @@
 
     /// The held ones.
     pub fn held(&self) -> impl Iterator<Item = (VmKey, &Vm)> {
-        self.vms.iter().filter(|(_, vm)| vm.held.is_some())
+        let keys = self.held.iter();
+        keys.filter_map(|k| self.vms.get(*k).map(|vm| (*k, vm)))
     }
 
     /// Free slots on workers that may take work.
     pub fn free_slots(&self) -> u64 {
-        self.by_free.iter().map(|(free, _)| free).sum()
+        self.slots.total.saturating_sub(self.slots.used)
+    }
+
+    /// Slots of workers that may take work.
+    pub fn slots(&self) -> Slots {
+        self.slots
+    }
+
+    /// The largest amount of each resource that a VM of the list has.
+    pub fn reference(&self) -> &Resources {
+        &self.reference
+    }
+
+    /// Held workers whose last sync was sent at `before` or earlier and is answered.
+    pub fn sync_due(&self, before: Option<Time>) -> impl Iterator<Item = VmKey> {
+        let due = self.by_sync.iter().take_while(move |(t, _)| *t <= before);
+        due.map(|(_, k)| *k)
     }
 
     /// Whether some VM of the list, even an empty one, is large enough.
@@ -66,6 +105,10 @@
         for info in list {
             self.list_one(info);
         }
+        let largest = list
+            .iter()
+            .fold(Resources::default(), |r, v| r.max(&v.total));
+        self.reference = largest;
         let listed: BTreeSet<&Name> = list.iter().map(|v| &v.name).collect();
         let gone: Vec<VmKey> = self
             .vms
@@ -85,12 +128,12 @@
     /// When the key names no VM.
     pub fn update<R>(&mut self, key: VmKey, f: impl FnOnce(&mut Vm) -> R) -> R {
         let vm = self.vms.get_mut(key).expect("the key names a VM");
-        if vm.takes_work() {
-            self.by_free.remove(&(vm.free().slots, key));
-        }
+        let before = Indexed::of(vm);
         let r = f(vm);
-        if vm.takes_work() {
-            self.by_free.insert((vm.free().slots, key));
+        let after = Indexed::of(vm);
+        if before != after {
+            self.unindex(key, before);
+            self.index(key, after);
         }
         r
     }
@@ -109,6 +152,40 @@
         }
     }
 
+    fn index(&mut self, key: VmKey, i: Indexed) {
+        if i.held {
+            self.held.insert(key);
+        }
+        if let Some(t) = i.sync {
+            self.by_sync.insert((t, key));
+        }
+        if let Some(t) = i.probe {
+            self.by_probe.insert((t, key));
+        }
+        if let Some((level, slots)) = i.level {
+            self.by_level.insert((level, key));
+            self.slots.total += slots.total;
+            self.slots.used += slots.used;
+        }
+    }
+
+    fn unindex(&mut self, key: VmKey, i: Indexed) {
+        if i.held {
+            self.held.remove(&key);
+        }
+        if let Some(t) = i.sync {
+            self.by_sync.remove(&(t, key));
+        }
+        if let Some(t) = i.probe {
+            self.by_probe.remove(&(t, key));
+        }
+        if let Some((level, slots)) = i.level {
+            self.by_level.remove(&(level, key));
+            self.slots.total -= slots.total;
+            self.slots.used -= slots.used;
+        }
+    }
+
     fn list_one(&mut self, info: &VmInfo) {
         match self.find(&info.name) {
             Some(key) => self.update(key, |vm| {
@@ -134,3 +211,29 @@
         }
     }
 }
+
+/// Where a VM stands in the orders of the fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Indexed {
+    held: bool,
+    sync: Option<Option<Time>>,
+    probe: Option<Time>,
+    level: Option<(u64, Slots)>,
+}
+
+impl Indexed {
+    fn of(vm: &Vm) -> Self {
+        let held = vm.held.is_some();
+        let slots = Slots {
+            total: vm.info.total.slots,
+            used: vm.used.slots.min(vm.info.total.slots),
+        };
+        let level = || vm.free().level(&vm.info.total);
+        Self {
+            held,
+            sync: (held && !vm.sync_out).then_some(vm.synced),
+            probe: vm.health.aside_until().filter(|_| held),
+            level: vm.takes_work().then(|| (level(), slots)),
+        }
+    }
+}
--- a/crates/monsoonnotch_core/src/fleet/place.rs
+++ b/crates/monsoonnotch_core/src/fleet/place.rs
@@ -1,4 +1,8 @@
 //! Choosing a worker.
+//!
+//! Workers are ordered by their level: the least fraction of any resource that
+//! is free. Work whose dominant fraction is at most the level fits whatever
+//! it is made of, so that among like workers the first look succeeds.
 
 use super::Fleet;
 use crate::ident::VmKey;
@@ -8,19 +12,16 @@
 const LOOKS: usize = 32;
 
 impl Fleet {
-    /// A worker for a request: the one with the most free slots that fits.
+    /// A worker for short work: the one with the most room that fits.
     pub fn place_request(&self, need: &Resources) -> Option<VmKey> {
-        let roomy = self.by_free.iter().rev().take(LOOKS);
-        roomy
-            .take_while(|(free, _)| *free >= need.slots)
-            .map(|(_, key)| *key)
-            .find(|key| self.fits(*key, need))
+        let roomy = self.by_level.iter().rev().take(LOOKS);
+        roomy.map(|(_, k)| *k).find(|k| self.fits(*k, need))
     }
 
-    /// A worker for a task: the fullest that fits, so that large gaps stay whole.
+    /// A worker for other work: the fullest that fits, so that large gaps stay whole.
     pub fn place_task(&self, need: &Resources) -> Option<VmKey> {
-        let from = (need.slots.max(1), VmKey(0));
-        let tight = self.by_free.range(from..).take(LOOKS);
+        let level = need.dominant(&self.reference);
+        let tight = self.by_level.range((level, VmKey(0))..).take(LOOKS);
         let best = tight.map(|(_, k)| *k).find(|k| self.fits(*k, need));
         best.or_else(|| self.place_request(need))
     }
--- a/crates/monsoonnotch_core/src/fleet/vm.rs
+++ b/crates/monsoonnotch_core/src/fleet/vm.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use super::health::Health;
 use crate::event::Report;
 use crate::event::VmInfo;
 use crate::ident::Name;
@@ -82,8 +83,8 @@
     pub synced: Option<Time>,
     /// Whether the answer to the last sync is out.
     pub sync_out: bool,
-    /// Whether it fails what it starts and is put aside.
-    pub aside: bool,
+    /// Whether it fails what it starts.
+    pub health: Health,
     /// Whether it is being emptied to be given away.
     pub draining: bool,
     /// Whether the platform does not list it any more.
@@ -104,7 +105,7 @@
             acks: Vec::new(),
             synced: None,
             sync_out: false,
-            aside: false,
+            health: Health::default(),
             draining: false,
             unlisted: false,
         }
@@ -118,7 +119,7 @@
     /// Whether new work may go there.
     pub fn takes_work(&self) -> bool {
         let known = self.held.is_some_and(|h| h.known) && !self.doubts.iter().any(|d| d.found);
-        known && !self.info.leaving && !self.aside && !self.draining
+        known && !self.info.leaving && !self.draining && self.health.takes_work(self.requests)
     }
 
     /// Whether nothing runs there and nothing is in doubt.
--- a/crates/monsoonnotch_core/src/queue/mod.rs
+++ b/crates/monsoonnotch_core/src/queue/mod.rs
@@ -1,41 +1,67 @@
 //! Waiting work, fair between teams.
 //!
-//! Each team has a queue ordered by priority and arrival. The team that goes
-//! next is the one with the smallest virtual time, which advances by what its
-//! work costs over its share (start-time fair queueing).
+//! Each team has one account, its virtual time, which advances by what its
+//! work takes of a worker, for how long, over the team's share (weighted fair
+//! queueing over dominant resources). The team that goes next is the one with
+//! the least. What work costs is estimated when it starts and settled when it
+//! ends. A team that begins to wait joins at the virtual time of those that
+//! wait already, so that neither idling nor use of a fleet that was not full
+//! counts later.
+
+mod line;
+mod rate;
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
+use self::line::Item;
+use self::line::Line;
+use self::line::Place;
 use crate::ident::Name;
+use crate::time::Duration;
+use crate::time::Time;
 
 /// Virtual time advanced by a cost of one at a share of one.
-const SCALE: u64 = 1 << 20;
-
-/// Order within a team: high priority first, then arrival.
-type Place = (Reverse<u8>, u64);
-
-/// One team's waiting work.
-#[derive(Debug)]
-struct Line<K> {
-    share: u32,
-    virtual_time: u64,
-    items: BTreeMap<Place, Item<K>>,
+const SCALE: u64 = 16;
+/// Time that a team must have waited before its drain rate says anything.
+const RATE_AFTER: Duration = Duration::from_millis(500);
+
+/// What kind of turn work waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Class {
+    /// Of the highest priority.
+    Urgent = 0,
+    /// Soon over.
+    Quick = 1,
+    /// Occupies its slot for long.
+    Long = 2,
 }
 
-/// One piece of waiting work.
+/// Number of classes.
+pub const CLASSES: usize = 3;
+
+/// Work that begins to wait.
 #[derive(Debug, Clone, Copy)]
-struct Item<K> {
-    key: K,
-    cost: u64,
+pub struct Waiting {
+    /// The team's present share.
+    pub share: u32,
+    /// The kind of turn.
+    pub class: Class,
+    /// Importance within the team, 0 to 9.
+    pub priority: u8,
+    /// When it arrived, here or elsewhere.
+    pub arrived: Time,
 }
 
 /// Waiting work of all teams.
 #[derive(Debug)]
 pub struct Queue<K> {
     lines: BTreeMap<Name, Line<K>>,
-    places: BTreeMap<K, (Name, Place)>,
+    turns: [BTreeSet<(u64, Name)>; CLASSES],
+    places: BTreeMap<K, (Name, Class, Place)>,
     virtual_time: u64,
+    /// Grows whenever nothing waits any more; older accounts are void.
+    period: u64,
     arrivals: u64,
 }
 
@@ -43,8 +69,10 @@
     fn default() -> Self {
         Self {
             lines: BTreeMap::new(),
+            turns: Default::default(),
             places: BTreeMap::new(),
             virtual_time: 0,
+            period: 0,
             arrivals: 0,
         }
     }
@@ -61,75 +89,155 @@
         self.places.is_empty()
     }
 
-    /// Adds work of a team with its present share; `cost` is in any unit, from one.
-    pub fn push(&mut self, team: &Name, share: u32, priority: u8, cost: u64, key: K) {
+    /// Number of waiting pieces of one class.
+    pub fn len_of(&self, class: Class) -> usize {
+        let lines = self.turns[class as usize].iter();
+        lines.map(|(_, t)| self.lines[t].lane(class).len()).sum()
+    }
+
+    /// Adds work of a team.
+    pub fn push(&mut self, now: Time, team: &Name, w: Waiting, key: K) {
         self.arrivals += 1;
-        let place = (Reverse(priority), self.arrivals);
-        let now = self.virtual_time;
-        let line = self.lines.entry(team.clone()).or_insert_with(|| Line {
-            share,
-            virtual_time: now,
-            items: BTreeMap::new(),
+        let place = line::place(w.priority, w.arrived, self.arrivals);
+        self.places.insert(key, (team.clone(), w.class, place));
+        let joins = self.virtual_time;
+        let period = self.period;
+        self.change(team, w.share, |line| {
+            if line.is_empty() {
+                line.join(period, joins);
+            }
+            let item = Item {
+                key,
+                priority: w.priority,
+            };
+            line.lane_mut(w.class).insert(now, place, item);
         });
-        line.share = share.max(1);
-        if line.items.is_empty() {
-            line.virtual_time = line.virtual_time.max(now);
-        }
-        line.items.insert(place, Item { key, cost });
-        self.places.insert(key, (team.clone(), place));
     }
 
     /// Takes work out, wherever it stands.
     pub fn remove(&mut self, key: K) -> bool {
-        let Some((team, place)) = self.places.remove(&key) else {
+        let Some((team, class, place)) = self.places.remove(&key) else {
             return false;
         };
-        if let Some(line) = self.lines.get_mut(&team) {
-            line.items.remove(&place);
+        self.change(&team, 0, |line| line.lane_mut(class).remove(place));
+        if self.is_empty() {
+            self.period += 1;
         }
         true
     }
 
-    /// The teams that have waiting work, in the order of their turns, each with its first piece.
-    pub fn heads(&self) -> Vec<(Name, K)> {
-        let mut heads: Vec<(u64, &Name, K)> = self
-            .lines
-            .iter()
-            .filter_map(|(t, l)| l.items.values().next().map(|i| (l.virtual_time, t, i.key)))
-            .collect();
-        heads.sort_unstable_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
-        heads.into_iter().map(|(_, t, k)| (t.clone(), k)).collect()
+    /// Teams with work of a class, in the order of their turns, each with its first piece.
+    pub fn heads(&self, class: Class) -> impl Iterator<Item = (&Name, K)> {
+        let turns = self.turns[class as usize].iter();
+        turns.filter_map(move |(_, t)| {
+            let key = self.lines[t].lane(class).first()?;
+            Some((t, key))
+        })
+    }
+
+    /// The first pieces of one team and class, in order.
+    pub fn of_team(&self, team: &str, class: Class) -> impl Iterator<Item = K> {
+        let line = self.lines.get(team).into_iter();
+        line.flat_map(move |l| l.lane(class).keys())
+    }
+
+    /// The team and class of waiting work.
+    pub fn find(&self, key: K) -> Option<(&Name, Class)> {
+        self.places.get(&key).map(|(t, c, _)| (t, *c))
     }
 
     /// Takes out work that starts now and charges its team for it.
-    pub fn started(&mut self, key: K) -> bool {
-        let Some((team, place)) = self.places.remove(&key) else {
+    pub fn started(&mut self, now: Time, key: K, cost: u64) -> bool {
+        let Some((team, class, _)) = self.places.get(&key).cloned() else {
             return false;
         };
-        let line = self.lines.get_mut(&team).expect("a place has its line");
-        let item = line.items.remove(&place).expect("a place has its item");
-        self.virtual_time = self.virtual_time.max(line.virtual_time);
-        line.virtual_time += item.cost.max(1) * SCALE / u64::from(line.share);
+        self.change(&team, 0, |line| {
+            line.spend(cost);
+            line.lane_mut(class).count_start(now);
+        });
+        self.remove(key);
+        self.advance();
         true
     }
 
-    /// Charges a team for work that started without waiting.
-    pub fn charge(&mut self, team: &Name, share: u32, cost: u64) {
-        let now = self.virtual_time;
-        let line = self.lines.entry(team.clone()).or_insert_with(|| Line {
-            share,
-            virtual_time: now,
-            items: BTreeMap::new(),
-        });
-        line.share = share.max(1);
-        line.virtual_time =
-            line.virtual_time.max(now) + cost.max(1) * SCALE / u64::from(line.share);
+    /// Takes out work that starts elsewhere, where it is charged.
+    pub fn left(&mut self, now: Time, key: K) -> bool {
+        let Some((team, class, _)) = self.places.get(&key).cloned() else {
+            return false;
+        };
+        self.change(&team, 0, |line| line.lane_mut(class).count_start(now));
+        self.remove(key)
     }
 
-    /// Forgets the history of teams that have nothing waiting and are not ahead of their turn.
-    pub fn tidy(&mut self) {
-        let now = self.virtual_time;
-        self.lines
-            .retain(|_, l| !l.items.is_empty() || l.virtual_time > now);
+    /// Corrects what a team was charged, now that the cost is known.
+    pub fn settle(&mut self, team: &Name, charged: u64, cost: u64) {
+        if self.lines.contains_key(team) {
+            self.change(team, 0, |line| line.correct(charged, cost));
+        }
+    }
+
+    /// Passes a team over until it is taken back.
+    pub fn park(&mut self, team: &Name) {
+        self.change(team, 0, |line| line.parked = true);
+    }
+
+    /// Takes back all teams that were passed over.
+    pub fn unpark_all(&mut self) {
+        let parked = self.lines.iter().filter(|(_, l)| l.parked);
+        let teams: Vec<Name> = parked.map(|(t, _)| t.clone()).collect();
+        let joins = self.virtual_time;
+        for team in teams {
+            self.change(&team, 0, |line| line.unpark(joins));
+        }
+    }
+
+    /// How long work of a team would wait, from the rate at which the team's work starts.
+    pub fn expected_wait(
+        &self,
+        now: Time,
+        team: &str,
+        class: Class,
+        priority: u8,
+    ) -> Option<Duration> {
+        let lane = self.lines.get(team)?.lane(class);
+        let since = lane.waits_since()?;
+        if now.since(since) < RATE_AFTER {
+            return None;
+        }
+        Some(lane.time_for(now, lane.ahead_of(priority) + 1))
+    }
+
+    /// Forgets teams that have nothing waiting.
+    pub fn tidy(&mut self, now: Time) {
+        self.lines.retain(|_, l| !l.is_empty() || l.is_recent(now));
+    }
+
+    /// Changes a line and keeps the order of turns true.
+    fn change(&mut self, team: &Name, share: u32, f: impl FnOnce(&mut Line<K>)) {
+        let line = self.lines.entry(team.clone()).or_default();
+        let before = line.turns();
+        if share > 0 {
+            line.share = share;
+        }
+        f(line);
+        let after = line.turns();
+        for (class, (old, new)) in before.into_iter().zip(after).enumerate() {
+            if old == new {
+                continue;
+            }
+            if let Some(t) = old {
+                self.turns[class].remove(&(t, team.clone()));
+            }
+            if let Some(t) = new {
+                self.turns[class].insert((t, team.clone()));
+            }
+        }
+    }
+
+    fn advance(&mut self) {
+        let firsts = self.turns.iter().filter_map(|t| t.first());
+        if let Some(least) = firsts.map(|(t, _)| *t).min() {
+            self.virtual_time = self.virtual_time.max(least);
+        }
     }
 }
--- /dev/null
+++ b/crates/monsoonnotch_core/src/queue/rate.rs
@@ -0,0 +1,40 @@
+//! How often something happens, with old events counting less and less.
+
+use crate::time::Duration;
+use crate::time::Time;
+
+/// Time after which an event counts 1/e.
+const MEMORY_US: f64 = 2_000_000.0;
+/// Longest time that is told.
+const LONGEST: Duration = Duration::from_secs(60);
+
+/// A decaying count of events.
+#[derive(Debug, Default, Clone, Copy)]
+pub(super) struct Rate {
+    count: f64,
+    last: Time,
+}
+
+impl Rate {
+    pub(super) fn count(&mut self, now: Time) {
+        self.count = self.at(now) + 1.0;
+        self.last = now;
+    }
+
+    pub(super) fn is_recent(&self, now: Time, span: Duration) -> bool {
+        self.count > 0.0 && now.since(self.last) < span
+    }
+
+    /// How long `n` events take at this rate.
+    pub(super) fn time_for(&self, now: Time, n: u32) -> Duration {
+        let us = f64::from(n) * MEMORY_US / self.at(now).max(f64::MIN_POSITIVE);
+        match us < LONGEST.0 as f64 {
+            true => Duration(us as u64),
+            false => LONGEST,
+        }
+    }
+
+    fn at(&self, now: Time) -> f64 {
+        self.count * (-(now.since(self.last).0 as f64) / MEMORY_US).exp()
+    }
+}
--- a/crates/monsoonnotch_core/src/reducer/calls.rs
+++ b/crates/monsoonnotch_core/src/reducer/calls.rs
@@ -2,7 +2,9 @@
 
 use super::Control;
 use crate::call::Call;
+use crate::call::Started;
 use crate::call::State;
+use crate::call::Waiter;
 use crate::config::Lane;
 use crate::config::Profile;
 use crate::effect::Effect;
@@ -10,18 +12,21 @@
 use crate::event::CallEnd;
 use crate::event::KeyProof;
 use crate::fleet::Doubt;
+use crate::fleet::Judged;
 use crate::ident::CallKey;
 use crate::ident::MemberId;
 use crate::ident::Name;
 use crate::ident::VmKey;
 use crate::notice::Notice;
+use crate::queue::Class;
+use crate::queue::Waiting;
+use crate::resource::Resources;
 use crate::time::Duration;
 use crate::time::Time;
 use crate::verdict::Reason;
 use crate::verdict::Refusal;
 use crate::verdict::Verdict;
 use crate::wire::PeerMsg;
-use crate::wire::SlotAsk;
 
 /// Wait told to callers when nothing better is known.
 pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -42,13 +47,16 @@
             return;
         };
         let verdict = match ended {
-            CallEnd::Complete => Verdict::Ran,
+            CallEnd::Complete | CallEnd::Failed => Verdict::Ran,
             CallEnd::NotRun(_) => Verdict::NotRun,
             CallEnd::MayHaveRun(_) | CallEnd::Cut(_) => Verdict::MayHaveRun,
         };
+        self.judge(&c, ended);
         self.free_slot(call, &c, verdict);
         match ended {
-            CallEnd::Complete | CallEnd::Cut(_) => self.settle_intent(call, &c, verdict),
+            CallEnd::Complete | CallEnd::Failed | CallEnd::Cut(_) => {
+                self.settle_intent(call, &c, verdict)
+            }
             CallEnd::NotRun(r) => self.retry_or_refuse(call, c, r, verdict),
             CallEnd::MayHaveRun(r) if c.profile.repeatable => {
                 self.retry_or_refuse(call, c, r, verdict);
@@ -80,39 +88,22 @@
             if at > self.now {
                 return;
             }
-            let refusal = Refusal::later(Reason::WaitedTooLong, RETRY_AFTER);
-            self.give_up(call, refusal);
-        }
-    }
-
-    /// Starts what waits, in fair order, as far as there is room.
-    pub(super) fn start_waiting_calls(&mut self) {
-        if self.calls.queue.is_empty() || !self.is_certain() {
-            return;
-        }
-        loop {
-            let heads = self.calls.queue.heads();
-            let started = heads.iter().any(|(_, call)| self.start_here(*call));
-            if !started {
-                for (_, call) in heads {
-                    self.ask_peer(call);
-                }
-                return;
-            }
+            let after = self.calls.open.get(&call).map_or(RETRY_AFTER, |c| {
+                let class = self.class_of_call(c);
+                self.retry_after(c, class)
+            });
+            self.give_up(call, Refusal::later(Reason::WaitedTooLong, after));
         }
     }
 
     /// Ends a waiting call with its final answer.
     pub(super) fn give_up(&mut self, call: CallKey, refusal: Refusal) {
+        self.take_back(call);
         let Some(c) = self.calls.open.remove(&call) else {
             self.calls.give_up.retain(|(_, k)| *k != call);
             return;
         };
         self.stop_waiting(call, &c);
-        if let State::AskedPeer { peer, .. } = c.state {
-            let verdict = Verdict::NotRun;
-            self.send(peer, PeerMsg::SlotReturn { call, verdict });
-        }
         self.settle_intent(call, &c, Verdict::NotRun);
         self.refuse(call, refusal);
     }
@@ -138,17 +129,36 @@
             return;
         };
         c.state = State::Waiting;
-        let team = c.team.clone().unwrap_or_default();
-        let share = self
-            .ledger
-            .config
-            .teams
-            .get(&team)
-            .map_or(1, |t| t.value.share);
-        let cost = c.size().slots;
-        self.calls
-            .queue
-            .push(&team, share, c.profile.priority, cost, call);
+        let (team, priority, arrived) = (c.team.clone(), c.profile.priority, c.arrived);
+        let class = self.class_of_call(&self.calls.open[&call]);
+        self.enqueue(team.as_ref(), class, priority, arrived, Waiter::Own(call));
+        self.forwarding.begins(call);
+    }
+
+    /// Puts an own or a peer's request into the queue.
+    pub(super) fn enqueue(
+        &mut self,
+        team: Option<&Name>,
+        class: Class,
+        priority: u8,
+        arrived: Time,
+        waiter: Waiter,
+    ) {
+        let team = team.cloned().unwrap_or_default();
+        let known = self.ledger.config.teams.get(&team);
+        let waiting = Waiting {
+            share: known.map_or(1, |t| t.value.share),
+            class,
+            priority,
+            arrived,
+        };
+        self.calls.queue.push(self.now, &team, waiting, waiter);
+    }
+
+    /// The turn that a request waits for.
+    pub(super) fn class_of_call(&self, c: &Call) -> Class {
+        let run = self.run_of(&c.profile_name, &c.profile);
+        self.class_of(c.profile.priority, run)
     }
 
     /// A slot of a peer was granted.
@@ -165,30 +175,27 @@
             self.send(peer, PeerMsg::SlotReturn { call, verdict });
             return;
         }
-        self.calls.queue.started(call);
+        let class = self.class_of_call(&self.calls.open[&call]);
+        self.stop_asking(call);
+        self.calls.queue.left(self.now, Waiter::Own(call));
+        self.started(call, class, 0);
         let until = now + limit;
         self.dispatch(call, State::Remote(peer), addr, until);
     }
 
     pub(super) fn slot_denied(&mut self, peer: MemberId, call: CallKey, _reason: Reason) {
-        if let Some(c) = self.calls.open.get_mut(&call)
-            && matches!(c.state, State::AskedPeer { peer: p, .. } if p == peer)
-        {
-            c.state = State::Waiting;
-            c.refused_by.insert(peer);
+        let c = self.calls.open.get(&call);
+        if c.is_some_and(|c| matches!(c.state, State::AskedPeer { peer: p, .. } if p == peer)) {
+            self.asked_in_vain(call, peer);
         }
     }
 
     /// Forgets what a former peer was asked for; what it granted runs on.
     pub(super) fn calls_peer_ended(&mut self, m: MemberId) {
-        for c in self.calls.open.values_mut() {
-            if matches!(c.state, State::AskedPeer { peer, .. } if peer == m) {
-                c.state = State::Waiting;
-            }
-        }
+        self.forwarding_peer_ended(m);
     }
 
-    fn admit(&self, a: &CallArrived) -> Result<Call, Refusal> {
+    fn admit(&mut self, a: &CallArrived) -> Result<Call, Refusal> {
         if self.stopping.begun() {
             return Err(Refusal::later(Reason::Stopping, RETRY_AFTER));
         }
@@ -204,7 +211,7 @@
             return Err(Refusal::later(Reason::QueueFull, RETRY_AFTER));
         }
         let longest = self.now + profile.max_wait();
-        Ok(Call {
+        let c = Call {
             team,
             profile_name: a.profile.clone(),
             arrived: self.now,
@@ -213,8 +220,13 @@
             intent: None,
             attempts: 0,
             refused_by: Default::default(),
+            ask_after: self.now,
+            started: None,
             profile,
-        })
+        };
+        let class = self.class_of_call(&c);
+        self.admit_wait(&c, class)?;
+        Ok(c)
     }
 
     /// The profile of a name, if it is of the right kind.
@@ -254,30 +266,59 @@
         }
     }
 
-    fn start_here(&mut self, call: CallKey) -> bool {
+    /// Starts a request on an own worker.
+    pub(super) fn start_here(&mut self, call: CallKey, class: Class) -> bool {
         let Some(c) = self.calls.open.get(&call) else {
-            self.calls.queue.remove(call);
+            self.calls.queue.remove(Waiter::Own(call));
             return false;
         };
-        if c.state != State::Waiting || !self.team_may_start(c.team.as_ref()) {
-            return false;
-        }
         let size = *c.size();
-        let Some(key) = self.fleet.place_request(&size) else {
+        let team = c.team.clone();
+        let run = self.run_of(&c.profile_name, &c.profile);
+        let Some(key) = self.place(&size, class) else {
             return false;
         };
-        let team = c.team.clone();
+        self.take_back(call);
         self.used.add(team.as_ref());
         let addr = self.fleet.update(key, |vm| {
             vm.start_request(&size);
             vm.info.addr.clone()
         });
-        self.calls.queue.started(call);
+        let cost = self.cost(&size, run);
+        self.calls.queue.started(self.now, Waiter::Own(call), cost);
+        self.started(call, class, cost);
+        if class != Class::Long {
+            self.calls.short_slots += size.slots;
+        }
         let until = self.certain_until();
         self.dispatch(call, State::Local(key), addr, until);
         true
     }
 
+    /// An own worker for a request of a class.
+    pub(super) fn place(&self, size: &Resources, class: Class) -> Option<VmKey> {
+        match class {
+            Class::Long if !self.long_may_start(size.slots) => None,
+            Class::Long => self.fleet.place_task(size),
+            _ => self.fleet.place_request(size),
+        }
+    }
+
+    fn started(&mut self, call: CallKey, class: Class, charged: u64) {
+        let at = self.now;
+        if let Some(c) = self.calls.open.get_mut(&call) {
+            c.started = Some(Started { at, charged, class });
+        }
+    }
+
+    /// Takes a request back from a peer's queue.
+    fn take_back(&mut self, call: CallKey) {
+        if let Some(peer) = self.stop_asking(call) {
+            let verdict = Verdict::NotRun;
+            self.send(peer, PeerMsg::SlotReturn { call, verdict });
+        }
+    }
+
     fn dispatch(&mut self, call: CallKey, state: State, addr: Name, until: Time) {
         let certain_until = until.min(self.certain_until());
         let c = self
@@ -297,57 +338,32 @@
         });
     }
 
-    /// Asks a peer with free slots, one at a time.
-    fn ask_peer(&mut self, call: CallKey) {
-        let Some(c) = self.calls.open.get(&call) else {
+    /// Scores the worker that a request ended on.
+    fn judge(&mut self, c: &Call, ended: CallEnd) {
+        let State::Local(key) = c.state else {
             return;
         };
-        if c.state != State::Waiting {
-            self.forget_old_ask(call);
-            return;
-        }
-        let ask = SlotAsk {
-            call,
-            team: c.team.clone(),
-            profile: c.profile_name.clone(),
-            size: *c.size(),
-            timeout_ms: c.profile.timeout_ms,
-        };
-        let Some(peer) = self.peer_with_room(&c.refused_by) else {
+        if ended == CallEnd::NotRun(Reason::Uncertain) || !self.cfg.policy.judge {
             return;
-        };
-        if let Some((_, s)) = self.peers.summaries.get_mut(&peer) {
-            s.free = s.free.saturating_sub(1);
         }
-        let asked = self.now;
-        let c = self.calls.open.get_mut(&call).expect("just seen");
-        c.state = State::AskedPeer { peer, asked };
-        self.send(peer, PeerMsg::SlotAsk(ask));
-    }
-
-    fn forget_old_ask(&mut self, call: CallKey) {
-        let limit = self.cfg.timing.grant;
-        let now = self.now;
-        let Some(c) = self.calls.open.get_mut(&call) else {
-            return;
-        };
-        if let State::AskedPeer { asked, .. } = c.state
-            && now.since(asked) >= limit
-        {
-            c.state = State::Waiting;
+        let failed = ended != CallEnd::Complete;
+        let name = |vm: &crate::fleet::Vm| vm.info.name.clone();
+        match self.fleet.count_end(self.now, key, failed) {
+            Judged::Same => {}
+            judged => {
+                let vm = self.fleet.get(key).map(name).unwrap_or_default();
+                self.note(match judged {
+                    Judged::Aside => Notice::VmAside(vm),
+                    _ => Notice::VmBack(vm),
+                });
+            }
         }
     }
 
-    fn peer_with_room(&self, not: &std::collections::BTreeSet<MemberId>) -> Option<MemberId> {
-        let fresh = self.cfg.timing.summary.times(4);
-        let summaries = self.peers.summaries.iter();
-        summaries
-            .filter(|(m, (at, s))| s.free > 0 && self.now.since(*at) < fresh && !not.contains(m))
-            .max_by_key(|(_, (_, s))| s.free)
-            .map(|(m, _)| *m)
-    }
-
     fn free_slot(&mut self, call: CallKey, c: &Call, verdict: Verdict) {
+        if let (Some(s), Verdict::Ran) = (&c.started, verdict) {
+            self.learn_run(&c.profile_name, self.now.since(s.at));
+        }
         match c.state {
             State::Local(key) => self.free_local(key, c, verdict),
             State::Remote(peer) => self.send(peer, PeerMsg::SlotReturn { call, verdict }),
@@ -356,6 +372,9 @@
     }
 
     fn free_local(&mut self, key: VmKey, c: &Call, verdict: Verdict) {
+        if let Some(s) = &c.started {
+            self.settle_cost(c.team.as_ref(), c.size(), s);
+        }
         self.end_use(key, c.team.as_ref(), c.size(), verdict);
     }
 
@@ -364,7 +383,7 @@
         &mut self,
         key: VmKey,
         team: Option<&Name>,
-        size: &crate::resource::Resources,
+        size: &Resources,
         verdict: Verdict,
     ) {
         if verdict == Verdict::MayHaveRun {
@@ -383,7 +402,9 @@
 
     fn retry_or_refuse(&mut self, call: CallKey, mut c: Call, reason: Reason, verdict: Verdict) {
         let may = c.attempts < c.profile.max_attempts && self.now < c.give_up;
-        if may && !self.stopping.begun() {
+        let team = c.team.clone().unwrap_or_default();
+        if may && !self.stopping.begun() && self.retries.spend(&team) {
+            c.started = None;
             c.state = State::Waiting;
             self.calls.give_up.insert((c.give_up, call));
             self.calls.open.insert(call, c);
@@ -391,7 +412,8 @@
             return;
         }
         self.settle_intent(call, &c, verdict);
-        let retry_after = Some(RETRY_AFTER);
+        let class = self.class_of_call(&c);
+        let retry_after = Some(self.retry_after(&c, class));
         self.refuse(
             call,
             Refusal {
@@ -404,7 +426,7 @@
 
     fn stop_waiting(&mut self, call: CallKey, c: &Call) {
         self.calls.give_up.remove(&(c.give_up, call));
-        self.calls.queue.remove(call);
+        self.calls.queue.remove(Waiter::Own(call));
     }
 }
 
--- a/crates/monsoonnotch_core/src/reducer/dump.rs
+++ b/crates/monsoonnotch_core/src/reducer/dump.rs
@@ -105,7 +105,7 @@
             requests: vm.requests,
             doubts: vm.doubts.len(),
             tasks: vm.tasks.len(),
-            aside: vm.aside,
+            aside: vm.health.is_doubtful(),
             draining: vm.draining,
         })
         .collect()
--- a/crates/monsoonnotch_core/src/reducer/grants.rs
+++ b/crates/monsoonnotch_core/src/reducer/grants.rs
@@ -2,8 +2,12 @@
 
 use super::Control;
 use crate::call::Granted;
+use crate::call::Started;
+use crate::call::Waiter;
 use crate::ident::CallKey;
 use crate::ident::MemberId;
+use crate::ident::VmKey;
+use crate::queue::Class;
 use crate::time::Duration;
 use crate::verdict::Reason;
 use crate::verdict::Verdict;
@@ -13,17 +17,20 @@
 impl Control {
     pub(super) fn slot_asked(&mut self, from: MemberId, ask: SlotAsk) {
         let call = ask.call;
-        if self.calls.granted.contains_key(&(from, call)) {
+        let key = (from, call);
+        if self.calls.granted.contains_key(&key) || self.calls.asked.contains_key(&key) {
             return;
         }
-        match self.grant(from, &ask) {
-            Ok(msg) => self.send(from, msg),
+        match self.admit_ask(&ask) {
+            Ok(()) => self.queue_ask(from, ask),
             Err(reason) => self.send(from, PeerMsg::SlotNone { call, reason }),
         }
     }
 
     pub(super) fn slot_returned(&mut self, from: MemberId, call: CallKey, verdict: Verdict) {
+        self.drop_ask(from, call);
         if let Some(g) = self.calls.granted.remove(&(from, call)) {
+            self.settle_cost(g.team.as_ref(), &g.size, &g.started);
             self.end_use(g.vm, g.team.as_ref(), &g.size, verdict);
         }
     }
@@ -52,7 +59,7 @@
         }
     }
 
-    fn grant(&mut self, from: MemberId, ask: &SlotAsk) -> Result<PeerMsg, Reason> {
+    fn admit_ask(&self, ask: &SlotAsk) -> Result<(), Reason> {
         if self.stopping.begun() {
             return Err(Reason::Stopping);
         }
@@ -62,10 +69,41 @@
         if !self.team_may_start(ask.team.as_ref()) {
             return Err(Reason::AtLimit);
         }
-        let key = self
-            .fleet
-            .place_request(&ask.size)
-            .ok_or(Reason::QueueFull)?;
+        let waits = self.cfg.policy.queue_peers || self.fleet.free_slots() > 0;
+        if !waits || self.calls.queue.len() >= self.cfg.queue_max {
+            return Err(Reason::QueueFull);
+        }
+        Ok(())
+    }
+
+    /// Grants a slot to a peer's request whose turn it is.
+    pub(super) fn grant(&mut self, from: MemberId, call: CallKey, class: Class) -> bool {
+        let waiter = Waiter::Peer(from, call);
+        let Some(asked) = self.calls.asked.get(&(from, call)) else {
+            self.calls.queue.remove(waiter);
+            return false;
+        };
+        let ask = asked.ask.clone();
+        let Some(key) = self.place(&ask.size, class) else {
+            return false;
+        };
+        let charged = self.cost(&ask.size, Duration(ask.run_us));
+        self.calls.queue.started(self.now, waiter, charged);
+        self.drop_ask(from, call);
+        if class != Class::Long {
+            self.calls.short_slots += ask.size.slots;
+        }
+        let started = Started {
+            at: self.now,
+            charged,
+            class,
+        };
+        let msg = self.grant_on(key, from, ask, started);
+        self.send(from, msg);
+        true
+    }
+
+    fn grant_on(&mut self, key: VmKey, from: MemberId, ask: SlotAsk, started: Started) -> PeerMsg {
         self.used.add(ask.team.as_ref());
         let (vm, addr) = self.fleet.update(key, |vm| {
             vm.start_request(&ask.size);
@@ -75,12 +113,13 @@
         let longest = timing.grant + timing.dispatch + Duration::from_millis(ask.timeout_ms);
         let granted = Granted {
             vm: key,
-            team: ask.team.clone(),
+            team: ask.team,
             size: ask.size,
             until: self.now + longest.times(2),
+            started,
         };
-        self.calls.granted.insert((from, ask.call), granted);
         let call = ask.call;
-        Ok(PeerMsg::SlotGrant { call, vm, addr })
+        self.calls.granted.insert((from, call), granted);
+        PeerMsg::SlotGrant { call, vm, addr }
     }
 }
--- a/crates/monsoonnotch_core/src/reducer/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/mod.rs
@@ -6,7 +6,9 @@
 
 mod calls;
 mod check;
+mod decide;
 mod dump;
+mod forward;
 mod grants;
 mod holdings;
 mod jobs;
@@ -14,7 +16,10 @@
 mod keyed;
 mod log;
 mod operators;
+mod overload;
 mod peers;
+mod policy;
+mod price;
 mod stop;
 mod tasks;
 mod use_count;
@@ -38,13 +43,18 @@
 use crate::wire::PeerMsg;
 use crate::wire::Relayed;
 
+use self::decide::Deciding;
+use self::forward::Forwarding;
 use self::holdings::Holdings;
 use self::jobs::Jobs;
 use self::journal::Journal;
 use self::keyed::Keyed;
 use self::log::LogReader;
 use self::operators::Operators;
+use self::overload::Retries;
 use self::peers::Peers;
+pub use self::policy::Forward;
+pub use self::policy::Policy;
 use self::stop::Stopping;
 use self::tasks::Tasks;
 use self::use_count::UseCount;
@@ -65,6 +75,8 @@
     pub queue_max: usize,
     /// Records of the control stream between two snapshots.
     pub snapshot_every: u64,
+    /// How work is placed and refused.
+    pub policy: Policy,
 }
 
 /// All control state of one entry.
@@ -83,6 +95,9 @@
     used: UseCount,
     peers: Peers,
     calls: Calls,
+    deciding: Deciding,
+    forwarding: Forwarding,
+    retries: Retries,
     journal: Journal,
     keyed: Keyed,
     jobs: Jobs,
@@ -111,6 +126,9 @@
             used: UseCount::default(),
             peers: Peers::default(),
             calls: Calls::default(),
+            deciding: Deciding::default(),
+            forwarding: Forwarding::default(),
+            retries: Retries::default(),
             journal: Journal::default(),
             keyed: Keyed::default(),
             jobs: Jobs::default(),
@@ -129,6 +147,7 @@
         self.now = self.now.max(now);
         self.handle(ev);
         self.start_waiting_calls();
+        self.ask_for_fresh();
         self.flush_writer();
         self.flush_journal();
         self.publish_certainty();
@@ -182,6 +201,8 @@
         self.summary_if_due();
         self.sync_if_due();
         self.expire_calls();
+        self.tick_deciding();
+        self.tick_forwarding();
         self.expire_grants();
         self.tick_keyed();
         self.tick_jobs();
--- a/crates/monsoonnotch_core/src/reducer/peers.rs
+++ b/crates/monsoonnotch_core/src/reducer/peers.rs
@@ -126,7 +126,8 @@
         }
     }
 
-    fn summary(&self) -> Summary {
+    fn summary(&mut self) -> Summary {
+        let price = self.next_price();
         let free = match self.is_certain() {
             true => u32::try_from(self.fleet.free_slots()).unwrap_or(u32::MAX),
             false => 0,
@@ -134,7 +135,7 @@
         Summary {
             free,
             waiting: u32::try_from(self.calls.queue.len()).unwrap_or(u32::MAX),
-            price: 0,
+            price,
             used: self
                 .used
                 .teams()
--- a/crates/monsoonnotch_core/src/reducer/tasks.rs
+++ b/crates/monsoonnotch_core/src/reducer/tasks.rs
@@ -108,12 +108,9 @@
         if !self.is_certain() {
             return;
         }
-        let pause = self.cfg.timing.sync;
-        let now = self.now;
-        let due =
-            |vm: &crate::fleet::Vm| !vm.sync_out && vm.synced.is_none_or(|t| now.since(t) >= pause);
-        let held = self.fleet.held().filter(|(_, vm)| due(vm));
-        let keys: Vec<VmKey> = held.map(|(k, _)| k).take(SYNCS_MAX).collect();
+        let before = self.now - self.cfg.timing.sync;
+        let due = self.fleet.sync_due(Some(before));
+        let keys: Vec<VmKey> = due.take(SYNCS_MAX).collect();
         for key in keys {
             self.sync_worker(key);
         }
@@ -162,6 +159,9 @@
         if !self.team_may_start(Some(&spec.team)) {
             return Err(Reason::AtLimit);
         }
+        if !self.long_may_start(spec.size.slots) {
+            return Err(Reason::QueueFull);
+        }
         let key = self.fleet.place_task(&spec.size).ok_or(Reason::QueueFull)?;
         self.add_task(
             key,
--- a/crates/monsoonnotch_core/src/resource/mod.rs
+++ b/crates/monsoonnotch_core/src/resource/mod.rs
@@ -72,6 +72,16 @@
         self.zip(self, |a, _| a.saturating_mul(n))
     }
 
+    /// The least fraction of `total` that is here, in millionths, over what `total` has.
+    pub fn level(&self, total: &Self) -> u64 {
+        let part = self.zip(total, |a, t| match t {
+            0 => 1_000_000,
+            _ => a.saturating_mul(1_000_000) / t,
+        });
+        let scarce = part.cpu_milli.min(part.memory_mib).min(part.accelerators);
+        scarce.min(part.slots).min(part.connections)
+    }
+
     /// The largest fraction of `total` that `self` takes, in millionths.
     pub fn dominant(&self, total: &Self) -> u64 {
         let part = self.zip(total, |a, t| match t {
@@ -82,6 +92,7 @@
             .max(part.memory_mib)
             .max(part.accelerators)
             .max(part.slots)
+            .max(part.connections)
     }
 
     fn zip(&self, other: &Self, f: impl Fn(u64, u64) -> u64) -> Self {
--- a/crates/monsoonnotch_core/src/wire/mod.rs
+++ b/crates/monsoonnotch_core/src/wire/mod.rs
@@ -191,6 +191,12 @@
     pub size: Resources,
     /// Longest time from dispatch to the end of the answer, in milliseconds.
     pub timeout_ms: u64,
+    /// Importance, 0 to 9.
+    pub priority: u8,
+    /// How long such requests run, in microseconds, as the asker has seen.
+    pub run_us: u64,
+    /// How long it has waited, in milliseconds.
+    pub waited_ms: u64,
 }
 
 /// A member's load.
--- a/crates/monsoonnotch_entry/src/process/mod.rs
+++ b/crates/monsoonnotch_entry/src/process/mod.rs
@@ -205,6 +205,7 @@
         timing: Timing::default(),
         queue_max: settings.limits.queue,
         snapshot_every: settings.timing.snapshot_every,
+        policy: reducer::Policy::default(),
     }
 }
 
--- a/examples/decisions/cell.rs
+++ b/examples/decisions/cell.rs
@@ -22,6 +22,7 @@
 use monsoonnotch_core::prelude::*;
 use monsoonnotch_core::record::Batch;
 use monsoonnotch_core::record::Stream;
+use monsoonnotch_core::reducer::Policy;
 use monsoonnotch_core::reducer::Settings;
 use monsoonnotch_core::timing::Timing;
 
@@ -99,11 +100,11 @@
 }
 
 /// Runs the cell over the arrivals.
-pub(crate) fn run(site: &Site, arrivals: &[Arrival]) -> Tally {
+pub(crate) fn run(site: &Site, arrivals: &[Arrival], policy: Policy) -> Tally {
     let mut cell = Cell {
         site,
         arrivals,
-        members: (0..ENTRIES).map(member).collect(),
+        members: (0..ENTRIES).map(|i| member(i, policy)).collect(),
         due: BTreeMap::new(),
         seq: 0,
         now: 0,
@@ -117,7 +118,7 @@
     cell.tally
 }
 
-fn member(i: usize) -> Control {
+fn member(i: usize, policy: Policy) -> Control {
     Control::new(Settings {
         me: MemberId(i as u64 + 1),
         domain: domain(i),
@@ -125,6 +126,7 @@
         timing: Timing::default(),
         queue_max: QUEUE_MAX,
         snapshot_every: 1_000,
+        policy,
     })
 }
 
--- a/examples/decisions/main.rs
+++ b/examples/decisions/main.rs
@@ -10,6 +10,8 @@
 use mix::DASOM;
 use mix::FERNWAERME;
 use mix::Site;
+use monsoonnotch_core::reducer::Forward;
+use monsoonnotch_core::reducer::Policy;
 
 /// Loads, as fractions of the fleet's slots.
 const LOADS: [f64; 4] = [0.5, 0.8, 0.95, 1.2];
@@ -60,13 +62,61 @@
     }
 }
 
+/// Ours with one mechanism taken out or replaced.
+fn arms() -> [(&'static str, Policy); 6] {
+    let all = Policy::default();
+    [
+        (
+            "without headroom",
+            Policy {
+                headroom: false,
+                ..all
+            },
+        ),
+        ("without shedding", Policy { shed: false, ..all }),
+        (
+            "without learning",
+            Policy {
+                learn: false,
+                ..all
+            },
+        ),
+        (
+            "without peers' queues",
+            Policy {
+                queue_peers: false,
+                ..all
+            },
+        ),
+        (
+            "least loaded",
+            Policy {
+                forward: Forward::LeastLoaded,
+                ..all
+            },
+        ),
+        (
+            "price",
+            Policy {
+                forward: Forward::Price,
+                ..all
+            },
+        ),
+    ]
+}
+
 fn compare(site: &Site, load: f64, seed: u64) -> String {
     let arrivals = mix::arrivals(site, load, seed);
     println!("{} load={load} arrivals={}", site.name, arrivals.len());
     let fifo = fifo::run(site, &arrivals, seed);
     fifo.print(site, "first-come");
-    let ours = cell::run(site, &arrivals);
+    let ours = cell::run(site, &arrivals, Policy::default());
     ours.print(site, "ours");
+    if load > 1.0 {
+        for (name, policy) in arms() {
+            cell::run(site, &arrivals, policy).print(site, name);
+        }
+    }
     format!(
         "decisions: seed={seed} load={load} site={} fifo_p99_ms={:.1} ours_p99_ms={:.1} fifo_share_dev={:.3} ours_share_dev={:.3} packed={:.3}",
         site.name,
--- a/examples/decisions/mix.rs
+++ b/examples/decisions/mix.rs
@@ -21,7 +21,7 @@
 /// Arrivals before this are not measured.
 pub(crate) const WARM: u64 = 10 * SECOND;
 /// Arrivals after this are not drawn.
-pub(crate) const END: u64 = 40 * SECOND;
+pub(crate) const END: u64 = 130 * SECOND;
 
 /// A team's share when the fleet is full, and its part of the arrivals in hundredths.
 #[derive(Debug, Clone, Copy)]
--- a/examples/decisions/tally.rs
+++ b/examples/decisions/tally.rs
@@ -73,7 +73,8 @@
         let k = &site.kinds[a.kind];
         self.kinds[a.kind].arrived += 1;
         if k.lane == Lane::Short {
-            self.asked[a.team] += (a.run_us * k.size.slots) as f64;
+            let span = (a.at + a.run_us).min(END) - a.at;
+            self.asked[a.team] += (span * k.size.slots) as f64;
         }
     }
 
