--- a/crates/monsoonnotch_entry/src/control/mod.rs
+++ b/crates/monsoonnotch_entry/src/control/mod.rs
@@ -73,7 +73,7 @@
 fn answered(ev: &Event) -> Option<CallKey> {
     match ev {
         Event::CallEnded { call, ended } => match ended {
-            CallEnd::Complete | CallEnd::Cut(_) => Some(*call),
+            CallEnd::Complete | CallEnd::Failed | CallEnd::Cut(_) => Some(*call),
             CallEnd::NotRun(_) | CallEnd::MayHaveRun(_) => None,
         },
         _ => None,
--- a/crates/monsoonnotch_entry/src/upstream/relay.rs
+++ b/crates/monsoonnotch_entry/src/upstream/relay.rs
@@ -45,8 +45,12 @@
     tx: oneshot::Sender<Answer>,
 ) {
     let (parts, body) = res.into_parts();
+    let whole = match parts.status.is_server_error() {
+        true => CallEnd::Failed,
+        false => CallEnd::Complete,
+    };
     if body.is_end_stream() {
-        ending.report(CallEnd::Complete);
+        ending.report(whole);
         let none = Empty::new().map_err(|never| match never {}).boxed();
         let _ = tx.send(Ok(Response::from_parts(parts, none)));
         return;
@@ -55,24 +59,28 @@
     let relay = Relay { rx, ended: false }.boxed();
     let _ = tx.send(Ok(Response::from_parts(parts, relay)));
     let ended = carry(body, deadline, &items).await;
-    ending.report(ended);
-    if ended == CallEnd::Complete {
+    ending.report(ended.err().map_or(whole, CallEnd::Cut));
+    if ended.is_ok() {
         let _ = items.send(Item::End).await;
     }
 }
 
 /// Reads a body to its end and passes its frames on for as long as someone takes them.
-async fn carry(mut body: Incoming, deadline: Instant, items: &mpsc::Sender<Item>) -> CallEnd {
+async fn carry(
+    mut body: Incoming,
+    deadline: Instant,
+    items: &mpsc::Sender<Item>,
+) -> Result<(), Reason> {
     loop {
         let frame = match tokio::time::timeout_at(deadline, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(_))) => return CallEnd::Cut(Reason::UpstreamCut),
-            Ok(None) => return CallEnd::Complete,
-            Err(_) => return CallEnd::Cut(Reason::UpstreamTimeout),
+            Ok(Some(Err(_))) => return Err(Reason::UpstreamCut),
+            Ok(None) => return Ok(()),
+            Err(_) => return Err(Reason::UpstreamTimeout),
         };
         let passed = tokio::time::timeout_at(deadline, items.send(Item::Frame(frame)));
         if passed.await.is_err() {
-            return CallEnd::Cut(Reason::UpstreamTimeout);
+            return Err(Reason::UpstreamTimeout);
         }
     }
 }
