--- a/crates/monsoonnotch_core/src/reducer/gauges.rs
+++ b/crates/monsoonnotch_core/src/reducer/gauges.rs
@@ -73,7 +73,7 @@
             granted_slots: self.calls.granted.len(),
             free_slots: self.fleet.free_slots(),
             held_workers: held().count(),
-            aside_workers: held().filter(|vm| vm.aside).count(),
+            aside_workers: held().filter(|vm| vm.health.is_doubtful()).count(),
             doubts: held().map(|vm| vm.doubts.len()).sum(),
             tasks: held().map(|vm| vm.tasks.len()).sum(),
             jobs: self.jobs.len(),
--- a/crates/monsoonnotch_core/src/reducer/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/mod.rs
@@ -6,7 +6,9 @@
 
 mod calls;
 mod check;
+mod decide;
 mod dump;
+mod forward;
 mod gauges;
 mod grants;
 mod holdings;
@@ -16,7 +18,10 @@
 mod log;
 mod look;
 mod operators;
+mod overload;
 mod peers;
+mod policy;
+mod price;
 mod stop;
 mod tasks;
 mod use_count;
@@ -40,6 +45,8 @@
 use crate::wire::PeerMsg;
 use crate::wire::Relayed;
 
+use self::decide::Deciding;
+use self::forward::Forwarding;
 pub use self::gauges::Gauges;
 pub use self::gauges::TeamGauges;
 use self::holdings::Holdings;
@@ -48,7 +55,10 @@
 use self::keyed::Keyed;
 use self::log::LogReader;
 use self::operators::Operators;
+use self::overload::Retries;
 use self::peers::Peers;
+pub use self::policy::Forward;
+pub use self::policy::Policy;
 use self::stop::Stopping;
 use self::tasks::Tasks;
 use self::use_count::UseCount;
@@ -69,6 +79,8 @@
     pub queue_max: usize,
     /// Records of the control stream between two snapshots.
     pub snapshot_every: u64,
+    /// How work is placed and refused.
+    pub policy: Policy,
 }
 
 /// All control state of one entry.
@@ -87,6 +99,9 @@
     used: UseCount,
     peers: Peers,
     calls: Calls,
+    deciding: Deciding,
+    forwarding: Forwarding,
+    retries: Retries,
     journal: Journal,
     keyed: Keyed,
     jobs: Jobs,
@@ -115,6 +130,9 @@
             used: UseCount::default(),
             peers: Peers::default(),
             calls: Calls::default(),
+            deciding: Deciding::default(),
+            forwarding: Forwarding::default(),
+            retries: Retries::default(),
             journal: Journal::default(),
             keyed: Keyed::default(),
             jobs: Jobs::default(),
@@ -133,6 +151,7 @@
         self.now = self.now.max(now);
         self.handle(ev);
         self.start_waiting_calls();
+        self.ask_for_fresh();
         self.flush_writer();
         self.flush_journal();
         self.publish_certainty();
@@ -188,6 +207,8 @@
         self.summary_if_due();
         self.sync_if_due();
         self.expire_calls();
+        self.tick_deciding();
+        self.tick_forwarding();
         self.expire_grants();
         self.tick_keyed();
         self.tick_jobs();
--- a/crates/monsoonnotch_entry/src/measure/mod.rs
+++ b/crates/monsoonnotch_entry/src/measure/mod.rs
@@ -163,7 +163,7 @@
     counter(
         DISPATCH_ENDS,
         "end reason",
-        "Ends of dispatched requests: complete, not_run, may_have_run or cut.",
+        "Ends of dispatched requests: complete, failed, not_run, may_have_run or cut.",
     ),
     counter(
         CALL_REFUSALS,
