--- a/crates/monsoonnotch_entry/src/settings/check.rs
+++ b/crates/monsoonnotch_entry/src/settings/check.rs
@@ -94,7 +94,10 @@
         let at = e.span().map(|s| s.start);
         let what = match e.message() {
             "duplicate key" => "the key or table is there twice; keep one".to_owned(),
-            other => format!("not TOML: {other}; correct the line"),
+            other => {
+                let other = other.replace('\n', ", ");
+                format!("not TOML: {other}; correct the line")
+            }
         };
         self.fault(at, &what);
     }
--- a/crates/monsoonnotch_entry/tests/catalogues.rs
+++ b/crates/monsoonnotch_entry/tests/catalogues.rs
@@ -107,3 +107,25 @@
         .collect();
     assert_eq!(listed, in_code);
 }
+
+/// The words of a page that begin with `start`, up to the first other character.
+fn words(page: &str, start: &str) -> BTreeSet<String> {
+    let ends = |c: char| !(c.is_ascii_alphanumeric() || c == '_');
+    let tails = page.split(start).skip(1);
+    let word = |t: &str| format!("{start}{}", t.split(ends).next().unwrap_or(""));
+    tails.map(word).collect()
+}
+
+#[test]
+fn pages_name_only_metrics_and_events_that_there_are() {
+    let metrics: BTreeSet<&str> = measure::CATALOGUE.iter().map(|m| m.name).collect();
+    for page in [EVENTS, METRICS, OPERATIONS] {
+        for word in words(page, "monsoonnotch_") {
+            assert!(metrics.contains(word.as_str()), "no such metric: {word}");
+        }
+        for word in words(page, "MN0") {
+            let known = |e: &notice::Listed| format!("MN{:03}", e.number) == word;
+            assert!(notice::CATALOGUE.iter().any(known), "no such event: {word}");
+        }
+    }
+}
--- a/crates/monsoonnotch_entry/tests/settings.rs
+++ b/crates/monsoonnotch_entry/tests/settings.rs
@@ -186,6 +186,20 @@
     assert!(err.to_string().lines().all(|l| l.starts_with("site.toml:")));
 }
 
+#[test]
+fn faults_of_form_are_told_with_the_others_each_on_one_line() {
+    let text = EXAMPLE
+        .replace("threads = 2", "threads = = 2")
+        .replace("vms_ms = 500", "vms_ms = 1")
+        .replace("queue = 10000", "queue = 10000\nqueue = 3");
+    let err = Settings::parse("site.toml", &text).expect_err("faults");
+    let told = err.to_string();
+    assert!(told.lines().all(|l| l.starts_with("site.toml:")), "{told}");
+    for part in ["not TOML", "'vms_ms' must be", "there twice"] {
+        assert!(told.contains(part), "{part} is not in {told}");
+    }
+}
+
 #[test]
 fn an_empty_file_is_told_each_required_key() {
     let required = KEYS.iter().filter(|k| k.default.is_none()).count();
