--- a/crates/monsoonnotch_core/src/reducer/holdings.rs
+++ b/crates/monsoonnotch_core/src/reducer/holdings.rs
@@ -254,7 +254,7 @@
         let Some((to, least)) = poorest.map(|(m, n)| (*m, *n)) else {
             return;
         };
-        if mine <= even + 1 || least >= even || to == self.cfg.me {
+        if mine <= even || least >= even || to == self.cfg.me {
             self.stop_draining();
             return;
         }
@@ -364,7 +364,7 @@
         let mine = parts.part(team, self.cfg.me);
         let members = self.ledger.members.keys();
         let (least, to) = members.map(|m| (parts.part(team, *m), *m)).min()?;
-        let excess = mine.saturating_sub(even + 1);
+        let excess = mine.saturating_sub(even);
         let lack = even.saturating_sub(least);
         let amount = excess.min(lack).min(self.allotment_left(team));
         (amount > 0 && to != self.cfg.me).then_some((to, amount))
--- a/crates/monsoonnotch_core/src/reducer/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/mod.rs
@@ -227,7 +227,8 @@
                 false => Notice::CertaintyLost,
             });
         }
-        let ready = certain && !self.stopping.begun() && self.fleet.held().next().is_some();
+        // A member without workers of its own uses slots of its peers.
+        let ready = certain && !self.stopping.begun() && !self.ledger.vms.is_empty();
         if ready != self.was_ready {
             self.was_ready = ready;
             self.out.push(Effect::Ready(ready));
--- a/crates/monsoonnotch_entry/src/control/inbox.rs
+++ b/crates/monsoonnotch_entry/src/control/inbox.rs
@@ -9,16 +9,16 @@
 use monsoonnotch_core::effect::Answer;
 use monsoonnotch_core::event::CallArrived;
 use monsoonnotch_core::event::Event;
-use monsoonnotch_core::ident::MemberId;
 use monsoonnotch_core::ident::Name;
 use monsoonnotch_core::ident::Ticket;
 use monsoonnotch_core::time::Duration;
 use monsoonnotch_core::time::Time;
 use monsoonnotch_core::verdict::Refusal;
-use monsoonnotch_core::wire::PeerMsg;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::measure;
+
 /// Messages of peers that wait for the control thread at most.
 const FROM_PEERS_MAX: usize = 16_384;
 
@@ -48,7 +48,7 @@
     /// An event.
     Event(Event),
     /// A peer's message.
-    Peer(MemberId, PeerMsg),
+    Peer(Event),
     /// A caller's request and where its decisions go.
     Call(CallArrived, mpsc::UnboundedSender<Decision>),
     /// A question and where its answer goes.
@@ -61,7 +61,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Event(ev) => f.debug_tuple("Event").field(ev).finish(),
-            Self::Peer(from, _) => f.debug_tuple("Peer").field(from).finish(),
+            Self::Peer(ev) => f.debug_tuple("Peer").field(ev).finish(),
             Self::Call(call, _) => f.debug_tuple("Call").field(call).finish(),
             Self::Ask(..) => f.write_str("Ask"),
             Self::Kill => f.write_str("Kill"),
@@ -89,13 +89,13 @@
     }
 
     /// Hands over a peer's message, which is dropped when too many wait already.
-    pub fn peer(&self, from: MemberId, msg: PeerMsg) {
+    pub fn peer(&self, ev: Event) {
         if self.from_peers.fetch_add(1, Ordering::Relaxed) >= FROM_PEERS_MAX {
             self.peer_taken();
-            metrics::counter!("monsoonnotch_peer_messages_dropped_total").increment(1);
+            metrics::counter!(measure::PEER_DROPPED).increment(1);
             return;
         }
-        let _ = self.tx.send(Input::Peer(from, msg));
+        let _ = self.tx.send(Input::Peer(ev));
     }
 
     pub(super) fn peer_taken(&self) {
--- a/crates/monsoonnotch_entry/src/control/mod.rs
+++ b/crates/monsoonnotch_entry/src/control/mod.rs
@@ -123,9 +123,9 @@
                     self.runner.close_call(call);
                 }
             }
-            Input::Peer(from, msg) => {
+            Input::Peer(ev) => {
                 self.inbox.peer_taken();
-                self.step(Event::Peer { from, msg });
+                self.step(ev);
             }
             Input::Call(arrived, tx) => {
                 self.runner.open_call(arrived.call, tx);
--- a/crates/monsoonnotch_entry/src/measure/mod.rs
+++ b/crates/monsoonnotch_entry/src/measure/mod.rs
@@ -45,6 +45,8 @@
 pub const LOG_BYTES: &str = "monsoonnotch_log_bytes_total";
 /// Bytes sent to peers.
 pub const PEER_BYTES: &str = "monsoonnotch_peer_bytes_total";
+/// Messages of peers dropped because too many waited.
+pub const PEER_DROPPED: &str = "monsoonnotch_peer_messages_dropped_total";
 /// Numbered events.
 pub const EVENTS: &str = "monsoonnotch_events_total";
 /// Evictions of other members.
@@ -195,6 +197,11 @@
     ),
     counter(LOG_BYTES, "", "Bytes appended to the log."),
     counter(PEER_BYTES, "", "Bytes sent to peers."),
+    counter(
+        PEER_DROPPED,
+        "",
+        "Messages of peers dropped because too many waited.",
+    ),
     counter(EVENTS, "event", "Numbered events logged."),
     counter(
         EVICTIONS,
--- a/crates/monsoonnotch_entry/src/process/mod.rs
+++ b/crates/monsoonnotch_entry/src/process/mod.rs
@@ -110,7 +110,7 @@
         rt.spawn(operators::serve(listeners.operators, operators_shared));
         let peers = inbox.clone();
         rt.spawn(link::accept(listeners.peers, move |from, msg| {
-            peers.peer(from, msg);
+            peers.peer(Event::Peer { from, msg });
         }));
         rt.spawn(watch_vms(settings, inbox.clone()));
         Ok(Self {
--- a/crates/monsoonnotch_standins/src/load/mod.rs
+++ b/crates/monsoonnotch_standins/src/load/mod.rs
@@ -24,8 +24,6 @@
 
 /// Pause between two looks at the entries' readiness.
 const LOOK: Duration = Duration::from_millis(100);
-/// Longest wait of a caller for its answer.
-const ANSWER: Duration = Duration::from_secs(20);
 /// Pause of a caller after a request that was not answered.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -42,6 +40,8 @@
     pub work_ms: u64,
     /// Chunks of each answer; zero for one with a length.
     pub chunks: u64,
+    /// Longest wait of a caller for its answer.
+    pub patience: Duration,
     /// Pause of each caller between two requests.
     pub pause: Duration,
 }
@@ -217,7 +217,7 @@
                 }
                 continue;
             };
-            let sent = tokio::time::timeout(ANSWER, self.send(addr, id)).await;
+            let sent = tokio::time::timeout(self.plan.patience, self.send(addr, id)).await;
             let outcome = sent.unwrap_or(Outcome::NoAnswer);
             if self.note(id, outcome) || stop.load(Ordering::Relaxed) {
                 return;
--- /dev/null
+++ b/tests/failures/changes.rs
@@ -0,0 +1,103 @@
+//! Points 4 and 10: changes are in force at every entry within 5 s and stay so.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use monsoonnotch_standins::prelude::*;
+
+use crate::site::PROGRAMS;
+use crate::site::Site;
+use crate::site::reason;
+
+/// Longest time from the acceptance of a change until it is in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(5);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn point_04_a_withdrawn_key_is_refused_also_where_the_log_does_not_reach() {
+    let platform = Platform::start(8, PROGRAMS).await;
+    let tap = Tap::start(platform.log.addr()).await;
+    let mut entries: Vec<Process> = ["fd-0", "fd-1", "fd-2"]
+        .iter()
+        .map(|d| platform.entry(d))
+        .collect();
+    entries.push(platform.entry_by("fd-0", tap.addr, ""));
+    let site = Site::with(platform, entries).await;
+    let kept = format!("Bearer {}", site.entries[0].grant("hall"));
+    for e in &site.entries {
+        eventually("the second key works", || site.answers(e.callers, &kept)).await;
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    tap.set(Fault::Dark);
+    tap.silence_open();
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let id = site.key.split('.').next().expect("an identifier");
+    site.entries[0].ctl_json(&["key", "withdraw", id]);
+    let accepted = Instant::now();
+    for e in &site.entries {
+        loop {
+            let a = site.send(e.callers, "GET", "check", &[]).await;
+            let a = a.expect("an answer");
+            if reason(&a) == Some(102) {
+                break;
+            }
+            assert!(accepted.elapsed() < IN_FORCE, "{}: {a:?}", e.callers);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(3) {
+        for e in &site.entries {
+            let a = site.send(e.callers, "GET", "check", &[]).await;
+            let a = a.expect("an answer");
+            assert_eq!(reason(&a), Some(102), "the key is back: {a:?}");
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    for e in &site.entries {
+        assert!(site.answers(e.callers, &kept).await, "the other key works");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn point_10_changes_are_in_force_everywhere_and_outlive_the_log() {
+    let platform = Platform::start(6, PROGRAMS).await;
+    let more = "[timing]\nsnapshot_every = 20\n";
+    let mut site = Site::start(platform, 3, more).await;
+    site.entries[1].publish("early", "lane = \"short\"\n");
+    in_force(&site, "early").await;
+    let spare = site.entries[0].grant("hall");
+    let id = spare.split('.').next().expect("an identifier").to_owned();
+    site.entries[0].ctl_json(&["key", "withdraw", &id]);
+    let faults = LogFaults {
+        keep: 60,
+        ..LogFaults::default()
+    };
+    site.platform.log.set_faults(faults);
+    for n in 0..60 {
+        site.entries[n % 3].publish(&format!("p{n}"), "lane = \"short\"\n");
+    }
+    in_force(&site, "p59").await;
+    let fresh = site.platform.entry_with("fd-1", more);
+    ready(&fresh).await;
+    site.entries.push(fresh);
+    in_force(&site, "early").await;
+    in_force(&site, "p0").await;
+    let a = site.answers(site.addr(3), &format!("Bearer {spare}")).await;
+    assert!(!a, "the withdrawn key is back");
+}
+
+/// Every entry takes requests under a profile within the stated time.
+async fn in_force(site: &Site, profile: &str) {
+    let accepted = Instant::now();
+    for e in &site.entries {
+        loop {
+            let a = site.send(e.callers, "GET", profile, &[]).await;
+            let a = a.expect("an answer");
+            if a.status == 200 {
+                break;
+            }
+            assert!(accepted.elapsed() < IN_FORCE, "{}: {a:?}", e.callers);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
--- a/tests/failures/main.rs
+++ b/tests/failures/main.rs
@@ -3,7 +3,10 @@
 //! One module per point; a test's name begins with the point's number.
 
 mod answers;
+mod changes;
 mod limits;
 mod not_run;
+mod processes;
 mod silence;
 mod site;
+mod stops;
--- a/tests/failures/site.rs
+++ b/tests/failures/site.rs
@@ -68,6 +68,11 @@
         self.entries[i].callers
     }
 
+    /// The callers' addresses of all entries.
+    pub(crate) fn addrs(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|e| e.callers).collect()
+    }
+
     /// Sends a request under a profile with more headers.
     pub(crate) async fn send(
         &self,
@@ -96,6 +101,7 @@
             headers: headers.map(|(n, v)| (n.to_owned(), v.to_owned())).to_vec(),
             work_ms: 20,
             chunks: 0,
+            patience: Duration::from_secs(20),
             pause: Duration::from_millis(10),
         }
     }
