A member of a small cell records as many guards as there are

With three entries there are two peers, wanted_guards gave up on the third guard and recorded none, so a dead entry was never evicted and its workers stayed idle. Ruled out: a slow vote (state showed no guards at all).

It records the guards that there are; two of them can evict.

--- a/crates/monsoonnotch_core/src/guard/mod.rs
+++ b/crates/monsoonnotch_core/src/guard/mod.rs
@@ -109,7 +109,9 @@
         let mut want = member.guards.clone();
         want.retain(|g| !member.votes.contains(g));
         while want.len() < GUARDS {
-            let next = self.next_guard(ledger, &member.guards, &want)?;
+            let Some(next) = self.next_guard(ledger, &member.guards, &want) else {
+                break;
+            };
             want.push(next);
         }
         (want != member.guards).then_some(want)
