--- a/crates/monsoonnotch_peer/src/link/mod.rs
+++ b/crates/monsoonnotch_peer/src/link/mod.rs
@@ -52,18 +52,19 @@
         let from = self.me;
         let frame = monsoonnotch_core::record::encode(&Frame { from, msg });
         let len = frame.len();
-        let rt = &self.rt;
-        let dial = || outgoing::start(rt, to.addr.to_string(), WAITING_MAX);
-        let tx = self.links.entry(to.member).or_insert_with(dial);
         // A full or closed link loses the message, which its sender must expect.
-        if tx.try_send(frame).is_err() && tx.is_closed() {
-            self.links.remove(&to.member);
-        }
+        let _ = self.link(to).try_send(frame);
         len
     }
 
-    /// Drops the links to all but these members.
-    pub fn retain(&mut self, keep: impl Fn(MemberId) -> bool) {
-        self.links.retain(|m, _| keep(*m));
+    /// The link to a peer, dialled anew when it has ended.
+    fn link(&mut self, to: &PeerAddr) -> &mpsc::Sender<Vec<u8>> {
+        let ended = |tx: &mpsc::Sender<Vec<u8>>| tx.is_closed();
+        if self.links.get(&to.member).is_none_or(ended) {
+            self.links.retain(|_, tx| !tx.is_closed());
+            let tx = outgoing::start(&self.rt, to.addr.to_string(), WAITING_MAX);
+            self.links.insert(to.member, tx);
+        }
+        &self.links[&to.member]
     }
 }
--- a/crates/monsoonnotch_peer/src/link/outgoing.rs
+++ b/crates/monsoonnotch_peer/src/link/outgoing.rs
@@ -17,12 +17,14 @@
 const SILENCE: Duration = Duration::from_millis(1_500);
 /// Longest dial.
 const DIAL: Duration = Duration::from_millis(1_000);
+/// Time without a message after which a link ends; the next message dials again.
+const UNUSED: Duration = Duration::from_secs(10);
 /// Pause between dials.
 const DIAL_PAUSE: Duration = Duration::from_millis(100);
 
 type Socket = WebSocketStream<TcpStream>;
 
-/// Starts a link; it ends when the sender is dropped.
+/// Starts a link; it ends when the sender is dropped or sends nothing for long.
 pub(super) fn start(rt: &Handle, addr: String, waiting_max: usize) -> mpsc::Sender<Vec<u8>> {
     let (tx, rx) = mpsc::channel(waiting_max);
     rt.spawn(run(addr, rx));
@@ -30,19 +32,20 @@
 }
 
 async fn run(addr: String, mut rx: mpsc::Receiver<Vec<u8>>) {
+    let mut used = Instant::now();
     loop {
-        match tokio::time::timeout(DIAL, dial(&addr)).await {
-            Ok(Some(socket)) => {
-                if carry(socket, &mut rx).await.is_none() {
-                    return;
-                }
-            }
-            _ if rx.is_closed() => return,
-            _ => {
-                // What waited for the dial is too old to be of use.
-                while rx.try_recv().is_ok() {}
-                tokio::time::sleep(DIAL_PAUSE).await;
-            }
+        let end = match tokio::time::timeout(DIAL, dial(&addr)).await {
+            Ok(Some(socket)) => carry(socket, &mut rx, &mut used).await,
+            _ if rx.is_closed() => End::Done,
+            _ => End::Failed,
+        };
+        if end == End::Done || used.elapsed() > UNUSED {
+            return;
+        }
+        tokio::time::sleep(DIAL_PAUSE).await;
+        // What waited for the dial is too old to be of use.
+        while rx.try_recv().is_ok() {
+            used = Instant::now();
         }
     }
 }
@@ -55,13 +58,27 @@
     Some(socket)
 }
 
-/// Sends until the link fails (`Some`) or the sender is gone (`None`).
-async fn carry(mut socket: Socket, rx: &mut mpsc::Receiver<Vec<u8>>) -> Option<()> {
+/// Why a connection is carried no further.
+#[derive(Debug, PartialEq, Eq)]
+enum End {
+    /// It failed or went silent.
+    Failed,
+    /// Nobody sends on the link any more.
+    Done,
+}
+
+async fn carry(mut socket: Socket, rx: &mut mpsc::Receiver<Vec<u8>>, used: &mut Instant) -> End {
     let mut heard = Instant::now();
     let mut ping = tokio::time::interval(PING);
     loop {
         let sent = tokio::select! {
-            frame = rx.recv() => send(&mut socket, Message::Binary(frame?.into())).await,
+            frame = rx.recv() => match frame {
+                Some(frame) => {
+                    *used = Instant::now();
+                    send(&mut socket, Message::Binary(frame.into())).await
+                }
+                None => return End::Done,
+            },
             _ = ping.tick() => send(&mut socket, Message::Ping(Vec::new().into())).await,
             answer = socket.next() => {
                 heard = Instant::now();
@@ -69,7 +86,10 @@
             }
         };
         if !sent || heard.elapsed() > SILENCE {
-            return Some(());
+            return End::Failed;
+        }
+        if used.elapsed() > UNUSED {
+            return End::Done;
         }
     }
 }
--- a/crates/monsoonnotch_platform/src/http/mod.rs
+++ b/crates/monsoonnotch_platform/src/http/mod.rs
@@ -18,6 +18,11 @@
 const ANSWER_MAX: usize = 64 << 20;
 /// Age at which an idle connection is not used again.
 const IDLE_MAX: Duration = Duration::from_secs(5);
+/// Idle connections kept to one address.
+///
+/// When all of them have gone silent, each costs a timeout before a new one is
+/// made.
+const IDLE_CONNECTIONS_MAX: usize = 1;
 
 quick_error! {
     /// Why an exchange brought no answer.
@@ -68,6 +73,7 @@
         connector.set_connect_timeout(Some(timeout));
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_MAX)
+            .pool_max_idle_per_host(IDLE_CONNECTIONS_MAX)
             .build(connector);
         Self { client, timeout }
     }
--- a/tests/failures/processes.rs
+++ b/tests/failures/processes.rs
@@ -53,6 +53,7 @@
     let load = Load::start(&site.addrs(), &plan);
     for _ in 0..2 {
         tokio::time::sleep(Duration::from_secs(2)).await;
+        let member = site.entries[1].ctl_json(&["state"])["member"].clone();
         // In progress at the paused entry; its answer comes whole all the same.
         let long = in_progress(&site, 1, 4_000);
         tokio::time::sleep(Duration::from_millis(500)).await;
@@ -65,6 +66,8 @@
         let answer = long.await.expect("no caller panics").expect("an answer");
         assert!(answer.whole && answer.status == 200, "{answer:?}");
         ready(&site.entries[1]).await;
+        let now = site.entries[1].ctl_json(&["state"])["member"].clone();
+        assert_ne!(member, now, "it was evicted and is a new member");
     }
     let seen = load.finish().await;
     assert_eq!(seen.wrong, Vec::<String>::new());
