--- a/crates/monsoonnotch_entry/src/measure/count.rs
+++ b/crates/monsoonnotch_entry/src/measure/count.rs
@@ -66,6 +66,7 @@
 fn call_ended(ended: CallEnd) {
     let (end, reason) = match ended {
         CallEnd::Complete => ("complete", None),
+        CallEnd::Failed => ("failed", None),
         CallEnd::NotRun(r) => ("not_run", Some(r)),
         CallEnd::MayHaveRun(r) => ("may_have_run", Some(r)),
         CallEnd::Cut(r) => ("cut", Some(r)),
