--- /dev/null
+++ b/crates/monsoonnotch_entry/tests/inbox.rs
@@ -0,0 +1,23 @@
+//! The control thread's inbox when the thread does not keep up.
+
+use monsoonnotch_core::event::Event;
+use monsoonnotch_core::ident::MemberId;
+use monsoonnotch_core::wire::PeerMsg;
+use monsoonnotch_entry::control;
+
+#[test]
+fn messages_of_peers_take_bounded_memory() {
+    let (inbox, rx) = control::inbox();
+    let sent = 40_000;
+    for _ in 0..sent {
+        inbox.peer(Event::Peer {
+            from: MemberId(1),
+            msg: PeerMsg::TaskSeen { tasks: Vec::new() },
+        });
+    }
+    // Everything else is never dropped.
+    inbox.event(Event::Tick);
+    let waiting = rx.try_iter().count();
+    assert!(waiting < sent / 2, "{waiting} wait");
+    assert!(waiting > 1);
+}
--- a/tests/failures/answers.rs
+++ b/tests/failures/answers.rs
@@ -221,6 +221,11 @@
             left.await.expect("no caller panics");
         }
     }
+    // These leave in the middle of their answers.
+    let gone = (0..8).map(|_| leave_amid(&site));
+    for left in gone.collect::<Vec<_>>() {
+        left.await.expect("no caller panics");
+    }
     let slots = (0..8).map(|i| {
         let (addr, headers) = (site.addr(0), bearer(&site));
         tokio::spawn(async move {
@@ -279,6 +284,27 @@
     })
 }
 
+/// A caller that leaves after the beginning of an answer of 600 ms.
+fn leave_amid(site: &Site) -> tokio::task::JoinHandle<()> {
+    use tokio::io::AsyncReadExt;
+    use tokio::io::AsyncWriteExt;
+    let addr = site.addr(0);
+    let text = format!(
+        "GET / HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\nprofile: hold\r\n\
+         x-chunks: 20\r\nx-chunk-ms: 30\r\n\r\n",
+        site.key
+    );
+    tokio::spawn(async move {
+        let stream = tokio::net::TcpStream::connect(addr).await;
+        let mut stream = stream.expect("a connection");
+        let written = stream.write_all(text.as_bytes()).await;
+        written.expect("it can be written");
+        let mut buf = [0; 64];
+        let begun = stream.read(&mut buf).await;
+        assert!(begun.is_ok_and(|n| n > 0), "no answer begins");
+    })
+}
+
 /// Sends bytes and reads to the end of the connection.
 pub(crate) async fn exchange(addr: std::net::SocketAddr, text: &[u8]) -> Vec<u8> {
     use tokio::io::AsyncReadExt;
--- a/tests/failures/limits.rs
+++ b/tests/failures/limits.rs
@@ -175,6 +175,45 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn limits_bodies_take_bounded_memory() {
+    let platform = Platform::start(1, PROGRAMS).await;
+    let more = "[limits]\nbody_bytes = 10000\nreceive_ms = 3000\n";
+    let site = Site::start(platform, 1, more).await;
+    let text = format!(
+        "POST / HTTP/1.1\r\nauthorization: Bearer {}\r\nprofile: hold\r\n\
+         transfer-encoding: chunked\r\n\r\n",
+        site.key
+    );
+    // Memory is kept for 256 of the largest bodies.
+    let mut open = Vec::new();
+    for _ in 0..256 {
+        let mut stream = TcpStream::connect(site.addr(0))
+            .await
+            .expect("a connection");
+        stream.write_all(text.as_bytes()).await.expect("written");
+        open.push(stream);
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let one_more = format!("{text}0\r\n\r\n");
+    let mut stream = TcpStream::connect(site.addr(0))
+        .await
+        .expect("a connection");
+    stream
+        .write_all(one_more.as_bytes())
+        .await
+        .expect("written");
+    let mut answer = [0; 64];
+    let n = stream.read(&mut answer).await.expect("an answer");
+    assert_eq!(status(&answer[..n]), 429);
+    drop(open);
+    eventually("there is room again", || async {
+        let a = site.send(site.addr(0), "POST", "hold", &[]).await;
+        a.is_some_and(|a| a.status == 200)
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn limits_paths_reach_the_upstream_as_they_are() {
     let site = site().await;
--- a/tests/failures/main.rs
+++ b/tests/failures/main.rs
@@ -4,6 +4,7 @@
 
 mod answers;
 mod changes;
+mod leaving;
 mod limits;
 mod not_run;
 mod processes;
--- a/tests/failures/processes.rs
+++ b/tests/failures/processes.rs
@@ -1,4 +1,5 @@
-//! Entries that die or pause under load, and a log that is dark for all.
+//! Points 2 and 3: nothing runs twice or too much while entries die or pause under
+//! load, or the log is dark for all.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -17,7 +18,7 @@
 const TAKEN_OVER: Duration = Duration::from_secs(25);
 
 #[tokio::test(flavor = "multi_thread")]
-async fn point_08_the_workers_of_a_killed_entry_are_taken_over() {
+async fn point_02_the_workers_of_a_killed_entry_are_taken_over() {
     let platform = Platform::start(9, PROGRAMS).await;
     let mut site = Site::start(platform, 3, "").await;
     // A guard does not vote before it has waited 4.2 s.
@@ -43,7 +44,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn point_08_an_entry_paused_twice_under_load_breaks_nothing() {
+async fn point_02_an_entry_paused_twice_under_load_breaks_nothing() {
     let platform = Platform::start(9, PROGRAMS).await;
     let site = Site::start(platform, 3, "").await;
     tokio::time::sleep(Duration::from_secs(6)).await;
@@ -76,7 +77,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn point_08_a_log_dark_for_all_stops_no_short_request() {
+async fn point_02_a_log_dark_for_all_stops_no_short_request() {
     let platform = Platform::start(8, PROGRAMS).await;
     // Three guards each, so that they vouch for one another.
     let site = Site::start(platform, 4, "").await;
