--- a/crates/monsoonnotch_core/src/reducer/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/mod.rs
@@ -9,6 +9,7 @@
 mod decide;
 mod dump;
 mod forward;
+mod gauges;
 mod grants;
 mod holdings;
 mod jobs;
@@ -45,6 +46,8 @@
 
 use self::decide::Deciding;
 use self::forward::Forwarding;
+pub use self::gauges::Gauges;
+pub use self::gauges::TeamGauges;
 use self::holdings::Holdings;
 use self::jobs::Jobs;
 use self::journal::Journal;
@@ -189,6 +192,7 @@
             Event::Job { ticket, key, ask } => self.job_asked(ticket, key, ask),
             Event::Change { ticket, change } => self.change(ticket, change),
             Event::Dump(ticket) => self.dump(ticket),
+            Event::Gauges(ticket) => self.gauges(ticket),
             Event::Stop => self.stop(),
         }
     }
--- a/crates/monsoonnotch_entry/src/control/runner.rs
+++ b/crates/monsoonnotch_entry/src/control/runner.rs
@@ -8,6 +8,7 @@
 use monsoonnotch_core::effect::Answer;
 use monsoonnotch_core::effect::Effect;
 use monsoonnotch_core::effect::Sync;
+use monsoonnotch_core::event::CallEnd;
 use monsoonnotch_core::event::Event;
 use monsoonnotch_core::event::ReadReply;
 use monsoonnotch_core::ident::CallKey;
@@ -17,6 +18,7 @@
 use monsoonnotch_core::record;
 use monsoonnotch_core::record::Batch;
 use monsoonnotch_core::record::Stream;
+use monsoonnotch_core::verdict::Reason;
 use monsoonnotch_core::verdict::Verdict;
 use monsoonnotch_peer::link::Links;
 use monsoonnotch_platform::log::Page;
@@ -25,12 +27,14 @@
 use monsoonnotch_platform::worker::StartBody;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::SendError;
 use tokio::sync::oneshot;
 
 use super::inbox::Decision;
 use super::inbox::Inbox;
 use crate::clock::Clock;
 use crate::logs;
+use crate::measure;
 
 /// What the control thread reaches.
 #[derive(Debug)]
@@ -118,6 +122,7 @@
     }
 
     pub(super) fn run(&mut self, effect: Effect) {
+        measure::effect(&effect);
         match effect {
             Effect::Read { from } => self.read(from),
             Effect::Append { token, batch } => self.append(token, &batch),
@@ -125,7 +130,7 @@
             Effect::ReadJournal(member) => self.read_journal(member),
             Effect::Send { to, msg } => {
                 let len = self.links.send(&to, msg) as u64;
-                metrics::counter!("monsoonnotch_peer_bytes_total").increment(len);
+                metrics::counter!(measure::PEER_BYTES).increment(len);
             }
             Effect::Sync(sync) => self.sync(sync),
             Effect::StartTask {
@@ -159,6 +164,7 @@
                 timeout,
                 certain_until,
                 repeatable,
+                waited: _,
             } => {
                 let decision = Decision::Dispatch {
                     addr,
@@ -185,13 +191,27 @@
 
     fn decide(&mut self, call: CallKey, decision: Decision) {
         let Some(tx) = self.calls.get(&call) else {
-            return;
+            return self.undo(call, &decision);
         };
-        if tx.send(decision).is_err() {
+        if let Err(SendError(decision)) = tx.send(decision) {
             self.calls.remove(&call);
+            self.undo(call, &decision);
         }
     }
 
+    /// The caller has gone; a slot that was taken for it is free again.
+    fn undo(&self, call: CallKey, decision: &Decision) {
+        if let Decision::Dispatch { .. } = decision {
+            let ended = CallEnd::NotRun(Reason::Cancelled);
+            self.inbox.event(Event::CallEnded { call, ended });
+        }
+    }
+
+    /// Forgets a call that needs no further decision.
+    pub(super) fn close_call(&mut self, call: CallKey) {
+        self.calls.remove(&call);
+    }
+
     fn spawn(&self, f: impl Future<Output = Event> + Send + 'static) {
         let inbox = self.inbox.clone();
         self.out.rt.spawn(async move { inbox.event(f.await) });
@@ -222,7 +242,7 @@
 
     fn append_to(&self, stream: Stream, token: u64, buf: Vec<u8>) {
         let len = buf.len() as u64;
-        metrics::counter!("monsoonnotch_log_bytes_total").increment(len);
+        metrics::counter!(measure::LOG_BYTES).increment(len);
         let log = self.out.log.clone();
         self.spawn(async move {
             match log.append(&stream.name(), buf).await {
