--- a/crates/monsoonnotch_core/src/queue/rate.rs
+++ b/crates/monsoonnotch_core/src/queue/rate.rs
@@ -5,6 +5,8 @@
 
 /// Time after which an event counts 1/e.
 const MEMORY_US: f64 = 2_000_000.0;
+/// Count below which what was before is forgotten.
+const FORGOTTEN: f64 = 0.01;
 /// Longest time that is told.
 const LONGEST: Duration = Duration::from_secs(60);
 
@@ -13,11 +15,17 @@
 pub(super) struct Rate {
     count: f64,
     last: Time,
+    /// Since when events are counted without a long break.
+    since: Time,
 }
 
 impl Rate {
     pub(super) fn count(&mut self, now: Time) {
-        self.count = self.at(now) + 1.0;
+        let old = self.at(now);
+        if old < FORGOTTEN {
+            self.since = now;
+        }
+        self.count = old + 1.0;
         self.last = now;
     }
 
@@ -27,7 +35,10 @@
 
     /// How long `n` events take at this rate.
     pub(super) fn time_for(&self, now: Time, n: u32) -> Duration {
-        let us = f64::from(n) * MEMORY_US / self.at(now).max(f64::MIN_POSITIVE);
+        // Of a rate that is as young as this, the count has seen only so much.
+        let age = now.since(self.since).0.max(1) as f64;
+        let seen = MEMORY_US * (1.0 - (-age / MEMORY_US).exp());
+        let us = f64::from(n) * seen / self.at(now).max(f64::MIN_POSITIVE);
         match us < LONGEST.0 as f64 {
             true => Duration(us as u64),
             false => LONGEST,
--- a/crates/monsoonnotch_core/src/reducer/forward.rs
+++ b/crates/monsoonnotch_core/src/reducer/forward.rs
@@ -71,10 +71,7 @@
             for team in teams {
                 let own = self.calls.queue.of_team(&team, class);
                 let own = own.take(ASKS_PER_TICK).filter_map(own_call);
-                calls.extend(
-                    own.filter(|c| self.may_ask(*c))
-                        .take(usize::from(ASKS_PER_PEER as u8)),
-                );
+                calls.extend(own.filter(|c| self.may_ask(*c)).take(ASKS_PER_TEAM));
             }
         }
         for call in calls.into_iter().take(ASKS_PER_TICK) {
