--- a/crates/monsoonnotch_core/src/reducer/forward.rs
+++ b/crates/monsoonnotch_core/src/reducer/forward.rs
@@ -24,6 +24,8 @@
 
 /// Requests of one team that wait in one peer's queue at most.
 const ASKS_PER_PEER: u32 = 8;
+/// Requests of one team and class for which peers are asked in one tick.
+const ASKS_PER_TEAM: usize = 8;
 /// Requests looked at in one tick to ask peers for them.
 const ASKS_PER_TICK: usize = 64;
 /// Pause after which peers that had no slot are asked again.
@@ -69,10 +71,7 @@
             for team in teams {
                 let own = self.calls.queue.of_team(&team, class);
                 let own = own.take(ASKS_PER_TICK).filter_map(own_call);
-                calls.extend(
-                    own.filter(|c| self.may_ask(*c))
-                        .take(usize::from(ASKS_PER_PEER as u8)),
-                );
+                calls.extend(own.filter(|c| self.may_ask(*c)).take(ASKS_PER_TEAM));
             }
         }
         for call in calls.into_iter().take(ASKS_PER_TICK) {
