Membership explored: small cells, predecessors, settling, owed limits

Ruled out: one vote for all small sets (one cut link would evict again and again); renewals in the log (rate); waiting by lease for everything unheld.

--- a/crates/monsoonnotch_core/src/event/mod.rs
+++ b/crates/monsoonnotch_core/src/event/mod.rs
@@ -48,6 +48,8 @@
     Peer {
         /// The sender.
         from: MemberId,
+        /// Whom it is meant for; the process may have become another member since.
+        to: MemberId,
         /// What it says.
         msg: PeerMsg,
     },
--- a/crates/monsoonnotch_core/src/guard/mod.rs
+++ b/crates/monsoonnotch_core/src/guard/mod.rs
@@ -37,10 +37,12 @@
     gave: BTreeMap<MemberId, Time>,
     /// When a ward was last heard.
     heard: BTreeMap<MemberId, Time>,
-    /// When this member read that it guards a ward.
-    since: BTreeMap<MemberId, Time>,
-    /// Wards that this member voted against.
+    /// Offset from which this member guards a ward, and when it read so.
+    since: BTreeMap<MemberId, (u64, Time)>,
+    /// Wards that this member voted against and never vouches for again.
     voted: BTreeSet<MemberId>,
+    /// Wards against which it voted as their present guard.
+    cast: BTreeSet<MemberId>,
 }
 
 impl Guarding {
@@ -56,6 +58,7 @@
             heard: BTreeMap::new(),
             since: BTreeMap::new(),
             voted: BTreeSet::new(),
+            cast: BTreeSet::new(),
         }
     }
 
@@ -108,8 +111,9 @@
         }
         let mut want = member.guards.clone();
         want.retain(|g| !member.votes.contains(g));
-        while want.len() < GUARDS {
-            let next = self.next_guard(ledger, &member.guards, &want)?;
+        while want.len() < GUARDS
+            && let Some(next) = ledger.next_guard(self.me, &want, &member.guards)
+        {
             want.push(next);
         }
         (want != member.guards).then_some(want)
@@ -125,20 +129,6 @@
         self.doubtful.retain(|(s, _)| *s > seq);
     }
 
-    fn next_guard(&self, ledger: &Ledger, old: &[MemberId], want: &[MemberId]) -> Option<MemberId> {
-        let able = |m: &MemberId| !old.contains(m) && !want.contains(m);
-        let covered: BTreeSet<&str> = want
-            .iter()
-            .filter_map(|g| ledger.members.get(g))
-            .map(|m| m.domain.as_str())
-            .collect();
-        let fresh_domain =
-            |m: &MemberId| able(m) && !covered.contains(ledger.members[m].domain.as_str());
-        let mut ring = ledger.ring_after(self.me);
-        let best = ring.find(fresh_domain);
-        best.or_else(|| ledger.ring_after(self.me).find(able))
-    }
-
     /// Until when at least `VOUCHING` guards of a full set vouch.
     fn vouched_until(&self, guards: &[MemberId]) -> Option<Time> {
         if guards.len() < GUARDS {
--- a/crates/monsoonnotch_core/src/guard/ward.rs
+++ b/crates/monsoonnotch_core/src/guard/ward.rs
@@ -1,5 +1,8 @@
 //! The guard's side: promises given and votes cast.
 
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
+
 use super::Guarding;
 use crate::ident::MemberId;
 use crate::ledger::Ledger;
@@ -20,15 +23,20 @@
 
     /// Notes which members this one guards by what it has read.
     pub fn wards_read(&mut self, now: Time, ledger: &Ledger) {
-        let wards: Vec<MemberId> = self.wards(ledger).collect();
-        self.since.retain(|w, _| wards.contains(w));
-        for w in wards {
-            self.since.entry(w).or_insert(now);
+        let wards: BTreeMap<MemberId, u64> = self.wards(ledger).collect();
+        let same = |w: &MemberId, offset: u64| wards.get(w) == Some(&offset);
+        self.since.retain(|w, (offset, _)| same(w, *offset));
+        for (w, offset) in wards {
+            if let Entry::Vacant(entry) = self.since.entry(w) {
+                entry.insert((offset, now));
+                self.cast.remove(&w);
+            }
         }
         let present = |m: &MemberId| ledger.is_member(*m);
         self.heard.retain(|m, _| present(m));
         self.gave.retain(|m, _| present(m));
         self.voted.retain(present);
+        self.cast.retain(present);
         self.promised.retain(|m, _| present(m));
     }
 
@@ -40,20 +48,22 @@
         }
         let due: Vec<MemberId> = self
             .wards(ledger)
+            .map(|(w, _)| w)
             .filter(|w| self.vote_is_due(now, *w))
             .collect();
         self.voted.extend(due.iter().copied());
+        self.cast.extend(due.iter().copied());
         due
     }
 
     fn vote_is_due(&self, now: Time, ward: MemberId) -> bool {
-        let Some(since) = self.since.get(&ward) else {
+        let Some((_, since)) = self.since.get(&ward) else {
             return false;
         };
         let gave = self.gave.get(&ward).copied();
         let heard = self.heard.get(&ward).copied().unwrap_or(*since);
         let timing = &self.timing;
-        !self.voted.contains(&ward)
+        !self.cast.contains(&ward)
             && now.since(*since) > timing.new_guard()
             && gave.is_none_or(|t| now.since(t) > timing.promise + timing.drift)
             && now.since(heard) > timing.suspect
@@ -64,9 +74,10 @@
         guards.is_some_and(|g| g.contains(&self.me))
     }
 
-    fn wards(&self, ledger: &Ledger) -> impl Iterator<Item = MemberId> {
+    /// The wards, each with the offset from which this member guards it.
+    fn wards(&self, ledger: &Ledger) -> impl Iterator<Item = (MemberId, u64)> {
         let me = self.me;
-        let guarded = move |(_, m): &(&MemberId, &crate::ledger::Member)| m.guards.contains(&me);
-        ledger.members.iter().filter(guarded).map(|(id, _)| *id)
+        let members = ledger.members.iter();
+        members.filter_map(move |(id, m)| Some((*id, *m.since.get(&me)?)))
     }
 }
--- a/crates/monsoonnotch_core/src/ledger/allot.rs
+++ b/crates/monsoonnotch_core/src/ledger/allot.rs
@@ -10,10 +10,13 @@
 
 /// Holder's parts of every team's upper limit.
 ///
-/// The parts of a team never add up to more than its limit.
+/// The parts of a team never add up to more than its limit. What a lowered limit
+/// took from a holder may still be in use there; it stays owed, and is claimed
+/// by nobody, until the holder says that it is free.
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Allotments {
     parts: BTreeMap<Name, BTreeMap<MemberId, u32>>,
+    owed: BTreeMap<Name, BTreeMap<MemberId, u32>>,
 }
 
 impl Allotments {
@@ -28,31 +31,44 @@
         self.parts.get(team).map_or(0, |p| p.values().sum())
     }
 
+    /// What a member owes of a team's limit, because the limit was lowered.
+    pub fn owed(&self, team: &str, m: MemberId) -> u32 {
+        let owed = self.owed.get(team);
+        owed.and_then(|p| p.get(&m)).copied().unwrap_or(0)
+    }
+
+    /// What of a limit is neither held nor owed.
+    pub fn unheld(&self, team: &str, limit: u32) -> u32 {
+        let owed: u32 = self.owed.get(team).map_or(0, |p| p.values().sum());
+        limit.saturating_sub(self.total(team)).saturating_sub(owed)
+    }
+
     /// Adds up to `amount` of what is unheld of `limit`.
     pub fn claim(&mut self, team: &Name, limit: u32, m: MemberId, amount: u32) {
-        let free = limit.saturating_sub(self.total(team));
+        let free = self.unheld(team, limit);
         self.give(team, m, amount.min(free));
     }
 
     /// Moves up to `amount` from one holder to another.
     pub fn transfer(&mut self, team: &Name, from: MemberId, to: MemberId, amount: u32) {
-        let moved = self.release(team, from, amount);
+        let Some(part) = self.parts.get_mut(team).and_then(|p| p.get_mut(&from)) else {
+            return;
+        };
+        let moved = amount.min(*part);
+        *part -= moved;
         self.give(team, to, moved);
     }
 
-    /// Takes up to `amount` from a holder; says how much it was.
-    pub fn release(&mut self, team: &str, m: MemberId, amount: u32) -> u32 {
-        let Some(part) = self.parts.get_mut(team).and_then(|p| p.get_mut(&m)) else {
-            return 0;
-        };
-        let taken = amount.min(*part);
-        *part -= taken;
-        taken
+    /// A holder uses up to `amount` less of what it owes.
+    pub fn release(&mut self, team: &str, m: MemberId, amount: u32) {
+        if let Some(owed) = self.owed.get_mut(team).and_then(|p| p.get_mut(&m)) {
+            *owed = owed.saturating_sub(amount);
+        }
     }
 
-    /// Moves all that `from` holds to `to`, or makes it unheld.
+    /// Moves all that `from` holds and owes to `to`, or makes it unheld.
     pub fn inherit(&mut self, from: MemberId, to: Option<MemberId>) {
-        for parts in self.parts.values_mut() {
+        for parts in self.parts.values_mut().chain(self.owed.values_mut()) {
             let Some(part) = parts.remove(&from) else {
                 continue;
             };
@@ -62,18 +78,35 @@
         }
     }
 
-    /// Scales the parts down to a lowered limit, each rounded down.
-    pub fn limit(&mut self, team: &str, limit: u32) {
-        let total = u64::from(self.total(team));
-        let Some(parts) = self.parts.get_mut(team) else {
-            return;
-        };
-        if total <= u64::from(limit) {
-            return;
+    /// Fits the parts to a changed limit.
+    ///
+    /// Parts of a lowered limit are scaled down, each rounded down; of a raised
+    /// one, holders get back what they owe first.
+    pub fn limit(&mut self, team: &Name, limit: u32) {
+        let total = self.total(team);
+        match total > limit {
+            true => self.scale(team, limit, total),
+            false => self.give_back(team, limit - total),
+        }
+    }
+
+    fn scale(&mut self, team: &Name, limit: u32, total: u32) {
+        let owed = self.owed.entry(team.clone()).or_default();
+        for (m, part) in self.parts.get_mut(team).into_iter().flatten() {
+            let scaled = u64::from(*part) * u64::from(limit) / u64::from(total);
+            let scaled = u32::try_from(scaled).expect("a part scaled down still fits");
+            *owed.entry(*m).or_default() += *part - scaled;
+            *part = scaled;
         }
-        for part in parts.values_mut() {
-            let scaled = u64::from(*part) * u64::from(limit) / total;
-            *part = u32::try_from(scaled).expect("a part scaled down still fits");
+    }
+
+    fn give_back(&mut self, team: &Name, mut free: u32) {
+        let parts = self.parts.entry(team.clone()).or_default();
+        for (m, owed) in self.owed.get_mut(team).into_iter().flatten() {
+            let back = free.min(*owed);
+            *owed -= back;
+            free -= back;
+            *parts.entry(*m).or_default() += back;
         }
     }
 
--- a/crates/monsoonnotch_core/src/ledger/fold.rs
+++ b/crates/monsoonnotch_core/src/ledger/fold.rs
@@ -1,6 +1,5 @@
 //! The effect of each record on the ledger.
 
-use super::EVICTING_VOTES;
 use super::Ending;
 use super::Folded;
 use super::GUARDS;
@@ -65,22 +64,17 @@
                     domain: domain.clone(),
                     addr: addr.clone(),
                     guards: Vec::new(),
+                    since: Default::default(),
                     votes: Default::default(),
                 };
                 self.members.insert(w, member);
                 out.push(Folded::Joined(w));
+                self.end_predecessor(offset, w, out);
+                self.fill_guards(offset, out);
             }
-            Body::Guards { guards } => self.set_guards(w, guards, out),
-            Body::Vote { target } => self.vote(offset, w, *target, out),
-            Body::Leave { heir } => {
-                let heir = heir.filter(|h| *h != w && self.is_member(*h));
-                let ending = Ending {
-                    heir,
-                    offset,
-                    left: true,
-                };
-                self.end(w, ending, out);
-            }
+            Body::Guards { guards } => self.set_guards(offset, w, guards, out),
+            Body::Vote { target, read } => self.vote(offset, w, *target, *read, out),
+            Body::Leave { heir, read } => self.leave(offset, w, *heir, *read, out),
             Body::Claim { things } => {
                 self.claim(w, things);
                 out.push(Folded::Moved);
@@ -100,7 +94,7 @@
             }
             Body::Config(change) => self.configure(offset, w, record.seq, change, out),
             // A snapshot matters only to whoever starts from it.
-            Body::Snapshot { .. } => {}
+            Body::Snapshot { .. } | Body::Omitted => {}
         }
     }
 
@@ -124,7 +118,44 @@
         });
     }
 
-    fn set_guards(&mut self, w: MemberId, guards: &[MemberId], out: &mut Vec<Folded>) {
+    /// Ends the former member at the address of a new one; no two processes have one address.
+    fn end_predecessor(&mut self, offset: u64, w: MemberId, out: &mut Vec<Folded>) {
+        let addr = &self.members[&w].addr;
+        let same = self
+            .members
+            .iter()
+            .filter(|(m, x)| **m != w && x.addr == *addr);
+        let former: Vec<MemberId> = same.map(|(m, _)| *m).collect();
+        for m in former {
+            let ending = Ending {
+                heir: Some(w),
+                offset,
+                left: false,
+                at_once: false,
+            };
+            self.end(m, ending, out);
+        }
+    }
+
+    /// Gives guards to those that have too few, so that nobody is without.
+    fn fill_guards(&mut self, offset: u64, out: &mut Vec<Folded>) {
+        let few = |m: &Member| m.guards.len() < GUARDS;
+        let members = self.members.iter().filter(|(_, m)| few(m));
+        let ids: Vec<MemberId> = members.map(|(id, _)| *id).collect();
+        for id in ids {
+            let mut guards = self.members[&id].guards.clone();
+            while guards.len() < GUARDS
+                && let Some(next) = self.next_guard(id, &guards, &[])
+            {
+                guards.push(next);
+            }
+            let member = self.members.get_mut(&id).expect("just seen");
+            member.put_guards(offset, guards);
+            out.push(Folded::GuardsChanged(id));
+        }
+    }
+
+    fn set_guards(&mut self, offset: u64, w: MemberId, guards: &[MemberId], out: &mut Vec<Folded>) {
         let mut valid: Vec<MemberId> = Vec::new();
         for g in guards {
             if *g != w && self.is_member(*g) && !valid.contains(g) && valid.len() < GUARDS {
@@ -132,26 +163,57 @@
             }
         }
         let member = self.members.get_mut(&w).expect("the writer is a member");
-        member.votes.retain(|v| valid.contains(v));
-        member.guards = valid;
+        member.put_guards(offset, valid);
         out.push(Folded::GuardsChanged(w));
     }
 
-    fn vote(&mut self, offset: u64, guard: MemberId, target: MemberId, out: &mut Vec<Folded>) {
+    /// Ends a member by its own record; it has stopped using what it held when it wrote it.
+    ///
+    /// What it inherited since then, by an eviction, may still be in use.
+    fn leave(
+        &mut self,
+        offset: u64,
+        w: MemberId,
+        heir: Option<MemberId>,
+        read: u64,
+        out: &mut Vec<Folded>,
+    ) {
+        let named = heir.filter(|h| *h != w && self.is_member(*h));
+        let heir = named.or_else(|| self.ring_after(w).next());
+        let unsettled = |e: &Ending| e.heir == Some(w) && !e.at_once && e.offset >= read;
+        let ending = Ending {
+            heir,
+            offset,
+            left: true,
+            at_once: !self.endings.values().any(unsettled),
+        };
+        self.end(w, ending, out);
+    }
+
+    /// A vote counts if the guard had read that it is one when it cast it.
+    fn vote(
+        &mut self,
+        offset: u64,
+        guard: MemberId,
+        target: MemberId,
+        read: u64,
+        out: &mut Vec<Folded>,
+    ) {
         let Some(member) = self.members.get_mut(&target) else {
             return;
         };
-        if !member.guards.contains(&guard) {
+        if member.since.get(&guard).is_none_or(|since| *since >= read) {
             return;
         }
         member.votes.insert(guard);
-        let evicted = member.votes.len() >= EVICTING_VOTES;
+        let evicted = member.votes.len() >= member.evicting_votes();
         out.push(Folded::Voted { guard, target });
         if evicted {
             let ending = Ending {
                 heir: Some(guard),
                 offset,
                 left: false,
+                at_once: false,
             };
             self.end(target, ending, out);
         }
@@ -162,13 +224,13 @@
         self.seqs.remove(&m);
         self.endings.insert(m, ending);
         self.inherit(m, ending.heir);
-        self.replace_guard(m, out);
+        self.replace_guard(ending.offset, m, out);
         self.forget_endings();
         out.push(Folded::Ended(m, ending));
     }
 
     /// Puts another member in the place of a guard that ended.
-    fn replace_guard(&mut self, gone: MemberId, out: &mut Vec<Folded>) {
+    fn replace_guard(&mut self, offset: u64, gone: MemberId, out: &mut Vec<Folded>) {
         let affected: Vec<MemberId> = self
             .members
             .iter()
@@ -176,13 +238,11 @@
             .map(|(id, _)| *id)
             .collect();
         for id in affected {
-            let next = self
-                .ring_after(id)
-                .find(|y| !self.members[&id].guards.contains(y));
+            let mut guards = self.members[&id].guards.clone();
+            guards.retain(|g| *g != gone);
+            guards.extend(self.next_guard(id, &guards, &[]));
             let member = self.members.get_mut(&id).expect("just seen");
-            member.guards.retain(|g| *g != gone);
-            member.votes.remove(&gone);
-            member.guards.extend(next);
+            member.put_guards(offset, guards);
             out.push(Folded::GuardsChanged(id));
         }
     }
--- a/crates/monsoonnotch_core/src/ledger/mod.rs
+++ b/crates/monsoonnotch_core/src/ledger/mod.rs
@@ -36,10 +36,41 @@
     pub addr: Name,
     /// Its present guards, in the order that it named them.
     pub guards: Vec<MemberId>,
+    /// Offset from which each of them counts as a guard.
+    pub since: BTreeMap<MemberId, u64>,
     /// Those of them that voted to evict it.
     pub votes: BTreeSet<MemberId>,
 }
 
+impl Member {
+    /// Votes that evict it.
+    ///
+    /// With fewer guards than `GUARDS` it starts work by the log only, so that
+    /// fewer votes do no harm.
+    fn evicting_votes(&self) -> usize {
+        EVICTING_VOTES.min(self.guards.len())
+    }
+
+    /// Puts guards in place from `offset` on.
+    ///
+    /// A changed set of fewer than `GUARDS` counts as new as a whole: this
+    /// member may still go by promises of the former one.
+    fn put_guards(&mut self, offset: u64, guards: Vec<MemberId>) {
+        let set: BTreeSet<MemberId> = guards.iter().copied().collect();
+        let changed = !set.iter().eq(self.since.keys());
+        if changed && guards.len() < GUARDS {
+            self.since.clear();
+            self.votes.clear();
+        }
+        self.since.retain(|g, _| set.contains(g));
+        self.votes.retain(|g| set.contains(g));
+        for g in set {
+            self.since.entry(g).or_insert(offset);
+        }
+        self.guards = guards;
+    }
+}
+
 /// How a member ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ending {
@@ -47,8 +78,10 @@
     pub heir: Option<MemberId>,
     /// Offset of the record that ended it.
     pub offset: u64,
-    /// Whether it left by itself, so that the heir need not wait.
+    /// Whether it left by itself.
     pub left: bool,
+    /// Whether the heir may use the estate without waiting.
+    pub at_once: bool,
 }
 
 /// The state that the control stream folds to.
@@ -121,6 +154,18 @@
         self.ranges.get(&RangeId::of(hash)).copied()
     }
 
+    /// The next guard of a member beside those that it has, and not one of `not`.
+    ///
+    /// Failure domains that have no guard of it yet come first.
+    pub fn next_guard(&self, m: MemberId, have: &[MemberId], not: &[MemberId]) -> Option<MemberId> {
+        let able = |g: &MemberId| !have.contains(g) && !not.contains(g);
+        let domain = |g: &MemberId| self.members.get(g).map(|x| &x.domain);
+        let covered: BTreeSet<&Name> = have.iter().filter_map(domain).collect();
+        let uncovered = |g: &MemberId| able(g) && domain(g).is_some_and(|d| !covered.contains(d));
+        let best = self.ring_after(m).find(uncovered);
+        best.or_else(|| self.ring_after(m).find(able))
+    }
+
     /// The members that follow `m` in ring order, `m` excluded.
     pub fn ring_after(&self, m: MemberId) -> impl Iterator<Item = MemberId> {
         use std::ops::Bound::Excluded;
--- a/crates/monsoonnotch_core/src/record/mod.rs
+++ b/crates/monsoonnotch_core/src/record/mod.rs
@@ -67,11 +67,15 @@
     Vote {
         /// The member.
         target: MemberId,
+        /// The writer's position on the stream when it cast the vote.
+        read: u64,
     },
     /// The writer ends; its estate passes on at once.
     Leave {
         /// Who takes it over.
         heir: Option<MemberId>,
+        /// The writer's position on the stream; what it held then may be used at once.
+        read: u64,
     },
     /// The writer takes what is unheld of these.
     Claim {
@@ -102,6 +106,8 @@
         /// The ledger, whose `next` is the offset that follows what it covers.
         ledger: Box<Ledger>,
     },
+    /// A snapshot that a peer left out when it passed the batch on.
+    Omitted,
 }
 
 /// A stream of the platform's log.
--- a/crates/monsoonnotch_core/src/reducer/holdings.rs
+++ b/crates/monsoonnotch_core/src/reducer/holdings.rs
@@ -33,9 +33,23 @@
 }
 
 impl Holdings {
-    fn vm_given(&self, vm: &Name) -> bool {
-        let thing = Thing::Vm(vm.clone());
-        self.moving.values().flatten().any(|t| *t == thing)
+    /// Workers that are on their way out.
+    pub(super) fn moving_vms(&self) -> BTreeSet<&Name> {
+        let things = self.moving.values().flatten();
+        things
+            .filter_map(|t| match t {
+                Thing::Vm(name) => Some(name),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// Whether a range is on its way out.
+    pub(super) fn range_given(&self, r: RangeId) -> bool {
+        self.moving
+            .values()
+            .flatten()
+            .any(|t| *t == Thing::Range(r))
     }
 
     /// What is on its way out of the own part of a team's limit.
@@ -51,7 +65,7 @@
 /// Whether a record hands things over in such a way that the new holder need not wait.
 pub(super) fn hands_over_at_once(f: &Folded) -> bool {
     match f {
-        Folded::Ended(_, ending) => ending.left,
+        Folded::Ended(_, ending) => ending.at_once,
         Folded::Restored | Folded::Config { .. } => false,
         _ => true,
     }
@@ -78,18 +92,18 @@
         let moved = |f: &Folded| matches!(f, Folded::Moved | Folded::Ended(..) | Folded::Restored);
         if folded.iter().any(moved) {
             let at_once = folded.iter().all(hands_over_at_once);
-            self.match_vms(at_once);
+            self.settle_holdings(folded);
+            self.match_vms();
             self.ranges_read(at_once);
         }
     }
 
     pub(super) fn vms_listed(&mut self, list: &[crate::event::VmInfo]) {
         self.fleet.list(list);
-        self.match_vms(true);
+        self.match_vms();
     }
 
     pub(super) fn balance_if_due(&mut self) {
-        self.unlock_allotments();
         let may = self.is_certain() && !self.log.dark && self.writer.is_empty();
         if self.now < self.holdings.due || !may || self.stopping.begun() {
             return;
@@ -101,6 +115,7 @@
         self.give_ranges();
         self.give_allotments();
         self.release_gone();
+        self.release_owed();
     }
 
     /// Gives everything to a peer and ends the membership.
@@ -108,31 +123,27 @@
         let counts = self.vm_counts();
         let others = counts.iter().filter(|(m, _)| **m != self.cfg.me);
         let heir = others.min_by_key(|(_, n)| **n).map(|(m, _)| *m);
-        self.write(Body::Leave { heir });
+        let read = self.ledger.next;
+        self.write(Body::Leave { heir, read });
     }
 
-    fn match_vms(&mut self, at_once: bool) {
-        let from = match at_once {
-            true => self.now,
-            false => self.now + self.cfg.timing.evict(),
-        };
+    /// Holds in the fleet what may be used, and nothing else.
+    fn match_vms(&mut self) {
         let epoch = self.ledger.next;
-        let me = self.cfg.me;
         let mut take = Vec::new();
         let mut drop = Vec::new();
         for (_, vm) in self.fleet.iter() {
-            let mine = self.ledger.holder_of_vm(&vm.info.name) == Some(me);
-            let mine = mine && !self.holdings.vm_given(&vm.info.name);
-            match (mine, vm.held.is_some()) {
-                (true, false) => take.push(vm.info.name.clone()),
-                (false, true) => drop.push(vm.info.name.clone()),
+            let name = &vm.info.name;
+            match (self.settling.vm(name), vm.held.is_some()) {
+                (Some(from), false) => take.push((name.clone(), from)),
+                (None, true) => drop.push(name.clone()),
                 _ => {}
             }
         }
         for name in drop {
             self.drop_worker(&name);
         }
-        for name in take {
+        for (name, from) in take {
             self.fleet.hold(&name, epoch, from);
         }
     }
@@ -162,6 +173,9 @@
     }
 
     fn claim_unheld(&mut self) {
+        if !self.settling.may_claim(self.now) {
+            return;
+        }
         let mut things = self.unheld_vms();
         things.extend(self.unheld_ranges());
         let seen: BTreeSet<Thing> = things.iter().cloned().collect();
@@ -216,9 +230,8 @@
         let mut things = Vec::new();
         for (team, t) in &self.ledger.config.teams {
             let have = self.ledger.allotments.part(team, self.cfg.me);
-            let total = self.ledger.allotments.total(team);
             let target = self.even_part(t.value.limit);
-            let unheld = t.value.limit.saturating_sub(total);
+            let unheld = self.ledger.allotments.unheld(team, t.value.limit);
             let amount = target.saturating_sub(have).min(unheld);
             if amount > 0 {
                 let team = team.clone();
@@ -319,7 +332,9 @@
             .ranges
             .iter()
             .filter(|(_, h)| **h == self.cfg.me);
-        let clean = own.map(|(r, _)| *r).filter(|r| !busy.contains(r));
+        let clean = own
+            .map(|(r, _)| *r)
+            .filter(|r| !busy.contains(r) && self.holds_range(*r));
         let give = (mine - even).min(even - least);
         let things: Vec<Thing> = clean.take(give).map(Thing::Range).collect();
         if !things.is_empty() {
@@ -334,11 +349,14 @@
         keys.chain(jobs).collect()
     }
 
-    /// Whether this member holds a range and is not giving it away.
+    /// Whether this member holds a range for use and is not giving it away.
     pub(super) fn holds_range(&self, r: RangeId) -> bool {
-        let thing = Thing::Range(r);
-        let given = self.holdings.moving.values().flatten().any(|t| *t == thing);
-        self.ledger.ranges.get(&r) == Some(&self.cfg.me) && !given
+        self.range_is_settled(r)
+    }
+
+    /// Whether this member may answer for a hash range at `now`.
+    pub fn answers_for(&self, now: Time, r: RangeId) -> bool {
+        self.certain(now) && self.holds_range(r) && !self.stopping.is_leaving()
     }
 
     /// Gives spare parts of limits to members that have less than their even part.
@@ -376,8 +394,9 @@
             things: things.clone(),
             to,
         });
+        self.settling.given(&things);
         self.holdings.moving.insert(seq, things);
-        self.match_vms(true);
+        self.match_vms();
     }
 
     /// Gives up workers that the platform does not list any more and on which nothing can run.
@@ -394,8 +413,26 @@
                 things: things.clone(),
             };
             let seq = self.write(body);
+            self.settling.given(&things);
             self.holdings.moving.insert(seq, things);
-            self.match_vms(true);
+            self.match_vms();
+        }
+    }
+
+    /// Gives up what a lowered limit took, as far as it is not in use any more.
+    fn release_owed(&mut self) {
+        let me = self.cfg.me;
+        let mut things = Vec::new();
+        for team in self.ledger.config.teams.keys() {
+            let owed = self.ledger.allotments.owed(team, me);
+            let amount = owed.saturating_sub(self.allotment_excess(team));
+            if amount > 0 {
+                let team = team.clone();
+                things.push(Thing::Allotment { team, amount });
+            }
+        }
+        if !things.is_empty() {
+            self.write(Body::Release { things });
         }
     }
 }
--- a/crates/monsoonnotch_core/src/reducer/log.rs
+++ b/crates/monsoonnotch_core/src/reducer/log.rs
@@ -6,6 +6,7 @@
 use crate::effect::Effect;
 use crate::event::ReadReply;
 use crate::ident::MemberId;
+use crate::ledger::Ending;
 use crate::ledger::Folded;
 use crate::ledger::Ledger;
 use crate::notice::Notice;
@@ -35,8 +36,10 @@
     pub(super) dark: bool,
     /// Whether the record of joining was written.
     joining: bool,
-    /// Offset of the newest snapshot seen.
+    /// End of what the newest snapshot seen covers.
     snapshot: u64,
+    /// Where to read on while looking for a snapshot to start from.
+    ahead: u64,
 }
 
 impl Control {
@@ -49,7 +52,7 @@
         }
         self.log.out = Some(self.now);
         self.log.due = self.now + timing.read;
-        let from = self.ledger.next;
+        let from = self.ledger.next.max(self.log.ahead);
         self.out.push(Effect::Read { from });
     }
 
@@ -62,6 +65,7 @@
     pub(super) fn log_read(&mut self, reply: ReadReply) {
         self.log.out = None;
         self.set_dark(false);
+        let page_end = reply.batches.last().map(|(offset, _)| offset + 1);
         for (offset, batch) in reply.batches {
             match batch {
                 Some(batch) => self.keep(offset, batch),
@@ -71,12 +75,14 @@
         if self.ledger.next < reply.first {
             self.restore(reply.first);
         }
+        let behind = self.ledger.next < reply.first;
+        self.log.ahead = page_end.filter(|_| behind).unwrap_or(0);
         self.apply_backlog();
         if self.ledger.next >= reply.tail {
             self.guarding.read_to_tail(reply.asked);
             self.join_once();
             self.snapshot_if_due();
-        } else {
+        } else if page_end.is_some() {
             self.read_now();
         }
     }
@@ -148,14 +154,41 @@
         let usable = |l: &&Ledger| l.next >= first;
         let snapshots = self.log.backlog.values().flat_map(snapshots_in);
         let newest = snapshots.filter(usable).max_by_key(|l| l.next).cloned();
+        let before = self.own_parts();
+        let members: Vec<MemberId> = self.ledger.members.keys().copied().collect();
         if let Some(snapshot) = newest
             && self.ledger.restore(&snapshot)
         {
             self.history.clear();
-            self.folded(&[Folded::Restored]);
+            let own = self.ledger.seqs.get(&self.cfg.me).copied();
+            self.own_read_back(own.unwrap_or(0));
+            let mut folded = vec![Folded::Restored];
+            folded.extend(self.ended_unread(members));
+            self.parts_changed(&before, &folded);
+            self.folded(&folded);
         }
     }
 
+    /// What a snapshot says of members that were present, and of this one, and are so no more.
+    fn ended_unread(&self, mut members: Vec<MemberId>) -> Vec<Folded> {
+        let me = self.cfg.me;
+        if self.ledger.endings.contains_key(&me) && !members.contains(&me) {
+            members.push(me);
+        }
+        members.retain(|m| !self.ledger.is_member(*m));
+        let forgotten = Ending {
+            heir: None,
+            offset: self.ledger.next,
+            left: false,
+            at_once: false,
+        };
+        let ending = |m: &MemberId| self.ledger.endings.get(m).copied().unwrap_or(forgotten);
+        members
+            .iter()
+            .map(|m| Folded::Ended(*m, ending(m)))
+            .collect()
+    }
+
     fn apply_backlog(&mut self) {
         while let Some(batch) = self.log.backlog.remove(&self.ledger.next) {
             self.apply(batch);
@@ -172,15 +205,18 @@
             let last = self.ledger.seqs.get(&self.cfg.me).copied();
             self.own_read_back(last.unwrap_or(0));
         }
-        if snapshots_in(&batch).next().is_some() {
-            self.log.snapshot = offset;
+        for snapshot in snapshots_in(&batch) {
+            self.log.snapshot = snapshot.next.max(self.log.snapshot);
         }
         self.parts_changed(&before, &folded);
         self.folded(&folded);
-        // A snapshot changes nothing for whoever has read this far.
-        batch
-            .records
-            .retain(|r| !matches!(r.body, Body::Snapshot { .. }));
+        // A snapshot changes nothing for whoever has read this far; its place in
+        // the writer's order must stay.
+        for r in &mut batch.records {
+            if matches!(r.body, Body::Snapshot { .. }) {
+                r.body = Body::Omitted;
+            }
+        }
         self.history.push_back(Relayed { offset, batch });
         if self.history.len() > HISTORY_MAX {
             self.history.pop_front();
--- a/crates/monsoonnotch_core/src/reducer/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/mod.rs
@@ -15,6 +15,7 @@
 mod log;
 mod operators;
 mod peers;
+mod settling;
 mod stop;
 mod tasks;
 mod use_count;
@@ -45,6 +46,7 @@
 use self::log::LogReader;
 use self::operators::Operators;
 use self::peers::Peers;
+use self::settling::Settling;
 use self::stop::Stopping;
 use self::tasks::Tasks;
 use self::use_count::UseCount;
@@ -79,6 +81,7 @@
     log: LogReader,
     writer: Writer,
     holdings: Holdings,
+    settling: Settling,
     fleet: Fleet,
     used: UseCount,
     peers: Peers,
@@ -99,14 +102,15 @@
     pub fn new(cfg: Settings) -> Self {
         Self {
             guarding: Guarding::new(cfg.me, cfg.timing),
+            writer: Writer::new(cfg.me),
             cfg,
             now: Time::default(),
             out: Vec::new(),
             ledger: Ledger::default(),
             history: VecDeque::new(),
             log: LogReader::default(),
-            writer: Writer::default(),
             holdings: Holdings::default(),
+            settling: Settling::default(),
             fleet: Fleet::default(),
             used: UseCount::default(),
             peers: Peers::default(),
@@ -151,6 +155,11 @@
         self.guarding.certain(now, &self.ledger)
     }
 
+    /// Whether this member may start new work at `now`.
+    pub fn starts_work(&self, now: Time) -> bool {
+        self.certain(now) && !self.stopping.begun()
+    }
+
     fn handle(&mut self, ev: Event) {
         match ev {
             Event::Tick => self.tick(),
@@ -158,7 +167,7 @@
             Event::LogFailed(stream) => self.log_failed(stream),
             Event::Appended { stream, token } => self.appended(stream, token),
             Event::Journal { member, entries } => self.journal_read(member, entries),
-            Event::Peer { from, msg } => self.peer_message(from, msg),
+            Event::Peer { from, to, msg } => self.peer_message(from, to, msg),
             Event::Vms(list) => self.vms_listed(&list),
             Event::Synced { vm, asked, report } => self.synced(&vm, asked, &report),
             Event::SyncFailed { vm } => self.sync_failed(&vm),
--- a/crates/monsoonnotch_core/src/reducer/peers.rs
+++ b/crates/monsoonnotch_core/src/reducer/peers.rs
@@ -22,7 +22,10 @@
 }
 
 impl Control {
-    pub(super) fn peer_message(&mut self, from: MemberId, msg: PeerMsg) {
+    pub(super) fn peer_message(&mut self, from: MemberId, to: MemberId, msg: PeerMsg) {
+        if to != self.cfg.me {
+            return;
+        }
         match msg {
             PeerMsg::Ping {
                 sent,
@@ -88,7 +91,8 @@
         }
         for target in self.guarding.votes_due(self.now, &self.ledger) {
             self.note(Notice::Voted(target));
-            self.write(Body::Vote { target });
+            let read = self.ledger.next;
+            self.write(Body::Vote { target, read });
         }
     }
 
--- a/crates/monsoonnotch_core/src/reducer/stop.rs
+++ b/crates/monsoonnotch_core/src/reducer/stop.rs
@@ -30,6 +30,11 @@
     pub(super) fn begun(self) -> bool {
         self != Self::No
     }
+
+    /// Whether the holdings are on their way to the heir.
+    pub(super) fn is_leaving(self) -> bool {
+        matches!(self, Self::Leaving | Self::Stopped)
+    }
 }
 
 impl Control {
@@ -44,6 +49,7 @@
 
     pub(super) fn tick_stop(&mut self) {
         self.expire_changes();
+        self.unlock_allotments();
         match self.stopping {
             Stopping::Draining if self.drained() => {
                 if self.ledger.is_member(self.cfg.me) {
@@ -84,8 +90,11 @@
         }
     }
 
-    /// Whether no request of own or peers' callers is in progress here.
+    /// Whether no request of own or peers' callers is in progress here, and what is held may be passed on.
     fn drained(&self) -> bool {
-        self.calls.open.is_empty() && self.calls.granted.is_empty() && self.journal_is_idle()
+        self.calls.open.is_empty()
+            && self.calls.granted.is_empty()
+            && self.journal_is_idle()
+            && self.is_settled()
     }
 }
--- a/crates/monsoonnotch_core/src/reducer/use_count.rs
+++ b/crates/monsoonnotch_core/src/reducer/use_count.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 
 use super::Control;
+use super::holdings::hands_over_at_once;
 use crate::ident::Name;
+use crate::ledger::Folded;
 use crate::time::Time;
 
 /// Requests and tasks that run, by team.
@@ -65,8 +67,17 @@
         own.map(|l| l.amount).sum()
     }
 
-    fn unlock(&mut self, now: Time) {
-        self.locked.retain(|l| l.until > now);
+    /// Whether any part is locked.
+    pub(super) fn locked_any(&self) -> bool {
+        !self.locked.is_empty()
+    }
+
+    /// Unlocks what is due, but for what may run unseen on inherited workers.
+    fn unlock(&mut self, now: Time, unseen: u32) {
+        for l in self.locked.iter_mut().filter(|l| l.until <= now) {
+            l.amount = l.amount.min(unseen);
+        }
+        self.locked.retain(|l| l.amount > 0);
     }
 }
 
@@ -79,13 +90,29 @@
         spendable.saturating_sub(self.used.of(team))
     }
 
+    /// How much more of a team runs here, or may run, than the own part.
+    ///
+    /// What is locked may be in use by a former holder, so all of it counts.
+    pub(super) fn allotment_excess(&self, team: &str) -> u32 {
+        let part = self.ledger.allotments.part(team, self.cfg.me);
+        let given = self.holdings.allotment_given(team);
+        let in_use = self.used.of(team).saturating_add(given);
+        match self.used.locked(team) {
+            0 => in_use.saturating_sub(part),
+            _ => u32::MAX,
+        }
+    }
+
     /// Whether one more of a team may start here; open queues have no team.
     pub(super) fn team_may_start(&self, team: Option<&Name>) -> bool {
         team.is_none_or(|t| self.allotment_left(t) > 0)
     }
 
     pub(super) fn unlock_allotments(&mut self) {
-        self.used.unlock(self.now);
+        if self.used.locked_any() {
+            let unseen = self.unreported_slots();
+            self.used.unlock(self.now, unseen);
+        }
     }
 
     /// The own parts of all teams' limits.
@@ -98,16 +125,20 @@
     }
 
     /// Locks what grew by other means than a gift of its living holder.
-    pub(super) fn parts_changed(
-        &mut self,
-        before: &BTreeMap<Name, u32>,
-        folded: &[crate::ledger::Folded],
-    ) {
-        let given = folded.iter().all(super::holdings::hands_over_at_once);
-        let until = self.now + self.cfg.timing.settle();
+    ///
+    /// What came with workers is locked until these have reported what runs.
+    pub(super) fn parts_changed(&mut self, before: &BTreeMap<Name, u32>, folded: &[Folded]) {
+        let came_with_workers = |f: &Folded| matches!(f, Folded::Ended(..) | Folded::Restored);
+        if !folded.iter().any(came_with_workers) {
+            return;
+        }
+        let until = match folded.iter().all(hands_over_at_once) {
+            true => self.now,
+            false => self.now + self.cfg.timing.settle(),
+        };
         for (team, part) in self.own_parts() {
             let old = before.get(&team).copied().unwrap_or(0);
-            if part > old && !given {
+            if part > old {
                 self.used.lock(&team, part - old, until);
             }
         }
--- a/crates/monsoonnotch_core/src/reducer/writer.rs
+++ b/crates/monsoonnotch_core/src/reducer/writer.rs
@@ -4,6 +4,7 @@
 
 use super::Control;
 use crate::effect::Effect;
+use crate::ident::MemberId;
 use crate::record::Batch;
 use crate::record::Body;
 use crate::record::Record;
@@ -16,7 +17,7 @@
 ///
 /// A record stays until it is read back; one whose append got no reply is
 /// sent again under the same sequence number.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Writer {
     seq: u64,
     token: u64,
@@ -28,6 +29,20 @@
 }
 
 impl Writer {
+    /// A writer that has written nothing.
+    ///
+    /// Tokens start anywhere, so that replies meant for a former member of the
+    /// same process confirm nothing here.
+    pub(super) fn new(me: MemberId) -> Self {
+        Self {
+            seq: 0,
+            token: me.0,
+            pending: VecDeque::new(),
+            out: None,
+            confirmed: 0,
+        }
+    }
+
     pub(super) fn push(&mut self, body: Body) -> u64 {
         self.seq += 1;
         let seq = self.seq;
@@ -63,7 +78,7 @@
             .cloned()
             .collect();
         self.out = Some((now, records.last()?.seq));
-        self.token += 1;
+        self.token = self.token.wrapping_add(1);
         Some(records)
     }
 }
--- a/crates/monsoonnotch_core/src/timing/mod.rs
+++ b/crates/monsoonnotch_core/src/timing/mod.rs
@@ -64,6 +64,18 @@
         self.fresh.max(self.promise) + self.promise + self.drift + self.drift
     }
 
+    /// Longest time from a member's last sign of life to the use of its workers by its heir.
+    ///
+    /// With the log and the links sound: its guards notice, one after the
+    /// other vote, the heir reads the deciding vote, waits, and has a report of
+    /// each worker.
+    pub fn takeover(&self) -> Duration {
+        let notice = self.new_guard().max(self.suspect);
+        let votes = self.append + self.read;
+        let report = self.sync.times(2);
+        notice + votes + self.evict() + report
+    }
+
     /// How long a claim of something that may have been held waits before use.
     pub fn settle(&self) -> Duration {
         self.evict()
--- a/crates/monsoonnotch_entry/src/process/mod.rs
+++ b/crates/monsoonnotch_entry/src/process/mod.rs
@@ -103,8 +103,12 @@
         let callers = rt.spawn(callers::serve(listeners.callers, callers_shared, stop));
         rt.spawn(operators::serve(listeners.operators, operators_shared));
         let peers = inbox.clone();
-        rt.spawn(link::accept(listeners.peers, move |from, msg| {
-            peers.event(Event::Peer { from, msg });
+        rt.spawn(link::accept(listeners.peers, move |f| {
+            peers.event(Event::Peer {
+                from: f.from,
+                to: f.to,
+                msg: f.msg,
+            });
         }));
         rt.spawn(watch_vms(settings, inbox.clone()));
         Ok(Self {
--- a/crates/monsoonnotch_peer/src/link/incoming.rs
+++ b/crates/monsoonnotch_peer/src/link/incoming.rs
@@ -5,8 +5,6 @@
 
 use futures_util::SinkExt;
 use futures_util::StreamExt;
-use monsoonnotch_core::ident::MemberId;
-use monsoonnotch_core::wire::PeerMsg;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_tungstenite::tungstenite::Message;
@@ -19,7 +17,7 @@
 const HANDSHAKE: Duration = Duration::from_secs(2);
 
 /// Accepts links for ever and hands each message to `f`.
-pub async fn accept(listener: TcpListener, f: impl Fn(MemberId, PeerMsg) + Send + Sync + 'static) {
+pub async fn accept(listener: TcpListener, f: impl Fn(Frame) + Send + Sync + 'static) {
     let f = Arc::new(f);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -30,7 +28,7 @@
     }
 }
 
-async fn receive(stream: TcpStream, f: Arc<impl Fn(MemberId, PeerMsg)>) -> Option<()> {
+async fn receive(stream: TcpStream, f: Arc<impl Fn(Frame)>) -> Option<()> {
     stream.set_nodelay(true).ok()?;
     let handshake = tokio_tungstenite::accept_async(stream);
     let mut socket = tokio::time::timeout(HANDSHAKE, handshake)
@@ -42,7 +40,7 @@
         match msg.ok()? {
             Message::Binary(buf) => {
                 let frame: Frame = monsoonnotch_core::record::decode(&buf)?;
-                f(frame.from, frame.msg);
+                f(frame);
             }
             // Reading a ping queues its answer; this sends it.
             Message::Ping(_) => socket.flush().await.ok()?,
--- a/crates/monsoonnotch_peer/src/link/mod.rs
+++ b/crates/monsoonnotch_peer/src/link/mod.rs
@@ -20,11 +20,13 @@
 
 /// One frame.
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct Frame {
+pub struct Frame {
     /// The sender.
-    pub(crate) from: MemberId,
+    pub from: MemberId,
+    /// Whom it is meant for.
+    pub to: MemberId,
     /// The message.
-    pub(crate) msg: PeerMsg,
+    pub msg: PeerMsg,
 }
 
 /// Links to other members; dropping it ends them.
@@ -49,8 +51,12 @@
     ///
     /// The message is dropped when too many wait already.
     pub fn send(&mut self, to: &PeerAddr, msg: PeerMsg) -> usize {
-        let from = self.me;
-        let frame = monsoonnotch_core::record::encode(&Frame { from, msg });
+        let frame = Frame {
+            from: self.me,
+            to: to.member,
+            msg,
+        };
+        let frame = monsoonnotch_core::record::encode(&frame);
         let len = frame.len();
         let rt = &self.rt;
         let dial = || outgoing::start(rt, to.addr.to_string(), WAITING_MAX);
