--- a/crates/monsoonnotch_core/src/event/mod.rs
+++ b/crates/monsoonnotch_core/src/event/mod.rs
@@ -116,6 +116,8 @@
     },
     /// Someone asks for the state.
     Dump(Ticket),
+    /// Someone asks for the numbers of the metrics.
+    Gauges(Ticket),
     /// The process is to end.
     Stop,
 }
@@ -164,6 +166,8 @@
 pub enum CallEnd {
     /// The whole answer came.
     Complete,
+    /// The whole answer came, and it says that the upstream failed (status 500 to 599).
+    Failed,
     /// The upstream did not take it.
     NotRun(Reason),
     /// It may have run, or may still run.
--- a/crates/monsoonnotch_core/src/reducer/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/mod.rs
@@ -6,7 +6,10 @@
 
 mod calls;
 mod check;
+mod decide;
 mod dump;
+mod forward;
+mod gauges;
 mod grants;
 mod holdings;
 mod jobs;
@@ -14,7 +17,10 @@
 mod keyed;
 mod log;
 mod operators;
+mod overload;
 mod peers;
+mod policy;
+mod price;
 mod settling;
 mod stop;
 mod tasks;
@@ -39,13 +45,20 @@
 use crate::wire::PeerMsg;
 use crate::wire::Relayed;
 
+use self::decide::Deciding;
+use self::forward::Forwarding;
+pub use self::gauges::Gauges;
+pub use self::gauges::TeamGauges;
 use self::holdings::Holdings;
 use self::jobs::Jobs;
 use self::journal::Journal;
 use self::keyed::Keyed;
 use self::log::LogReader;
 use self::operators::Operators;
+use self::overload::Retries;
 use self::peers::Peers;
+pub use self::policy::Forward;
+pub use self::policy::Policy;
 use self::settling::Settling;
 use self::stop::Stopping;
 use self::tasks::Tasks;
@@ -67,6 +80,8 @@
     pub queue_max: usize,
     /// Records of the control stream between two snapshots.
     pub snapshot_every: u64,
+    /// How work is placed and refused.
+    pub policy: Policy,
 }
 
 /// All control state of one entry.
@@ -86,6 +101,9 @@
     used: UseCount,
     peers: Peers,
     calls: Calls,
+    deciding: Deciding,
+    forwarding: Forwarding,
+    retries: Retries,
     journal: Journal,
     keyed: Keyed,
     jobs: Jobs,
@@ -115,6 +133,9 @@
             used: UseCount::default(),
             peers: Peers::default(),
             calls: Calls::default(),
+            deciding: Deciding::default(),
+            forwarding: Forwarding::default(),
+            retries: Retries::default(),
             journal: Journal::default(),
             keyed: Keyed::default(),
             jobs: Jobs::default(),
@@ -133,6 +154,7 @@
         self.now = self.now.max(now);
         self.handle(ev);
         self.start_waiting_calls();
+        self.ask_for_fresh();
         self.flush_writer();
         self.flush_journal();
         self.publish_certainty();
@@ -179,6 +201,7 @@
             Event::Job { ticket, key, ask } => self.job_asked(ticket, key, ask),
             Event::Change { ticket, change } => self.change(ticket, change),
             Event::Dump(ticket) => self.dump(ticket),
+            Event::Gauges(ticket) => self.gauges(ticket),
             Event::Stop => self.stop(),
         }
     }
@@ -191,6 +214,8 @@
         self.summary_if_due();
         self.sync_if_due();
         self.expire_calls();
+        self.tick_deciding();
+        self.tick_forwarding();
         self.expire_grants();
         self.tick_keyed();
         self.tick_jobs();
--- a/crates/monsoonnotch_core/src/verdict/mod.rs
+++ b/crates/monsoonnotch_core/src/verdict/mod.rs
@@ -1,5 +1,7 @@
 //! What is known of a request that did not get an ordinary answer.
 
+use std::fmt;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -78,6 +80,31 @@
 }
 
 impl Reason {
+    /// Every reason there is, by number.
+    pub const ALL: [Self; 21] = [
+        Self::KeyMissing,
+        Self::KeyRefused,
+        Self::ProfileUnknown,
+        Self::Malformed,
+        Self::TooLarge,
+        Self::TooSlow,
+        Self::NotFound,
+        Self::FitsNowhere,
+        Self::Conflict,
+        Self::KeyInUse,
+        Self::QueueFull,
+        Self::WaitedTooLong,
+        Self::AtLimit,
+        Self::Uncertain,
+        Self::Stopping,
+        Self::LogDark,
+        Self::Cancelled,
+        Self::UpstreamRefused,
+        Self::UpstreamCut,
+        Self::UpstreamTimeout,
+        Self::AlreadyRan,
+    ];
+
     /// The stable number.
     pub fn number(self) -> u16 {
         self as u16
@@ -129,6 +156,12 @@
     }
 }
 
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.number())
+    }
+}
+
 /// A final answer that is not the upstream's.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
--- a/tests/invariants/effects.rs
+++ b/tests/invariants/effects.rs
@@ -313,7 +313,7 @@
         let set = Setting::Team(name.into(), team_of(limit));
         self.last_id += 1;
         let ticket = Ticket(self.last_id);
-        let change = Change { replaces, set };
+        let change = Change::new(replaces, set);
         self.step(n, Event::Change { ticket, change });
     }
 }
@@ -327,6 +327,5 @@
 }
 
 fn config(set: Setting) -> monsoonnotch_core::record::Body {
-    let replaces = NO_VERSION;
-    monsoonnotch_core::record::Body::Config(Change { replaces, set })
+    monsoonnotch_core::record::Body::Config(Change::new(NO_VERSION, set))
 }
--- a/tests/invariants/process.rs
+++ b/tests/invariants/process.rs
@@ -3,6 +3,7 @@
 use monsoonnotch_core::ident::MemberId;
 use monsoonnotch_core::ident::Name;
 use monsoonnotch_core::reducer::Control;
+use monsoonnotch_core::reducer::Policy;
 use monsoonnotch_core::reducer::Settings;
 use monsoonnotch_core::time::Time;
 use monsoonnotch_core::timing::Timing;
@@ -79,5 +80,6 @@
         timing: Timing::default(),
         queue_max: 64,
         snapshot_every: 30,
+        policy: Policy::default(),
     }
 }
