--- a/crates/monsoonnotch_entry/src/control/inbox.rs
+++ b/crates/monsoonnotch_entry/src/control/inbox.rs
@@ -9,11 +9,13 @@
 use monsoonnotch_core::effect::Answer;
 use monsoonnotch_core::event::CallArrived;
 use monsoonnotch_core::event::Event;
+use monsoonnotch_core::ident::MemberId;
 use monsoonnotch_core::ident::Name;
 use monsoonnotch_core::ident::Ticket;
 use monsoonnotch_core::time::Duration;
 use monsoonnotch_core::time::Time;
 use monsoonnotch_core::verdict::Refusal;
+use monsoonnotch_core::wire::PeerMsg;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -47,8 +49,8 @@
 pub enum Input {
     /// An event.
     Event(Event),
-    /// A peer's message.
-    Peer(Event),
+    /// A peer's message: its sender, whom it is meant for, what it says.
+    Peer(MemberId, MemberId, PeerMsg),
     /// A caller's request and where its decisions go.
     Call(CallArrived, mpsc::UnboundedSender<Decision>),
     /// A question and where its answer goes.
@@ -61,7 +63,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Event(ev) => f.debug_tuple("Event").field(ev).finish(),
-            Self::Peer(ev) => f.debug_tuple("Peer").field(ev).finish(),
+            Self::Peer(from, ..) => f.debug_tuple("Peer").field(from).finish(),
             Self::Call(call, _) => f.debug_tuple("Call").field(call).finish(),
             Self::Ask(..) => f.write_str("Ask"),
             Self::Kill => f.write_str("Kill"),
@@ -89,13 +91,13 @@
     }
 
     /// Hands over a peer's message, which is dropped when too many wait already.
-    pub fn peer(&self, ev: Event) {
+    pub fn peer(&self, from: MemberId, to: MemberId, msg: PeerMsg) {
         if self.from_peers.fetch_add(1, Ordering::Relaxed) >= FROM_PEERS_MAX {
             self.peer_taken();
             metrics::counter!(measure::PEER_DROPPED).increment(1);
             return;
         }
-        let _ = self.tx.send(Input::Peer(ev));
+        let _ = self.tx.send(Input::Peer(from, to, msg));
     }
 
     pub(super) fn peer_taken(&self) {
