--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -98,9 +98,10 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn keys_are_shown_once_and_their_hashes_never() {
-    let platform = Platform::start(2, PROGRAMS).await;
-    let entry = platform.entry("fd-0");
+    let platform = Platform::start(6, PROGRAMS).await;
+    let (entry, other_entry) = (platform.entry("fd-0"), platform.entry("fd-1"));
     ready(&entry).await;
+    ready(&other_entry).await;
     entry.publish("check", "lane = \"short\"\n");
     entry.team("hall", 1, 30);
     let granted = entry.ctl_json(&["key", "grant", "hall"]);
@@ -124,13 +125,22 @@
 
     let bearer = format!("Bearer {key}");
     let headers = [("authorization", bearer.as_str()), ("profile", "check")];
-    let status = || async {
-        let answer = call(entry.callers, "GET", "/", &headers, "").await;
-        answer.map(|a| a.status)
+    let status = |e: &Process| {
+        let callers = e.callers;
+        async move {
+            let answer = call(callers, "GET", "/", &headers, "").await;
+            answer.map(|a| a.status)
+        }
     };
-    eventually("the key works", || async { status().await == Some(200) }).await;
+    for e in [&entry, &other_entry] {
+        eventually("the key works", || async { status(e).await == Some(200) }).await;
+    }
     entry.ctl_json(&["key", "withdraw", id]);
-    assert_eq!(status().await, Some(401));
+    assert_eq!(status(&entry).await, Some(401));
+    eventually("the key is refused elsewhere", || async {
+        status(&other_entry).await == Some(401)
+    })
+    .await;
     assert_eq!(
         entry.ctl_json(&["key", "list"])[id]["value"]["withdrawn"],
         true
