After a timeout no kept connection to that address is used

After a timeout an address is not trusted with kept connections until the last of them is too old; exchanges have connections of their own meanwhile.

--- a/crates/monsoonnotch_platform/src/http/mod.rs
+++ b/crates/monsoonnotch_platform/src/http/mod.rs
@@ -1,6 +1,11 @@
 //! One HTTP exchange with a timeout.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::Method;
@@ -18,11 +23,6 @@
 const ANSWER_MAX: usize = 64 << 20;
 /// Age at which an idle connection is not used again.
 const IDLE_MAX: Duration = Duration::from_secs(5);
-/// Idle connections kept to one address.
-///
-/// When all of them have gone silent, each costs a timeout before a new one is
-/// made.
-const IDLE_CONNECTIONS_MAX: usize = 1;
 
 quick_error! {
     /// Why an exchange brought no answer.
@@ -58,10 +58,19 @@
     }
 }
 
+type Connections = Client<HttpConnector, Full<Bytes>>;
+
 /// An HTTP client that keeps connections for a short while.
+///
+/// Once an exchange with an address timed out, other connections to it may
+/// have gone silent too. None of them is used again: until the last of them is
+/// too old, each exchange with that address has a connection of its own.
 #[derive(Debug, Clone)]
 pub struct Http {
-    client: Client<HttpConnector, Full<Bytes>>,
+    kept: Connections,
+    single: Connections,
+    /// Addresses whose kept connections are not used, and until when.
+    suspect: Arc<Mutex<BTreeMap<String, Instant>>>,
     timeout: Duration,
 }
 
@@ -71,11 +80,41 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(timeout));
-        let client = Client::builder(TokioExecutor::new())
+        let kept = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_MAX)
-            .pool_max_idle_per_host(IDLE_CONNECTIONS_MAX)
+            .build(connector.clone());
+        let single = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
             .build(connector);
-        Self { client, timeout }
+        Self {
+            kept,
+            single,
+            suspect: Arc::default(),
+            timeout,
+        }
+    }
+
+    /// The connections to use for an exchange with an address.
+    fn connections(&self, addr: &str) -> &Connections {
+        let suspect = self.suspect().get(addr).copied();
+        match suspect.is_some_and(|until| Instant::now() < until) {
+            true => &self.single,
+            false => &self.kept,
+        }
+    }
+
+    fn suspect(&self) -> MutexGuard<'_, BTreeMap<String, Instant>> {
+        self.suspect.lock().expect("no holder of the lock panics")
+    }
+
+    /// Notes that connections to an address may have gone silent.
+    fn distrust(&self, addr: &str) {
+        let now = Instant::now();
+        let mut suspect = self.suspect();
+        suspect.retain(|_, until| now < *until);
+        // What is in use now may be idle for as long again once it is given back.
+        let until = now + self.timeout + IDLE_MAX;
+        suspect.insert(addr.to_owned(), until);
     }
 
     /// Sends a request and reads the whole answer.
@@ -96,18 +135,18 @@
             .body(Full::new(body))
             .map_err(|_| Error::Form("a valid address"))?;
         let answer = tokio::time::timeout(self.timeout, self.send(addr, req)).await;
-        answer.unwrap_or_else(|_| Err(Error::Timeout(addr.to_owned())))
+        answer.unwrap_or_else(|_| {
+            self.distrust(addr);
+            Err(Error::Timeout(addr.to_owned()))
+        })
     }
 
     async fn send(&self, addr: &str, req: Request<Full<Bytes>>) -> Result<Bytes, Error> {
-        let res = self
-            .client
-            .request(req)
-            .await
-            .map_err(|e| match e.is_connect() {
-                true => Error::Connect(addr.to_owned()),
-                false => Error::Cut(addr.to_owned()),
-            })?;
+        let res = self.connections(addr).request(req).await;
+        let res = res.map_err(|e| match e.is_connect() {
+            true => Error::Connect(addr.to_owned()),
+            false => Error::Cut(addr.to_owned()),
+        })?;
         let status = res.status();
         let body = Limited::new(res.into_body(), ANSWER_MAX).collect().await;
         let body = body.map_err(|_| Error::Cut(addr.to_owned()))?.to_bytes();
