--- a/crates/monsoonnotch_core/src/wire/mod.rs
+++ b/crates/monsoonnotch_core/src/wire/mod.rs
@@ -55,6 +55,8 @@
     SlotGrant {
         /// The asker's request.
         call: CallKey,
+        /// The asker's clock when it asked, in microseconds.
+        asked: u64,
         /// The worker.
         vm: Name,
         /// Where it answers, as `ip:port`.
@@ -183,6 +185,8 @@
 pub struct SlotAsk {
     /// The asker's request.
     pub call: CallKey,
+    /// The asker's clock, in microseconds.
+    pub asked: u64,
     /// The team, unless the queue is open to all.
     pub team: Option<Name>,
     /// The profile.
@@ -208,7 +212,7 @@
     pub waiting: u32,
     /// Price of a slot, in thousandths; rises while more comes than goes.
     pub price: u32,
-    /// Use of each team on the sender's workers, in millionths of a VM's worth.
+    /// What teams' work on the sender's workers has cost so far; the teams of which most is new.
     pub used: Vec<(Name, u64)>,
 }
 
--- a/crates/monsoonnotch_entry/src/process/mod.rs
+++ b/crates/monsoonnotch_entry/src/process/mod.rs
@@ -110,7 +110,11 @@
         rt.spawn(operators::serve(listeners.operators, operators_shared));
         let peers = inbox.clone();
         rt.spawn(link::accept(listeners.peers, move |f| {
-            peers.peer(f.from, f.to, f.msg);
+            peers.peer(Event::Peer {
+                from: f.from,
+                to: f.to,
+                msg: f.msg,
+            });
         }));
         rt.spawn(watch_vms(settings, inbox.clone()));
         Ok(Self {
--- a/tests/invariants/witness.rs
+++ b/tests/invariants/witness.rs
@@ -89,7 +89,9 @@
         };
         let team = self.changes[&ticket].clone();
         if !self.told.insert((team, *v)) {
-            self.breach(format!("two operators were told that version {v} is theirs"));
+            self.breach(format!(
+                "two operators were told that version {v} is theirs"
+            ));
         }
     }
 }
