--- a/crates/monsoonnotch_entry/tests/inbox.rs
+++ b/crates/monsoonnotch_entry/tests/inbox.rs
@@ -12,6 +12,7 @@
     for _ in 0..sent {
         inbox.peer(Event::Peer {
             from: MemberId(1),
+            to: MemberId(2),
             msg: PeerMsg::TaskSeen { tasks: Vec::new() },
         });
     }
--- a/tests/failures/silence.rs
+++ b/tests/failures/silence.rs
@@ -140,7 +140,7 @@
     let tap = Tap::start(listener.local_addr().expect("bound")).await;
     let heard = Arc::new(AtomicUsize::new(0));
     let count = Arc::clone(&heard);
-    tokio::spawn(monsoonnotch_peer::link::accept(listener, move |_, _| {
+    tokio::spawn(monsoonnotch_peer::link::accept(listener, move |_| {
         count.fetch_add(1, Ordering::Relaxed);
     }));
     let mut links = Links::new(MemberId(1), tokio::runtime::Handle::current());
