--- a/crates/monsoonnotch_core/src/reducer/peers.rs
+++ b/crates/monsoonnotch_core/src/reducer/peers.rs
@@ -51,7 +51,9 @@
                 self.summary_received(from, s);
             }
             PeerMsg::SlotAsk(ask) => self.slot_asked(from, ask),
-            PeerMsg::SlotGrant { call, vm: _, addr } => self.slot_granted(from, call, addr),
+            PeerMsg::SlotGrant {
+                call, asked, addr, ..
+            } => self.slot_granted(from, call, Time(asked), addr),
             PeerMsg::SlotNone { call, reason } => self.slot_denied(from, call, reason),
             PeerMsg::SlotReturn { call, verdict } => self.slot_returned(from, call, verdict),
             PeerMsg::IntentAsk { call, key, digest } => self.intent_asked(from, call, key, digest),
