Drain rates count only starts of work that waited; probes on busy workers

Cause: a test of early refusal found the rate twice too high after a burst that found free slots, so that a hopeless request was queued; another found that a worker put aside with long requests on it was never probed.

Change: the count restarts when a backlog begins; a probe is one more request whatever else runs.

--- a/crates/monsoonnotch_core/src/fleet/health.rs
+++ b/crates/monsoonnotch_core/src/fleet/health.rs
@@ -51,8 +51,13 @@
     Good,
     /// It takes none before this time.
     Aside(Time),
-    /// It takes one request at a time; this many ended well.
-    Probing(u32),
+    /// It takes one request at a time.
+    Probing {
+        /// Probes that ended well.
+        well: u32,
+        /// Whether one is out.
+        out: bool,
+    },
 }
 
 /// What is known of a worker's ends.
@@ -75,12 +80,12 @@
 }
 
 impl Health {
-    /// Whether new work may go there while `requests` are in progress.
-    pub fn takes_work(&self, requests: u32) -> bool {
+    /// Whether new work may go there.
+    pub fn takes_work(&self) -> bool {
         match self.standing {
             Standing::Good => true,
             Standing::Aside(_) => false,
-            Standing::Probing(_) => requests == 0,
+            Standing::Probing { out, .. } => !out,
         }
     }
 
@@ -97,6 +102,13 @@
         }
     }
 
+    /// Something starts or ends there.
+    pub(super) fn probe(&mut self, starts: bool) {
+        if let Standing::Probing { out, .. } = &mut self.standing {
+            *out = starts;
+        }
+    }
+
     fn put_aside(&mut self, now: Time) {
         self.pause = self.pause.times(2).max(PAUSE).min(PAUSE_MAX);
         self.standing = Standing::Aside(now + self.pause);
@@ -107,8 +119,9 @@
             self.put_aside(now);
             return Judged::Same;
         }
-        self.standing = Standing::Probing(well + 1);
-        if well + 1 < PROBES {
+        let well = well + 1;
+        self.standing = Standing::Probing { well, out: false };
+        if well < PROBES {
             return Judged::Same;
         }
         *self = Self::default();
@@ -130,7 +143,7 @@
         health.score.count(failed);
         let judged = match health.standing {
             Standing::Aside(_) => Judged::Same,
-            Standing::Probing(well) => health.probed(now, failed, well),
+            Standing::Probing { well, .. } => health.probed(now, failed, well),
             Standing::Good if failed && health.is_suspect() && self.is_outlier(key, &health) => {
                 health.put_aside(now);
                 Judged::Aside
@@ -160,7 +173,9 @@
             if at > now {
                 return;
             }
-            self.update(key, |vm| vm.health.standing = Standing::Probing(0));
+            let (well, out) = (0, false);
+            let standing = Standing::Probing { well, out };
+            self.update(key, |vm| vm.health.standing = standing);
         }
     }
 }
--- a/crates/monsoonnotch_core/src/fleet/vm.rs
+++ b/crates/monsoonnotch_core/src/fleet/vm.rs
@@ -119,7 +119,7 @@
     /// Whether new work may go there.
     pub fn takes_work(&self) -> bool {
         let known = self.held.is_some_and(|h| h.known) && !self.doubts.iter().any(|d| d.found);
-        known && !self.info.leaving && !self.draining && self.health.takes_work(self.requests)
+        known && !self.info.leaving && !self.draining && self.health.takes_work()
     }
 
     /// Whether nothing runs there and nothing is in doubt.
@@ -150,17 +150,20 @@
     pub fn start_request(&mut self, size: &Resources) {
         self.used.add(size);
         self.requests += 1;
+        self.health.probe(true);
     }
 
     /// Frees the slot of a request that has certainly ended.
     pub fn end_request(&mut self, size: &Resources) {
         self.used.take(size);
         self.requests -= 1;
+        self.health.probe(false);
     }
 
     /// Turns a request into doubt; its slot stays occupied.
     pub fn doubt_request(&mut self, doubt: Doubt) {
         self.requests -= 1;
+        self.health.probe(false);
         self.doubts.push(doubt);
     }
 
--- a/crates/monsoonnotch_core/src/queue/line.rs
+++ b/crates/monsoonnotch_core/src/queue/line.rs
@@ -65,7 +65,11 @@
     pub(super) fn insert(&mut self, now: Time, place: Place, item: Item<K>) {
         self.counts[usize::from(item.priority).min(PRIORITIES - 1)] += 1;
         self.items.insert(place, item);
-        self.since.get_or_insert(now);
+        if self.since.is_none() {
+            // Only starts while work waits say how fast a backlog drains.
+            self.since = Some(now);
+            self.starts.restart(now);
+        }
     }
 
     pub(super) fn remove(&mut self, place: Place) {
--- a/crates/monsoonnotch_core/src/queue/rate.rs
+++ b/crates/monsoonnotch_core/src/queue/rate.rs
@@ -5,8 +5,6 @@
 
 /// Time after which an event counts 1/e.
 const MEMORY_US: f64 = 2_000_000.0;
-/// Count below which what was before is forgotten.
-const FORGOTTEN: f64 = 0.01;
 /// Longest time that is told.
 const LONGEST: Duration = Duration::from_secs(60);
 
@@ -15,22 +13,24 @@
 pub(super) struct Rate {
     count: f64,
     last: Time,
-    /// Since when events are counted without a long break.
+    /// Since when events are counted.
     since: Time,
 }
 
 impl Rate {
+    /// Counts anew.
+    pub(super) fn restart(&mut self, now: Time) {
+        self.count = 0.0;
+        self.since = now;
+    }
+
     pub(super) fn count(&mut self, now: Time) {
-        let old = self.at(now);
-        if old < FORGOTTEN {
-            self.since = now;
-        }
-        self.count = old + 1.0;
+        self.count = self.at(now) + 1.0;
         self.last = now;
     }
 
     pub(super) fn is_recent(&self, now: Time, span: Duration) -> bool {
-        self.count > 0.0 && now.since(self.last) < span
+        self.last > Time::default() && now.since(self.last) < span
     }
 
     /// How long `n` events take at this rate.
