--- a/crates/monsoonnotch_core/src/reducer/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/mod.rs
@@ -16,6 +16,7 @@
 mod journal;
 mod keyed;
 mod log;
+mod look;
 mod operators;
 mod overload;
 mod peers;
@@ -107,6 +108,8 @@
     tasks: Tasks,
     operators: Operators,
     stopping: Stopping,
+    /// When the invariants were last checked.
+    checked: Time,
     was_certain: bool,
     was_ready: bool,
     refusing: BTreeMap<crate::verdict::Reason, Time>,
@@ -138,6 +141,7 @@
             tasks: Tasks::default(),
             operators: Operators::default(),
             stopping: Stopping::default(),
+            checked: Time::default(),
             was_certain: false,
             was_ready: false,
             refusing: BTreeMap::new(),
@@ -192,6 +196,7 @@
             Event::Job { ticket, key, ask } => self.job_asked(ticket, key, ask),
             Event::Change { ticket, change } => self.change(ticket, change),
             Event::Dump(ticket) => self.dump(ticket),
+            Event::Look { ticket, look } => self.look(ticket, &look),
             Event::Gauges(ticket) => self.gauges(ticket),
             Event::Stop => self.stop(),
         }
@@ -248,7 +253,8 @@
                 false => Notice::CertaintyLost,
             });
         }
-        let ready = certain && !self.stopping.begun() && self.fleet.held().next().is_some();
+        // A member without workers of its own uses slots of its peers.
+        let ready = certain && !self.stopping.begun() && !self.ledger.vms.is_empty();
         if ready != self.was_ready {
             self.was_ready = ready;
             self.out.push(Effect::Ready(ready));
