Journals adopted, keyed requests and jobs that survive their home, jobs that start all at once

Cause: an heir never read the journals of its ancestors, so it refused keyed requests and jobs for ever; jobs were lost with their home; a task whose holder ended was never placed again; lost messages about keys and tasks were never repeated; each tick looked at all tasks.

Ruled out: asking only the heir of an ended holder (an heir may end before it answers; asking every present member needs no chain of heirs); the same message both as right to start and as question (a late copy starts an attempt that was refused before).

Appends are numbered, so that a copy that takes effect late is told apart. What is live is written again every 900 s. - Keys: an intent names the request that may dispatch it. Questions and outcomes are repeated until answered; nothing is recorded once the record of leaving is written. A range is ready only after it was looked at. - Jobs: orders to holders carry a number and a late one is dropped. The right to start is sent once. After a home or holder ended, all members are asked (`TasksOf`), and what no answer shows is placed again. Attempt numbers start with the number of homes before. Ends are journalled in batches and only then confirmed. What is due stands in ordered lists. - Leases count from the end of a failed sync; a worker that did not answer is asked before its leases are renewed and gets no new work after two failures. - All at once: slots reserved under a deadline, started together, given back whole with a back-off that differs from job to job.

A failed try on the way: `home_is_ready` by the ledger alone let an heir with a waiting request of its own record it in the very step that made it heir. The reducer test `nobody_runs_a_key_again_while_its_home_is_dead_and_after` shows it (1 run, 0 allowed) and passes since a range counts only once it was looked at.

--- a/crates/monsoonnotch_core/src/fleet/vm.rs
+++ b/crates/monsoonnotch_core/src/fleet/vm.rs
@@ -9,6 +9,9 @@
 use crate::resource::Resources;
 use crate::time::Time;
 
+/// Syncs in a row without an answer after which a worker gets no new work.
+const SILENT_SYNCS: u32 = 2;
+
 /// A holding by this member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Held {
@@ -82,6 +85,8 @@
     pub synced: Option<Time>,
     /// Whether the answer to the last sync is out.
     pub sync_out: bool,
+    /// Syncs in a row that got no answer.
+    pub silent: u32,
     /// Whether it fails what it starts and is put aside.
     pub aside: bool,
     /// Whether it is being emptied to be given away.
@@ -104,6 +109,7 @@
             acks: Vec::new(),
             synced: None,
             sync_out: false,
+            silent: 0,
             aside: false,
             draining: false,
             unlisted: false,
@@ -118,7 +124,8 @@
     /// Whether new work may go there.
     pub fn takes_work(&self) -> bool {
         let known = self.held.is_some_and(|h| h.known) && !self.doubts.iter().any(|d| d.found);
-        known && !self.info.leaving && !self.aside && !self.draining
+        let usable = !self.aside && self.silent < SILENT_SYNCS;
+        known && usable && !self.info.leaving && !self.draining
     }
 
     /// Whether nothing runs there and nothing is in doubt.
--- a/crates/monsoonnotch_core/src/job/mod.rs
+++ b/crates/monsoonnotch_core/src/job/mod.rs
@@ -3,9 +3,14 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::config::Lane;
+use crate::ident::CallKey;
 use crate::ident::JobId;
+use crate::ident::MemberId;
 use crate::ident::Name;
 use crate::resource::Resources;
+use crate::verdict::Verdict;
+use crate::wire::IdemKey;
 
 /// What a submitter asks for.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -79,27 +84,33 @@
 /// What a member's journal says.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum JournalEntry {
+    /// The first entry of each append; one with a number seen before is a repeat.
+    Head {
+        /// Counts the appends of the journal, from one.
+        seq: u64,
+    },
+    /// Nothing; what follows from it waits until all entries before it are written.
+    Mark,
     /// A request that must run at most once is about to be dispatched.
     Intent {
         /// The team and the idempotency key.
-        key: crate::wire::IdemKey,
+        key: IdemKey,
         /// Digest of the request.
         digest: u64,
+        /// The entry and the request that may dispatch it.
+        by: (MemberId, CallKey),
     },
     /// What became of it.
     Settled {
         /// The team and the idempotency key.
-        key: crate::wire::IdemKey,
+        key: IdemKey,
+        /// The entry and the request that had the key.
+        by: (MemberId, CallKey),
         /// Whether it ran.
-        verdict: crate::verdict::Verdict,
-    },
-    /// A job was accepted.
-    Job {
-        /// The job.
-        job: JobId,
-        /// What was asked for.
-        spec: Spec,
+        verdict: Verdict,
     },
+    /// A job was accepted, or is written again.
+    Job(Accepted),
     /// Tasks that ended.
     Progress {
         /// The job.
@@ -117,3 +128,20 @@
         phase: Phase,
     },
 }
+
+/// A job as its home's journal keeps it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// The job.
+    pub job: JobId,
+    /// What was asked for.
+    pub spec: Spec,
+    /// The kind of work that its profile named on submission.
+    pub lane: Lane,
+    /// Most attempts at one task.
+    pub max_attempts: u32,
+    /// Homes that the job had before this one; keeps the numbers of attempts apart.
+    pub generation: u32,
+    /// Age of the job when this was written, in milliseconds.
+    pub age_ms: u64,
+}
--- /dev/null
+++ b/crates/monsoonnotch_core/src/reducer/jobs/submit.rs
@@ -0,0 +1,242 @@
+//! Accepting jobs: checked, recorded, and only then accepted.
+
+use super::super::calls::RETRY_AFTER;
+use super::super::journal::Then;
+use super::Control;
+use super::JobAsker;
+use super::REWRITE;
+use super::table::Job;
+use crate::config::Lane;
+use crate::config::Profile;
+use crate::effect::Answer;
+use crate::effect::Effect;
+use crate::event::KeyProof;
+use crate::ident::JobId;
+use crate::ident::RangeId;
+use crate::ident::Ticket;
+use crate::job::Accepted;
+use crate::job::JournalEntry;
+use crate::job::Phase;
+use crate::job::Spec;
+use crate::resource::Resources;
+use crate::time::Duration;
+use crate::verdict::Reason;
+use crate::verdict::Refusal;
+use crate::wire::JobAnswer;
+use crate::wire::JobAsk;
+use crate::wire::PeerMsg;
+
+/// Most tasks in one job.
+const TASKS_MAX: u32 = 100_000;
+/// Most jobs that one home remembers.
+const JOBS_MAX: usize = 65_536;
+
+impl Control {
+    pub(in crate::reducer) fn submit(
+        &mut self,
+        ticket: Ticket,
+        key: Option<KeyProof>,
+        mut spec: Spec,
+    ) {
+        if let Some(key) = &key {
+            match self.team_of(key) {
+                Some(team) => spec.team = team,
+                None => return self.refuse_ticket(ticket, Refusal::not_run(Reason::KeyRefused)),
+            }
+        }
+        if self.has_ready_range() || !self.pass_on(ticket, &spec) {
+            self.accept(JobAsker::Here(ticket), spec);
+        }
+    }
+
+    /// Accepts a job or refuses it.
+    pub(super) fn accept(&mut self, asker: JobAsker, mut spec: Spec) {
+        match self.admit_job(&mut spec) {
+            Ok(profile) => self.record_job(asker, spec, &profile),
+            Err(refusal) => self.tell_asker(asker, JobAnswer::Refused(refusal)),
+        }
+    }
+
+    pub(in crate::reducer) fn job_accepted(&mut self, asker: JobAsker, id: JobId) {
+        self.jobs.accepting.remove(&id);
+        let Some(job) = self.jobs.jobs.get(&id) else {
+            return;
+        };
+        let answer = JobAnswer::Status(job.status());
+        // A member whose journal may have been read before this entry promises nothing.
+        if self.may_keep_records() {
+            self.tell_asker(asker, answer);
+            self.queue_job(id);
+        }
+    }
+
+    pub(super) fn tell_asker(&mut self, asker: JobAsker, answer: JobAnswer) {
+        match asker {
+            JobAsker::Here(ticket) => {
+                let answer = match answer {
+                    JobAnswer::Refused(r) => Answer::Refused(r),
+                    status => Answer::Job(status),
+                };
+                self.out.push(Effect::Answer { ticket, answer });
+            }
+            JobAsker::Peer(peer, question) => {
+                self.send(peer, PeerMsg::JobAnswer { question, answer });
+            }
+        }
+    }
+
+    /// Sends a submission to a home, because this member can be none now.
+    fn pass_on(&mut self, ticket: Ticket, spec: &Spec) -> bool {
+        let me = self.cfg.me;
+        let others = self.ledger.ranges.values().filter(|m| **m != me);
+        let n = others.clone().count();
+        if n == 0 || !self.is_certain() || self.stopping.begun() {
+            return false;
+        }
+        let turn = usize::try_from(ticket.0).unwrap_or(0) % n;
+        let Some(home) = others.clone().nth(turn).copied() else {
+            return false;
+        };
+        let ask = JobAsk::Submit { spec: spec.clone() };
+        self.ask_member(ticket, home, ask);
+        true
+    }
+
+    fn has_ready_range(&self) -> bool {
+        RangeId::all().any(|r| self.range_is_ready(r))
+    }
+
+    fn range_is_ready(&self, r: RangeId) -> bool {
+        self.home_is_ready(u64::from(r.0) << 56)
+    }
+
+    fn admit_job(&self, spec: &mut Spec) -> Result<Profile, Refusal> {
+        if self.stopping.begun() {
+            return Err(Refusal::later(Reason::Stopping, RETRY_AFTER));
+        }
+        if !self.is_certain() {
+            return Err(Refusal::later(Reason::Uncertain, RETRY_AFTER));
+        }
+        if self.log.dark || self.journal.dark {
+            return Err(Refusal::later(Reason::LogDark, RETRY_AFTER));
+        }
+        if self.jobs.jobs.len() >= JOBS_MAX {
+            return Err(Refusal::later(Reason::QueueFull, RETRY_AFTER));
+        }
+        let profile = self.profile_of(&spec.profile, Lane::Batch)?;
+        if spec.count == 0 || spec.count > TASKS_MAX || spec.priority > 9 {
+            return Err(Refusal::not_run(Reason::Malformed));
+        }
+        if spec.size == Default::default() {
+            spec.size = profile.size;
+        }
+        spec.size.slots = spec.size.slots.max(1);
+        spec.size.connections = 0;
+        self.can_ever_run(spec, profile.lane)?;
+        Ok(profile)
+    }
+
+    /// Refuses what the fleet, even empty, or the team's limit could never take.
+    fn can_ever_run(&self, spec: &Spec, lane: Lane) -> Result<(), Refusal> {
+        let team = self.ledger.config.teams.get(&spec.team);
+        let team = team.ok_or(Refusal::not_run(Reason::KeyRefused))?;
+        if !self.fleet.fits_somewhere(&spec.size) {
+            return Err(Refusal::not_run(Reason::FitsNowhere));
+        }
+        if lane != Lane::AllAtOnce {
+            return Ok(());
+        }
+        if spec.count > team.value.limit {
+            return Err(Refusal::not_run(Reason::AtLimit));
+        }
+        let fleet = self.fleet.iter().filter(|(_, vm)| !vm.info.leaving);
+        let room: u64 = fleet
+            .map(|(_, vm)| times_in(&vm.info.total, &spec.size))
+            .sum();
+        match room < u64::from(spec.count) {
+            true => Err(Refusal::not_run(Reason::FitsNowhere)),
+            false => Ok(()),
+        }
+    }
+
+    fn record_job(&mut self, asker: JobAsker, spec: Spec, profile: &Profile) {
+        let Some(job) = self.new_job_id() else {
+            let refusal = Refusal::later(Reason::Uncertain, RETRY_AFTER);
+            return self.tell_asker(asker, JobAnswer::Refused(refusal));
+        };
+        let max_attempts = match profile.lane {
+            Lane::LongLived => u32::MAX,
+            _ => profile.max_attempts,
+        };
+        let record = Accepted {
+            job,
+            spec,
+            lane: profile.lane,
+            max_attempts,
+            generation: 0,
+            age_ms: 0,
+        };
+        self.jobs.accepting.insert(job, asker);
+        self.accepted_for(asker, job);
+        self.keep_job(Job::new(&record, self.now));
+        self.journal
+            .push(JournalEntry::Job(record), Then::Accept(asker, job));
+    }
+
+    /// Takes a job into the table and the lists of what is due.
+    pub(super) fn keep_job(&mut self, job: Job) {
+        let id = job.id;
+        self.jobs.rewrites.insert((self.now + REWRITE, id));
+        let deadline = Duration::from_millis(job.spec.deadline_ms);
+        if deadline > Duration::default() {
+            let left = deadline.0.saturating_sub(job.age.0);
+            let at = self.now + Duration(left);
+            self.jobs.deadlines.insert((at, id));
+        }
+        self.jobs.jobs.insert(id, job);
+    }
+
+    /// Writes a job to the journal again, with all that is known of it.
+    pub(super) fn rewrite_job(&mut self, id: JobId) {
+        let Some(job) = self.jobs.jobs.get(&id) else {
+            return;
+        };
+        let record = job.record(self.now);
+        let phase = job.phase;
+        let over = |f: fn(super::Stage) -> bool| -> Vec<u32> {
+            job.tasks_in(f).iter().map(|t| t.index).collect()
+        };
+        let progress = JournalEntry::Progress {
+            job: id,
+            done: over(|s| s == super::Stage::Done),
+            failed: over(|s| s == super::Stage::Failed),
+        };
+        self.journal.push(JournalEntry::Job(record), Then::Nothing);
+        self.journal.push(progress, Then::Nothing);
+        if phase != Phase::Active {
+            let ended = JournalEntry::Ended { job: id, phase };
+            self.journal.push(ended, Then::Nothing);
+        }
+        self.jobs.rewrites.insert((self.now + REWRITE, id));
+    }
+
+    /// An identifier in a hash range that is held here.
+    fn new_job_id(&mut self) -> Option<JobId> {
+        let me = self.cfg.me;
+        let own: Vec<RangeId> = RangeId::all().filter(|r| self.range_is_ready(*r)).collect();
+        self.jobs.last += 1;
+        let nth = usize::try_from(self.jobs.last).ok()? % own.len().max(1);
+        let range = own.get(nth)?;
+        let low = crate::config::place(&format!("{me}-{}", self.jobs.last));
+        Some(JobId(u64::from(range.0) << 56 | low >> 8))
+    }
+}
+
+/// How often `size` fits into `total`.
+fn times_in(total: &Resources, size: &Resources) -> u64 {
+    let times = |total: u64, size: u64| total.checked_div(size).unwrap_or(u64::MAX);
+    times(total.cpu_milli, size.cpu_milli)
+        .min(times(total.memory_mib, size.memory_mib))
+        .min(times(total.accelerators, size.accelerators))
+        .min(times(total.slots, size.slots))
+}
--- a/crates/monsoonnotch_core/src/reducer/keyed.rs
+++ b/crates/monsoonnotch_core/src/reducer/keyed.rs
@@ -2,22 +2,20 @@
 //!
 //! The holder of the key's hash range is its home. The home writes the intent
 //! to its journal before it lets the request be dispatched, so that whoever
-//! inherits the range knows that the request may have run.
+//! inherits the range knows that the request may have run. Only the request
+//! that an intent names may be dispatched for it, and its entry does so once;
+//! so to allow the same request again does no harm.
 
 use std::collections::BTreeMap;
 
 use super::Control;
-use super::calls::RETRY_AFTER;
 use super::journal::Then;
-use crate::call::Call;
-use crate::call::State;
 use crate::ident::CallKey;
 use crate::ident::MemberId;
 use crate::job::JournalEntry;
 use crate::time::Duration;
 use crate::time::Time;
 use crate::verdict::Reason;
-use crate::verdict::Refusal;
 use crate::verdict::Verdict;
 use crate::wire::IdemKey;
 use crate::wire::IntentAnswer;
@@ -25,6 +23,10 @@
 
 /// How long a key is remembered after its request ended.
 pub(super) const REMEMBER: Duration = Duration::from_secs(900);
+/// Most keys that one home remembers.
+const KEYS_MAX: usize = 65_536;
+/// Pause between two looks for keys that need not be remembered any more.
+const TIDY_PAUSE: Duration = Duration::from_secs(10);
 
 /// Where the request of a key stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,9 +44,22 @@
 struct Known {
     digest: u64,
     stage: Stage,
-    /// The request that has the key now.
-    by: Option<(MemberId, CallKey)>,
+    /// The request that has the key, or had it last.
+    by: (MemberId, CallKey),
     since: Time,
+    /// When it was last written to the own journal.
+    written: Time,
+}
+
+/// What a home does with a question about a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Course {
+    /// Write the intent first.
+    Record,
+    /// The intent is being written; the answer follows.
+    Wait,
+    /// Answer at once.
+    Answer(IntentAnswer),
 }
 
 /// All keys that this member is home of.
@@ -62,25 +77,6 @@
 }
 
 impl Control {
-    /// Asks the home of a key to allow a call.
-    pub(super) fn ask_home(&mut self, call: CallKey, key: IdemKey, digest: u64) {
-        let Some(home) = self.ledger.home_of(key.hash()) else {
-            return self.give_up(call, Refusal::later(Reason::LogDark, RETRY_AFTER));
-        };
-        let c = self
-            .calls
-            .open
-            .get_mut(&call)
-            .expect("the call was just entered");
-        c.state = State::AskedHome;
-        c.intent = Some(key.clone());
-        let me = self.cfg.me;
-        match home == me {
-            true => self.intent_asked(me, call, key, digest),
-            false => self.send(home, PeerMsg::IntentAsk { call, key, digest }),
-        }
-    }
-
     pub(super) fn intent_asked(
         &mut self,
         from: MemberId,
@@ -88,47 +84,10 @@
         key: IdemKey,
         digest: u64,
     ) {
-        match self.may_record(&key, digest) {
-            Ok(()) => self.record_intent(from, call, key, digest),
-            Err((reason, verdict)) => {
-                self.answer_intent(from, call, IntentAnswer::Refuse(reason, verdict));
-            }
-        }
-    }
-
-    pub(super) fn intent_answered(&mut self, call: CallKey, answer: IntentAnswer) {
-        let Some(c) = self.calls.open.get_mut(&call) else {
-            // The home learnt that the call was given up when it was.
-            return;
-        };
-        if c.state != State::AskedHome {
-            return;
-        }
-        match answer {
-            IntentAnswer::Proceed => self.wait_for_slot(call),
-            IntentAnswer::Refuse(reason, verdict) => {
-                c.intent = None;
-                let retry_after = (verdict == Verdict::NotRun).then_some(RETRY_AFTER);
-                let refusal = Refusal {
-                    verdict,
-                    reason,
-                    retry_after,
-                };
-                self.give_up(call, refusal);
-            }
-        }
-    }
-
-    /// Tells the home of a call's key what became of it.
-    pub(super) fn settle_intent(&mut self, call: CallKey, c: &Call, verdict: Verdict) {
-        let Some(key) = c.intent.clone() else {
-            return;
-        };
-        let me = self.cfg.me;
-        match self.ledger.home_of(key.hash()) {
-            Some(home) if home == me => self.intent_settled(me, &key, call, verdict),
-            Some(home) => self.send(home, PeerMsg::IntentSettle { key, call, verdict }),
-            None => {}
+        match self.course(&(from, call), &key, digest) {
+            Course::Record => self.record_intent(from, call, key, digest),
+            Course::Wait => {}
+            Course::Answer(answer) => self.answer_intent(from, call, answer),
         }
     }
 
@@ -139,121 +98,239 @@
         call: CallKey,
         verdict: Verdict,
     ) {
-        let Some(known) = self.keyed.known.get_mut(key) else {
-            return;
-        };
-        if known.by != Some((from, call)) {
+        if !self.may_keep_records() || !self.home_is_ready(key.hash()) {
+            // The asker says it again.
             return;
         }
+        let by = (from, call);
+        let settled = |k: &&mut Known| k.by == by && !matches!(k.stage, Stage::Settled(_));
+        let Some(known) = self.keyed.known.get_mut(key).filter(settled) else {
+            return self.confirm_settle(from, call);
+        };
         known.since = self.now;
         known.stage = Stage::Settled(verdict);
-        known.by = None;
         if verdict == Verdict::NotRun {
             self.keyed.known.remove(key);
         }
         let key = key.clone();
-        let entry = JournalEntry::Settled { key, verdict };
-        self.journal.push(entry, Then::Nothing);
+        let entry = JournalEntry::Settled { key, by, verdict };
+        self.journal.push(entry, Then::Settled(from, call));
+    }
+
+    pub(super) fn confirm_settle(&mut self, asker: MemberId, call: CallKey) {
+        match asker == self.cfg.me {
+            true => self.settle_seen(call),
+            false => self.send(asker, PeerMsg::IntentSeen { call }),
+        }
     }
 
     pub(super) fn intent_recorded(&mut self, from: MemberId, call: CallKey, key: IdemKey) {
-        let certain = self.is_certain();
+        let may = self.may_keep_records();
         let Some(known) = self.keyed.known.get_mut(&key) else {
             return;
         };
-        if known.by != Some((from, call)) || known.stage != Stage::Recording {
+        if known.by != (from, call) || known.stage != Stage::Recording {
             return;
         }
         known.stage = Stage::Allowed;
-        let answer = match certain {
+        // The asker settles what it was refused, so the key comes free again.
+        let answer = match may {
             true => IntentAnswer::Proceed,
             false => IntentAnswer::Refuse(Reason::Uncertain, Verdict::NotRun),
         };
-        if !certain {
-            self.intent_settled(from, &key, call, Verdict::NotRun);
-        }
         self.answer_intent(from, call, answer);
     }
 
     /// Refuses what waits for the journal while it cannot be written.
     pub(super) fn keyed_journal_dark(&mut self) {
-        let recording = |(_, k): &(&IdemKey, &Known)| k.stage == Stage::Recording;
-        let known = self.keyed.known.iter().filter(recording);
-        let keys: Vec<(IdemKey, (MemberId, CallKey))> = known
-            .filter_map(|(key, k)| k.by.map(|by| (key.clone(), by)))
-            .collect();
-        for (key, (from, call)) in keys {
-            self.intent_settled(from, &key, call, Verdict::NotRun);
+        let recording = self.keyed.known.values();
+        let recording = recording.filter(|k| k.stage == Stage::Recording);
+        let refused: Vec<(MemberId, CallKey)> = recording.map(|k| k.by).collect();
+        for (from, call) in refused {
             let answer = IntentAnswer::Refuse(Reason::LogDark, Verdict::NotRun);
             self.answer_intent(from, call, answer);
         }
     }
 
-    /// Takes over what a former home's journal says of its keys.
-    pub(super) fn adopt_key(&mut self, entry: &JournalEntry) {
-        let since = self.now;
-        match entry {
-            JournalEntry::Intent { key, digest } => {
-                let known = Known {
-                    digest: *digest,
-                    stage: Stage::Settled(Verdict::MayHaveRun),
-                    by: None,
-                    since,
-                };
-                self.keyed.known.insert(key.clone(), known);
-            }
-            JournalEntry::Settled { key, verdict } if *verdict == Verdict::NotRun => {
-                self.keyed.known.remove(key);
-            }
-            JournalEntry::Settled { key, verdict } => {
-                if let Some(known) = self.keyed.known.get_mut(key) {
-                    known.stage = Stage::Settled(*verdict);
-                }
+    /// What an ended member had not settled may have run.
+    pub(super) fn keyed_member_ended(&mut self, m: MemberId) {
+        let now = self.now;
+        let open = |k: &&mut Known| k.by.0 == m && !matches!(k.stage, Stage::Settled(_));
+        for known in self.keyed.known.values_mut().filter(open) {
+            known.stage = Stage::Settled(Verdict::MayHaveRun);
+            known.since = now;
+        }
+    }
+
+    /// Takes over what a former home's journal says of the keys that are at home here now.
+    pub(super) fn adopt_keys(&mut self, entries: &[JournalEntry]) {
+        for (key, found) in self.keys_in(entries) {
+            let worse = match self.keyed.known.get(&key) {
+                None => true,
+                Some(k) => found.stage == Stage::Settled(Verdict::Ran) && k.stage != found.stage,
+            };
+            if worse && self.ledger.home_of(key.hash()) == Some(self.cfg.me) {
+                self.write_key(&key, &found);
+                self.keyed.known.insert(key, found);
             }
-            _ => {}
         }
     }
 
     pub(super) fn tick_keyed(&mut self) {
+        self.repeat_settles();
+        self.repeat_asks();
         if self.now < self.keyed.tidy_due {
             return;
         }
-        self.keyed.tidy_due = self.now + Duration::from_secs(10);
+        self.keyed.tidy_due = self.now + TIDY_PAUSE;
+        self.forget_keys();
+        self.rewrite_keys();
+    }
+
+    fn forget_keys(&mut self) {
         let now = self.now;
-        let kept = |k: &Known| k.by.is_some() || now.since(k.since) < REMEMBER;
+        let settled = |k: &Known| matches!(k.stage, Stage::Settled(_));
+        let kept = |k: &Known| !settled(k) || now.since(k.since) < REMEMBER;
         self.keyed.known.retain(|_, k| kept(k));
     }
 
-    fn may_record(&self, key: &IdemKey, digest: u64) -> Result<(), (Reason, Verdict)> {
-        if !self.is_certain() {
-            return Err((Reason::Uncertain, Verdict::NotRun));
+    /// Writes anew what is remembered and was written long ago, before the platform drops it.
+    fn rewrite_keys(&mut self) {
+        if !self.may_keep_records() {
+            return;
+        }
+        let now = self.now;
+        let old = |k: &&mut Known| now.since(k.written) >= super::jobs::REWRITE;
+        let mut again = Vec::new();
+        let known = self.keyed.known.iter_mut();
+        for (key, k) in known.filter(|(_, k)| old(k)) {
+            k.written = now;
+            again.push((key.clone(), *k));
+        }
+        for (key, k) in again {
+            self.write_key(&key, &k);
+        }
+    }
+
+    fn write_key(&mut self, key: &IdemKey, k: &Known) {
+        let intent = JournalEntry::Intent {
+            key: key.clone(),
+            digest: k.digest,
+            by: k.by,
+        };
+        self.journal.push(intent, Then::Nothing);
+        if let Stage::Settled(verdict) = k.stage {
+            let settled = JournalEntry::Settled {
+                key: key.clone(),
+                by: k.by,
+                verdict,
+            };
+            self.journal.push(settled, Then::Nothing);
         }
-        if !self.home_is_ready(key.hash()) {
-            return Err((Reason::Uncertain, Verdict::NotRun));
+    }
+
+    /// What remains of the keys in a journal.
+    fn keys_in(&self, entries: &[JournalEntry]) -> BTreeMap<IdemKey, Known> {
+        let mut keys: BTreeMap<IdemKey, Known> = BTreeMap::new();
+        for entry in entries {
+            match entry {
+                JournalEntry::Intent { key, digest, by } => {
+                    keys.insert(key.clone(), self.found_key(*digest, *by));
+                }
+                JournalEntry::Settled { key, by, verdict } => {
+                    if keys.get(key).is_none_or(|k| k.by != *by) {
+                        continue;
+                    }
+                    if *verdict == Verdict::NotRun {
+                        keys.remove(key);
+                    } else if let Some(k) = keys.get_mut(key) {
+                        k.stage = Stage::Settled(*verdict);
+                    }
+                }
+                _ => {}
+            }
+        }
+        keys
+    }
+
+    /// A key found in a journal; one whose entry has ended may have run.
+    fn found_key(&self, digest: u64, by: (MemberId, CallKey)) -> Known {
+        let stage = match self.ledger.is_member(by.0) {
+            true => Stage::Allowed,
+            false => Stage::Settled(Verdict::MayHaveRun),
+        };
+        Known {
+            digest,
+            stage,
+            by,
+            since: self.now,
+            written: self.now,
+        }
+    }
+
+    fn course(&self, by: &(MemberId, CallKey), key: &IdemKey, digest: u64) -> Course {
+        use IntentAnswer::Refuse;
+        if !self.may_keep_records() || !self.home_is_ready(key.hash()) {
+            return Course::Answer(Refuse(Reason::Uncertain, Verdict::NotRun));
         }
         match self.keyed.known.get(key) {
-            Some(k) if k.digest != digest => Err((Reason::KeyInUse, Verdict::NotRun)),
-            Some(Known {
-                stage: Stage::Settled(Verdict::Ran),
-                ..
-            }) => Err((Reason::AlreadyRan, Verdict::Ran)),
-            Some(_) => Err((Reason::KeyInUse, Verdict::MayHaveRun)),
-            None if self.log.dark => Err((Reason::LogDark, Verdict::NotRun)),
-            None => Ok(()),
+            Some(k) if k.by == *by => self.course_of_same(k),
+            Some(k) if k.digest != digest => {
+                Course::Answer(Refuse(Reason::KeyInUse, Verdict::NotRun))
+            }
+            Some(k) if k.stage == Stage::Settled(Verdict::Ran) => {
+                Course::Answer(Refuse(Reason::AlreadyRan, Verdict::Ran))
+            }
+            Some(_) => Course::Answer(Refuse(Reason::KeyInUse, Verdict::MayHaveRun)),
+            None => self.course_of_new(),
         }
     }
 
+    /// The same request asks again.
+    fn course_of_same(&self, k: &Known) -> Course {
+        match k.stage {
+            Stage::Recording if self.journal.dark => {
+                Course::Answer(IntentAnswer::Refuse(Reason::LogDark, Verdict::NotRun))
+            }
+            Stage::Recording => Course::Wait,
+            Stage::Allowed => Course::Answer(IntentAnswer::Proceed),
+            Stage::Settled(v) => Course::Answer(IntentAnswer::Refuse(Reason::KeyInUse, v)),
+        }
+    }
+
+    fn course_of_new(&self) -> Course {
+        let refuse = |r| Course::Answer(IntentAnswer::Refuse(r, Verdict::NotRun));
+        if self.log.dark || self.journal.dark {
+            refuse(Reason::LogDark)
+        } else if self.keyed.known.len() >= KEYS_MAX {
+            refuse(Reason::QueueFull)
+        } else if self.leaving_soon() {
+            refuse(Reason::Stopping)
+        } else {
+            Course::Record
+        }
+    }
+
+    /// Whether the record of leaving waits only for what is being recorded.
+    fn leaving_soon(&self) -> bool {
+        let calls = &self.calls;
+        self.stopping.begun() && calls.open.is_empty() && calls.granted.is_empty()
+    }
+
     fn record_intent(&mut self, from: MemberId, call: CallKey, key: IdemKey, digest: u64) {
+        let by = (from, call);
         let known = Known {
             digest,
             stage: Stage::Recording,
-            by: Some((from, call)),
+            by,
             since: self.now,
+            written: self.now,
         };
         self.keyed.known.insert(key.clone(), known);
         let entry = JournalEntry::Intent {
             key: key.clone(),
             digest,
+            by,
         };
         self.journal.push(entry, Then::Proceed(from, call, key));
     }
--- a/crates/monsoonnotch_core/src/reducer/log.rs
+++ b/crates/monsoonnotch_core/src/reducer/log.rs
@@ -88,7 +88,7 @@
                 self.log.due = self.now + self.cfg.timing.read;
                 self.set_dark(true);
             }
-            Stream::Journal(_) => self.journal_failed(),
+            Stream::Journal(m) => self.journal_failed(m),
         }
     }
 
--- a/crates/monsoonnotch_core/src/reducer/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/mod.rs
@@ -4,6 +4,8 @@
 //! the time at which it is handled and returns what is to be done. Nothing
 //! here blocks, reads a clock or draws a random number.
 
+mod adopt;
+mod asker;
 mod calls;
 mod check;
 mod dump;
@@ -38,6 +40,8 @@
 use crate::wire::PeerMsg;
 use crate::wire::Relayed;
 
+use self::adopt::Adoptions;
+use self::asker::Asker;
 use self::holdings::Holdings;
 use self::jobs::Jobs;
 use self::journal::Journal;
@@ -84,7 +88,9 @@
     peers: Peers,
     calls: Calls,
     journal: Journal,
+    adoptions: Adoptions,
     keyed: Keyed,
+    asker: Asker,
     jobs: Jobs,
     tasks: Tasks,
     operators: Operators,
@@ -112,7 +118,9 @@
             peers: Peers::default(),
             calls: Calls::default(),
             journal: Journal::default(),
+            adoptions: Adoptions::default(),
             keyed: Keyed::default(),
+            asker: Asker::default(),
             jobs: Jobs::default(),
             tasks: Tasks::default(),
             operators: Operators::default(),
@@ -183,7 +191,9 @@
         self.sync_if_due();
         self.expire_calls();
         self.expire_grants();
+        self.tick_adoptions();
         self.tick_keyed();
+        self.tick_tasks();
         self.tick_jobs();
         self.tick_stop();
     }
--- a/crates/monsoonnotch_core/src/reducer/peers.rs
+++ b/crates/monsoonnotch_core/src/reducer/peers.rs
@@ -50,16 +50,17 @@
             PeerMsg::IntentSettle { key, call, verdict } => {
                 self.intent_settled(from, &key, call, verdict);
             }
-            PeerMsg::TaskAsk { task, spec } => self.task_asked(from, task, spec),
+            PeerMsg::IntentSeen { call } => self.settle_seen(call),
+            PeerMsg::TaskOrders { seq, orders } => self.task_orders(from, seq, orders),
             PeerMsg::TaskNews { news } => self.task_news(from, news),
             PeerMsg::TaskSeen { tasks } => self.tasks_seen(&tasks),
-            PeerMsg::TaskStop { tasks } => self.tasks_stopped(from, &tasks),
             PeerMsg::TasksOf { question, next } => self.tasks_of(from, question, next),
             PeerMsg::TasksHere {
                 question,
                 tasks,
+                ended,
                 unknown,
-            } => self.tasks_here(from, question, tasks, unknown),
+            } => self.tasks_here(from, question, &tasks, ended, unknown),
             PeerMsg::JobAsk { question, ask } => self.peer_job_asked(from, question, ask),
             PeerMsg::JobAnswer { question, answer } => self.peer_job_answered(question, answer),
         }
--- a/crates/monsoonnotch_core/src/wire/mod.rs
+++ b/crates/monsoonnotch_core/src/wire/mod.rs
@@ -11,6 +11,7 @@
 use crate::ident::MemberId;
 use crate::ident::Name;
 use crate::ident::TaskId;
+use crate::job::Spec;
 use crate::job::TaskSpec;
 use crate::record::Batch;
 use crate::resource::Resources;
@@ -99,12 +100,17 @@
         /// Whether it ran.
         verdict: Verdict,
     },
-    /// The home of a job would run a task on a worker of the receiver.
-    TaskAsk {
-        /// The task.
-        task: TaskId,
-        /// What it is.
-        spec: TaskSpec,
+    /// The home of the key has recorded what became of the request, or knows nothing of it.
+    IntentSeen {
+        /// The asker's request.
+        call: CallKey,
+    },
+    /// What the home of jobs wants done with their tasks on the receiver's workers.
+    TaskOrders {
+        /// Counts the sender's messages of this kind; a lower one than seen is too late.
+        seq: u64,
+        /// The orders.
+        orders: Vec<TaskOrder>,
     },
     /// What the receiver's tasks do on the sender's workers.
     TaskNews {
@@ -116,11 +122,6 @@
         /// The tasks.
         tasks: Vec<TaskId>,
     },
-    /// Tasks that the receiver is to stop.
-    TaskStop {
-        /// The tasks.
-        tasks: Vec<TaskId>,
-    },
     /// A new home asks what runs of its hash ranges on the receiver's workers.
     TasksOf {
         /// Names the question.
@@ -132,8 +133,10 @@
     TasksHere {
         /// The question.
         question: u64,
-        /// The tasks.
+        /// The tasks that run or are about to.
         tasks: Vec<TaskId>,
+        /// Ends that the receiver has not confirmed.
+        ended: Vec<(TaskId, TaskNews)>,
         /// Workers that have yet to report, so that more may turn up.
         unknown: u32,
     },
@@ -206,11 +209,43 @@
     pub used: Vec<(Name, u64)>,
 }
 
+/// What a home wants done with tasks on another member's workers.
+///
+/// The right to start an attempt is sent once; after that a home only asks
+/// what became of it. So an attempt that was refused is never started later.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TaskOrder {
+    /// Start these.
+    Start {
+        /// The tasks.
+        tasks: Vec<TaskId>,
+        /// What each of them is.
+        spec: TaskSpec,
+    },
+    /// Keep a slot for each of these and start none yet.
+    Reserve {
+        /// The tasks.
+        tasks: Vec<TaskId>,
+        /// What each of them is.
+        spec: TaskSpec,
+    },
+    /// Start these in their reserved slots.
+    Go(Vec<TaskId>),
+    /// Tell what became of these.
+    Check(Vec<TaskId>),
+    /// Stop these, or free their reserved slots.
+    Stop(Vec<TaskId>),
+}
+
 /// What became of a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TaskNews {
     /// It runs.
     Running,
+    /// A slot is kept for it.
+    Reserved,
+    /// It runs on a worker that is leaving.
+    Leaving,
     /// It could not be placed and did not run.
     NotPlaced(Reason),
     /// It ended well.
@@ -224,6 +259,11 @@
 /// A question about a job.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum JobAsk {
+    /// Accept it; sent to any member that is home of some hash range.
+    Submit {
+        /// What is asked for, with the team of the submitter's key.
+        spec: Spec,
+    },
     /// How does it stand?
     Show {
         /// The team that asks; `None` for operators.
--- /dev/null
+++ b/crates/monsoonnotch_core/tests/recovery/main.rs
@@ -0,0 +1,6 @@
+//! Recovery of jobs and of requests that run at most once, in virtual time.
+
+mod cell;
+mod jobs;
+mod keyed;
+mod retention;
