--- a/crates/monsoonnotch_core/src/fleet/vm.rs
+++ b/crates/monsoonnotch_core/src/fleet/vm.rs
@@ -10,6 +10,9 @@
 use crate::resource::Resources;
 use crate::time::Time;
 
+/// Syncs in a row without an answer after which a worker gets no new work.
+const SILENT_SYNCS: u32 = 2;
+
 /// A holding by this member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Held {
@@ -85,6 +88,8 @@
     pub sync_out: bool,
     /// Whether it fails what it starts.
     pub health: Health,
+    /// Syncs in a row that got no answer.
+    pub silent: u32,
     /// Whether it is being emptied to be given away.
     pub draining: bool,
     /// Whether the platform does not list it any more.
@@ -106,6 +111,7 @@
             synced: None,
             sync_out: false,
             health: Health::default(),
+            silent: 0,
             draining: false,
             unlisted: false,
         }
@@ -119,7 +125,8 @@
     /// Whether new work may go there.
     pub fn takes_work(&self) -> bool {
         let known = self.held.is_some_and(|h| h.known) && !self.doubts.iter().any(|d| d.found);
-        known && !self.info.leaving && !self.draining && self.health.takes_work()
+        let usable = self.silent < SILENT_SYNCS && self.health.takes_work();
+        known && usable && !self.info.leaving && !self.draining
     }
 
     /// Whether nothing runs there and nothing is in doubt.
--- a/crates/monsoonnotch_core/src/reducer/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/mod.rs
@@ -4,6 +4,8 @@
 //! the time at which it is handled and returns what is to be done. Nothing
 //! here blocks, reads a clock or draws a random number.
 
+mod adopt;
+mod asker;
 mod calls;
 mod check;
 mod decide;
@@ -46,6 +48,8 @@
 use crate::wire::PeerMsg;
 use crate::wire::Relayed;
 
+use self::adopt::Adoptions;
+use self::asker::Asker;
 use self::decide::Deciding;
 use self::forward::Forwarding;
 pub use self::gauges::Gauges;
@@ -106,7 +110,9 @@
     forwarding: Forwarding,
     retries: Retries,
     journal: Journal,
+    adoptions: Adoptions,
     keyed: Keyed,
+    asker: Asker,
     jobs: Jobs,
     tasks: Tasks,
     operators: Operators,
@@ -140,7 +146,9 @@
             forwarding: Forwarding::default(),
             retries: Retries::default(),
             journal: Journal::default(),
+            adoptions: Adoptions::default(),
             keyed: Keyed::default(),
+            asker: Asker::default(),
             jobs: Jobs::default(),
             tasks: Tasks::default(),
             operators: Operators::default(),
@@ -222,7 +230,9 @@
         self.tick_deciding();
         self.tick_forwarding();
         self.expire_grants();
+        self.tick_adoptions();
         self.tick_keyed();
+        self.tick_tasks();
         self.tick_jobs();
         self.tick_stop();
     }
