--- a/crates/monsoonnotch_core/src/fleet/vm.rs
+++ b/crates/monsoonnotch_core/src/fleet/vm.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use super::health::Health;
 use crate::event::Report;
 use crate::event::VmInfo;
 use crate::ident::Name;
@@ -87,8 +88,8 @@
     pub sync_out: bool,
     /// Syncs in a row that got no answer.
     pub silent: u32,
-    /// Whether it fails what it starts and is put aside.
-    pub aside: bool,
+    /// Whether it fails what it starts.
+    pub health: Health,
     /// Whether it is being emptied to be given away.
     pub draining: bool,
     /// Whether the platform does not list it any more.
@@ -110,7 +111,7 @@
             synced: None,
             sync_out: false,
             silent: 0,
-            aside: false,
+            health: Health::default(),
             draining: false,
             unlisted: false,
         }
@@ -124,7 +125,7 @@
     /// Whether new work may go there.
     pub fn takes_work(&self) -> bool {
         let known = self.held.is_some_and(|h| h.known) && !self.doubts.iter().any(|d| d.found);
-        let usable = !self.aside && self.silent < SILENT_SYNCS;
+        let usable = self.health.takes_work(self.requests) && self.silent < SILENT_SYNCS;
         known && usable && !self.info.leaving && !self.draining
     }
 
--- a/crates/monsoonnotch_core/src/reducer/jobs/submit.rs
+++ b/crates/monsoonnotch_core/src/reducer/jobs/submit.rs
@@ -1,6 +1,7 @@
 //! Accepting jobs: checked, recorded, and only then accepted.
 
 use super::super::calls::RETRY_AFTER;
+use super::super::decide::HEADROOM_MIN_PART;
 use super::super::journal::Then;
 use super::Control;
 use super::JobAsker;
@@ -153,7 +154,11 @@
         let room: u64 = fleet
             .map(|(_, vm)| times_in(&vm.info.total, &spec.size))
             .sum();
-        match room < u64::from(spec.count) {
+        let kept = match self.cfg.policy.headroom {
+            true => room / HEADROOM_MIN_PART,
+            false => 0,
+        };
+        match room - kept < u64::from(spec.count) {
             true => Err(Refusal::not_run(Reason::FitsNowhere)),
             false => Ok(()),
         }
--- a/crates/monsoonnotch_core/src/reducer/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/mod.rs
@@ -8,15 +8,22 @@
 mod asker;
 mod calls;
 mod check;
+mod decide;
 mod dump;
+mod forward;
+mod gauges;
 mod grants;
 mod holdings;
 mod jobs;
 mod journal;
 mod keyed;
 mod log;
+mod look;
 mod operators;
+mod overload;
 mod peers;
+mod policy;
+mod price;
 mod stop;
 mod tasks;
 mod use_count;
@@ -42,13 +49,20 @@
 
 use self::adopt::Adoptions;
 use self::asker::Asker;
+use self::decide::Deciding;
+use self::forward::Forwarding;
+pub use self::gauges::Gauges;
+pub use self::gauges::TeamGauges;
 use self::holdings::Holdings;
 use self::jobs::Jobs;
 use self::journal::Journal;
 use self::keyed::Keyed;
 use self::log::LogReader;
 use self::operators::Operators;
+use self::overload::Retries;
 use self::peers::Peers;
+pub use self::policy::Forward;
+pub use self::policy::Policy;
 use self::stop::Stopping;
 use self::tasks::Tasks;
 use self::use_count::UseCount;
@@ -69,6 +83,8 @@
     pub queue_max: usize,
     /// Records of the control stream between two snapshots.
     pub snapshot_every: u64,
+    /// How work is placed and refused.
+    pub policy: Policy,
 }
 
 /// All control state of one entry.
@@ -87,6 +103,9 @@
     used: UseCount,
     peers: Peers,
     calls: Calls,
+    deciding: Deciding,
+    forwarding: Forwarding,
+    retries: Retries,
     journal: Journal,
     adoptions: Adoptions,
     keyed: Keyed,
@@ -95,6 +114,8 @@
     tasks: Tasks,
     operators: Operators,
     stopping: Stopping,
+    /// When the invariants were last checked.
+    checked: Time,
     was_certain: bool,
     was_ready: bool,
     refusing: BTreeMap<crate::verdict::Reason, Time>,
@@ -117,6 +138,9 @@
             used: UseCount::default(),
             peers: Peers::default(),
             calls: Calls::default(),
+            deciding: Deciding::default(),
+            forwarding: Forwarding::default(),
+            retries: Retries::default(),
             journal: Journal::default(),
             adoptions: Adoptions::default(),
             keyed: Keyed::default(),
@@ -125,6 +149,7 @@
             tasks: Tasks::default(),
             operators: Operators::default(),
             stopping: Stopping::default(),
+            checked: Time::default(),
             was_certain: false,
             was_ready: false,
             refusing: BTreeMap::new(),
@@ -137,6 +162,7 @@
         self.now = self.now.max(now);
         self.handle(ev);
         self.start_waiting_calls();
+        self.ask_for_fresh();
         self.flush_writer();
         self.flush_journal();
         self.publish_certainty();
@@ -178,6 +204,8 @@
             Event::Job { ticket, key, ask } => self.job_asked(ticket, key, ask),
             Event::Change { ticket, change } => self.change(ticket, change),
             Event::Dump(ticket) => self.dump(ticket),
+            Event::Look { ticket, look } => self.look(ticket, &look),
+            Event::Gauges(ticket) => self.gauges(ticket),
             Event::Stop => self.stop(),
         }
     }
@@ -190,6 +218,8 @@
         self.summary_if_due();
         self.sync_if_due();
         self.expire_calls();
+        self.tick_deciding();
+        self.tick_forwarding();
         self.expire_grants();
         self.tick_adoptions();
         self.tick_keyed();
@@ -233,7 +263,8 @@
                 false => Notice::CertaintyLost,
             });
         }
-        let ready = certain && !self.stopping.begun() && self.fleet.held().next().is_some();
+        // A member without workers of its own uses slots of its peers.
+        let ready = certain && !self.stopping.begun() && !self.ledger.vms.is_empty();
         if ready != self.was_ready {
             self.was_ready = ready;
             self.out.push(Effect::Ready(ready));
--- a/crates/monsoonnotch_core/src/reducer/tasks/orders.rs
+++ b/crates/monsoonnotch_core/src/reducer/tasks/orders.rs
@@ -71,6 +71,9 @@
         if !self.team_may_start(Some(&spec.team)) {
             return Err(Reason::AtLimit);
         }
+        if !self.long_may_start(spec.size.slots) {
+            return Err(Reason::QueueFull);
+        }
         let key = self.fleet.place_task(&spec.size).ok_or(Reason::QueueFull)?;
         let team = Some(spec.team.clone());
         self.add_task(key, id, team, spec.size, TaskState::Starting);
--- a/crates/monsoonnotch_core/src/wire/mod.rs
+++ b/crates/monsoonnotch_core/src/wire/mod.rs
@@ -194,6 +194,12 @@
     pub size: Resources,
     /// Longest time from dispatch to the end of the answer, in milliseconds.
     pub timeout_ms: u64,
+    /// Importance, 0 to 9.
+    pub priority: u8,
+    /// How long such requests run, in microseconds, as the asker has seen.
+    pub run_us: u64,
+    /// How long it has waited, in milliseconds.
+    pub waited_ms: u64,
 }
 
 /// A member's load.
@@ -205,7 +211,7 @@
     pub waiting: u32,
     /// Price of a slot, in thousandths; rises while more comes than goes.
     pub price: u32,
-    /// Use of each team on the sender's workers, in millionths of a VM's worth.
+    /// What teams' work on the sender's workers has cost so far; the teams of which most is new.
     pub used: Vec<(Name, u64)>,
 }
 
