--- a/crates/monsoonnotch_core/src/fleet/vm.rs
+++ b/crates/monsoonnotch_core/src/fleet/vm.rs
@@ -125,7 +125,7 @@
     /// Whether new work may go there.
     pub fn takes_work(&self) -> bool {
         let known = self.held.is_some_and(|h| h.known) && !self.doubts.iter().any(|d| d.found);
-        let usable = self.health.takes_work(self.requests) && self.silent < SILENT_SYNCS;
+        let usable = self.health.takes_work() && self.silent < SILENT_SYNCS;
         known && usable && !self.info.leaving && !self.draining
     }
 
@@ -157,17 +157,20 @@
     pub fn start_request(&mut self, size: &Resources) {
         self.used.add(size);
         self.requests += 1;
+        self.health.probe(true);
     }
 
     /// Frees the slot of a request that has certainly ended.
     pub fn end_request(&mut self, size: &Resources) {
         self.used.take(size);
         self.requests -= 1;
+        self.health.probe(false);
     }
 
     /// Turns a request into doubt; its slot stays occupied.
     pub fn doubt_request(&mut self, doubt: Doubt) {
         self.requests -= 1;
+        self.health.probe(false);
         self.doubts.push(doubt);
     }
 
--- a/crates/monsoonnotch_core/src/reducer/grants.rs
+++ b/crates/monsoonnotch_core/src/reducer/grants.rs
@@ -18,7 +18,11 @@
     pub(super) fn slot_asked(&mut self, from: MemberId, ask: SlotAsk) {
         let call = ask.call;
         let key = (from, call);
-        if self.calls.granted.contains_key(&key) || self.calls.asked.contains_key(&key) {
+        if self.calls.granted.contains_key(&key) {
+            return;
+        }
+        if let Some(waiting) = self.calls.asked.get_mut(&key) {
+            waiting.ask.asked = ask.asked.max(waiting.ask.asked);
             return;
         }
         match self.admit_ask(&ask) {
@@ -118,8 +122,13 @@
             until: self.now + longest.times(2),
             started,
         };
-        let call = ask.call;
+        let SlotAsk { call, asked, .. } = ask;
         self.calls.granted.insert((from, call), granted);
-        PeerMsg::SlotGrant { call, vm, addr }
+        PeerMsg::SlotGrant {
+            call,
+            asked,
+            vm,
+            addr,
+        }
     }
 }
--- a/crates/monsoonnotch_core/src/reducer/peers.rs
+++ b/crates/monsoonnotch_core/src/reducer/peers.rs
@@ -28,7 +28,10 @@
 }
 
 impl Control {
-    pub(super) fn peer_message(&mut self, from: MemberId, msg: PeerMsg) {
+    pub(super) fn peer_message(&mut self, from: MemberId, to: MemberId, msg: PeerMsg) {
+        if to != self.cfg.me {
+            return;
+        }
         match msg {
             PeerMsg::Ping {
                 sent,
@@ -48,7 +51,9 @@
                 self.summary_received(from, s);
             }
             PeerMsg::SlotAsk(ask) => self.slot_asked(from, ask),
-            PeerMsg::SlotGrant { call, vm: _, addr } => self.slot_granted(from, call, addr),
+            PeerMsg::SlotGrant {
+                call, asked, addr, ..
+            } => self.slot_granted(from, call, Time(asked), addr),
             PeerMsg::SlotNone { call, reason } => self.slot_denied(from, call, reason),
             PeerMsg::SlotReturn { call, verdict } => self.slot_returned(from, call, verdict),
             PeerMsg::IntentAsk { call, key, digest } => self.intent_asked(from, call, key, digest),
@@ -95,7 +100,8 @@
         }
         for target in self.guarding.votes_due(self.now, &self.ledger) {
             self.note(Notice::Voted(target));
-            self.write(Body::Vote { target });
+            let read = self.ledger.next;
+            self.write(Body::Vote { target, read });
         }
     }
 
--- a/crates/monsoonnotch_core/tests/recovery/cell/mod.rs
+++ b/crates/monsoonnotch_core/tests/recovery/cell/mod.rs
@@ -115,7 +115,7 @@
         let settings = Settings {
             me,
             domain: Name::from(format!("fd-{}", me.0 % 3)),
-            addr: Name::from("127.0.0.1:1"),
+            addr: Name::from(format!("127.0.0.1:{}", me.0)),
             timing: Timing::default(),
             queue_max: 1_000,
             snapshot_every: 1_000_000,
@@ -410,7 +410,8 @@
             }
             Effect::Send { to, msg } => {
                 if !(self.loses)(m, to.member, &msg) {
-                    self.later(to.member, Event::Peer { from: m, msg });
+                    let (from, to) = (m, to.member);
+                    self.later(to, Event::Peer { from, to, msg });
                 }
             }
             Effect::Sync(sync) => self.sync(m, sync),
--- a/crates/monsoonnotch_core/tests/recovery/jobs/mod.rs
+++ b/crates/monsoonnotch_core/tests/recovery/jobs/mod.rs
@@ -286,7 +286,8 @@
     }];
     for (seq, orders) in [(1_002, check), (1_001, start)] {
         let msg = PeerMsg::TaskOrders { seq, orders };
-        cell.step(B, Event::Peer { from, msg });
+        let to = B;
+        cell.step(to, Event::Peer { from, to, msg });
     }
     cell.run(1_000);
     assert_eq!(cell.running(), 0);
