--- a/crates/monsoonnotch_core/src/fleet/vm.rs
+++ b/crates/monsoonnotch_core/src/fleet/vm.rs
@@ -86,10 +86,10 @@
     pub synced: Option<Time>,
     /// Whether the answer to the last sync is out.
     pub sync_out: bool,
-    /// Whether it fails what it starts.
-    pub health: Health,
     /// Syncs in a row that got no answer.
     pub silent: u32,
+    /// Whether it fails what it starts.
+    pub health: Health,
     /// Whether it is being emptied to be given away.
     pub draining: bool,
     /// Whether the platform does not list it any more.
@@ -110,8 +110,8 @@
             acks: Vec::new(),
             synced: None,
             sync_out: false,
-            health: Health::default(),
             silent: 0,
+            health: Health::default(),
             draining: false,
             unlisted: false,
         }
@@ -125,7 +125,7 @@
     /// Whether new work may go there.
     pub fn takes_work(&self) -> bool {
         let known = self.held.is_some_and(|h| h.known) && !self.doubts.iter().any(|d| d.found);
-        let usable = self.silent < SILENT_SYNCS && self.health.takes_work();
+        let usable = self.health.takes_work() && self.silent < SILENT_SYNCS;
         known && usable && !self.info.leaving && !self.draining
     }
 
--- a/crates/monsoonnotch_core/src/reducer/adopt.rs
+++ b/crates/monsoonnotch_core/src/reducer/adopt.rs
@@ -128,8 +128,8 @@
         self.adoptions.steps.retain(|m, _| ancestors.contains(m));
         let evicted = self.now + self.cfg.timing.evict();
         for m in ancestors {
-            let left = self.ledger.endings.get(m).is_some_and(|e| e.left);
-            let due = if left { self.now } else { evicted };
+            let at_once = self.ledger.endings.get(m).is_some_and(|e| e.at_once);
+            let due = if at_once { self.now } else { evicted };
             self.adoptions.steps.entry(*m).or_insert(Step::Due(due));
         }
         if ancestors.is_empty() && before > 0 {
--- a/crates/monsoonnotch_core/src/reducer/decide.rs
+++ b/crates/monsoonnotch_core/src/reducer/decide.rs
@@ -25,7 +25,7 @@
 /// Weight of one more run in a learned mean, as a divisor.
 const RUNS_MEMORY: f64 = 64.0;
 /// Slots kept for quick requests at least, as one in this many: one on every second worker of eight.
-const HEADROOM_MIN_PART: u64 = 16;
+pub(super) const HEADROOM_MIN_PART: u64 = 16;
 /// Slots left to long work at least, as one in this many.
 const LONG_FLOOR_PART: u64 = 5;
 /// Weight of a sample above the mean of what quick requests want.
--- a/crates/monsoonnotch_core/src/reducer/jobs/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/jobs/mod.rs
@@ -60,6 +60,8 @@
     jobs: BTreeMap<JobId, Job>,
     /// Number of the last job accepted here, for its identifier.
     last: u64,
+    /// Members that had no place, until when they are passed over.
+    full: BTreeMap<MemberId, Time>,
     /// Jobs with tasks to place, in fair order.
     queue: Queue<JobId>,
     /// Jobs that are put back into the queue later.
@@ -125,6 +127,7 @@
     /// Looks after everything that hangs on an ended member.
     pub(super) fn jobs_member_ended(&mut self, m: MemberId) {
         self.tasks_member_ended(m);
+        self.jobs.full.remove(&m);
         self.keyed_member_ended(m);
         self.asks_member_ended();
         self.questions_member_ended(m);
--- a/crates/monsoonnotch_core/src/reducer/jobs/news.rs
+++ b/crates/monsoonnotch_core/src/reducer/jobs/news.rs
@@ -106,6 +106,7 @@
             return;
         }
         self.wait_again(id, true);
+        self.member_missed(from);
         self.place_missed(id.job);
         self.gang_moved(id.job);
     }
--- a/crates/monsoonnotch_core/src/reducer/jobs/place.rs
+++ b/crates/monsoonnotch_core/src/reducer/jobs/place.rs
@@ -15,10 +15,14 @@
 const STARTS_MAX: usize = 256;
 /// Tasks of one job asked for before it is the turn of others.
 const TURN_MAX: usize = 16;
+/// What a team is charged for one slot that a task takes.
+const SLOT_COST: u64 = 1_000;
 /// Pause after no place was found for a job's tasks; doubles up to the longest.
 const MISS_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after no place was found.
 const MISS_PAUSE_MAX: Duration = Duration::from_millis(800);
+/// Time for which a member that had no place is passed over.
+const FULL_PAUSE: Duration = Duration::from_millis(200);
 /// Age of a summary up to which a peer is asked for a place.
 const SUMMARY_AGE: Duration = Duration::from_secs(2);
 
@@ -39,7 +43,7 @@
             share: teams.get(&team).map_or(1, |t| t.value.share),
             class: Class::Long,
             priority: job.spec.priority,
-            arrived: self.now,
+            arrived: job.arrived,
         };
         self.jobs.queue.remove(id);
         self.jobs.queue.push(self.now, &team, waiting, id);
@@ -49,9 +53,9 @@
         let mut left = STARTS_MAX;
         while left > 0 && !self.jobs.queue.is_empty() {
             let before = left;
-            let heads = self.jobs.queue.heads(Class::Long);
-            let ids: Vec<JobId> = heads.map(|(_, id)| id).collect();
-            for id in ids {
+            let heads = self.jobs.queue.heads(Class::Long).map(|(_, id)| id);
+            let heads: Vec<JobId> = heads.collect();
+            for id in heads {
                 left -= self.place_turn(id, left.min(TURN_MAX));
             }
             if left == before {
@@ -72,6 +76,18 @@
         self.jobs.later.insert((self.now + pause, id));
     }
 
+    /// A member had no place; it is passed over for a while.
+    pub(super) fn member_missed(&mut self, m: MemberId) {
+        self.jobs.full.insert(m, self.now + FULL_PAUSE);
+    }
+
+    fn is_full(&self, m: MemberId) -> bool {
+        self.jobs
+            .full
+            .get(&m)
+            .is_some_and(|until| *until > self.now)
+    }
+
     /// Asks for places for some tasks of a job; returns how many were asked for.
     fn place_turn(&mut self, id: JobId, most: usize) -> usize {
         let Some(job) = self.jobs.jobs.get(&id) else {
@@ -83,14 +99,14 @@
         let slots = job.spec.size.slots;
         let mut placed = 0;
         for index in indexes {
-            let Some(at) = self.member_for_task(&team) else {
+            let Some(at) = self.member_for_task(&team, slots) else {
                 self.place_missed(id);
                 return placed;
             };
             self.ask_for_place(id, index, at);
             placed += 1;
         }
-        let cost = slots * placed as u64;
+        let cost = slots * placed as u64 * SLOT_COST;
         self.jobs.queue.started(self.now, id, cost);
         self.gang_asked(id);
         self.queue_job(id);
@@ -120,16 +136,17 @@
     }
 
     /// This member while it has room, else the peer with the most.
-    fn member_for_task(&self, team: &Name) -> Option<MemberId> {
+    fn member_for_task(&self, team: &Name, slots: u64) -> Option<MemberId> {
         let me = self.cfg.me;
-        if self.fleet.free_slots() > 0 && self.allotment_left(team) > 0 {
+        let room = self.fleet.free_slots() >= slots && self.long_may_start(slots);
+        if room && self.allotment_left(team) > 0 && !self.is_full(me) {
             return Some(me);
         }
         let now = self.now;
         let part = |m: MemberId| self.ledger.allotments.part(team, m);
         let summaries = self.peers.summaries.iter();
         let fresh = summaries.filter(|(_, (at, _))| now.since(*at) < SUMMARY_AGE);
-        let able = fresh.filter(|(m, (_, s))| s.free > 0 && part(**m) > 0);
+        let able = fresh.filter(|(m, (_, s))| s.free > 0 && part(**m) > 0 && !self.is_full(**m));
         able.max_by_key(|(_, (_, s))| s.free).map(|(m, _)| *m)
     }
 }
