small_site: questions go to the entries in turn, so that the killed entry is a home

Cause: all jobs were at home at the first entry, which is never killed. The change: submissions go to the entries in turn.

--- a/examples/small_site/site.rs
+++ b/examples/small_site/site.rs
@@ -1,5 +1,6 @@
 //! The stand-ins and the entries.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -44,6 +45,8 @@
     pub(crate) fleet: Arc<Fleet>,
     _workers: Vec<Worker>,
     entries: Vec<Option<Entry>>,
+    /// The entry that the next question goes to first.
+    turn: Cell<usize>,
     pub(crate) balancer: Balancer,
     /// A key of each team.
     pub(crate) keys: Vec<String>,
@@ -66,6 +69,7 @@
             fleet,
             _workers: workers,
             entries: (0..ENTRIES).map(|_| None).collect(),
+            turn: Cell::new(0),
             balancer: Balancer::default(),
             keys: Vec::new(),
         };
@@ -123,9 +127,11 @@
         }
     }
 
-    /// Asks any entry; `None` when none has an answer of success.
+    /// Asks the entries in turn; `None` when none has an answer of success.
     pub(crate) fn ask(&self, method: http::Method, path: &str, body: &Value) -> Option<Value> {
-        let entries = self.entries.iter().flatten();
+        let first = self.turn.replace((self.turn.get() + 1) % ENTRIES);
+        let order = (first..first + ENTRIES).map(|i| i % ENTRIES);
+        let entries = order.filter_map(|i| self.entries[i].as_ref());
         let mut answers = entries.filter_map(|e| {
             let one = client::Entries {
                 addrs: vec![e.addrs().operators],
