--- a/tests/invariants/faults.rs
+++ b/tests/invariants/faults.rs
@@ -121,7 +121,7 @@
         !others.any(dead)
     }
 
-    fn kill(&mut self, n: usize) {
+    pub(crate) fn kill(&mut self, n: usize) {
         let p = &mut self.processes[n];
         p.life = Life::Down;
         p.start += 1;
--- a/tests/invariants/main.rs
+++ b/tests/invariants/main.rs
@@ -9,6 +9,7 @@
 //! explores `M` cases from seed `N`; `-- --nocapture` shows how far it came.
 
 mod cell;
+mod directed;
 mod effects;
 mod faults;
 mod log;
--- a/tests/invariants/witness.rs
+++ b/tests/invariants/witness.rs
@@ -261,6 +261,12 @@
         all.filter(move |(i, _)| *i != n).map(|(_, p)| p)
     }
 
+    /// Whether each worker has a member that may start work on it.
+    pub(crate) fn all_workers_are_usable(&self) -> bool {
+        let usable = |vm: &str| self.processes.iter().any(|p| may_use(p, vm, self.now));
+        self.workers.iter().all(|w| usable(&w.info.name))
+    }
+
     /// After the faults: everything has one holder that is alive, and everyone is certain.
     pub(crate) fn check_recovered(&self) -> Result<(), TestCaseError> {
         let ledger = &self.log.ledger;
