--- a/crates/monsoonnotch_entry/src/control/mod.rs
+++ b/crates/monsoonnotch_entry/src/control/mod.rs
@@ -123,9 +123,9 @@
                     self.runner.close_call(call);
                 }
             }
-            Input::Peer(ev) => {
+            Input::Peer(from, to, msg) => {
                 self.inbox.peer_taken();
-                self.step(ev);
+                self.step(Event::Peer { from, to, msg });
             }
             Input::Call(arrived, tx) => {
                 self.runner.open_call(arrived.call, tx);
