What a former holder owed is released only after its workers have reported

The heir of a member that had left with a part of zero and two owed released these at once, before the inherited workers had reported, and another member claimed them. Change: nothing owed is released while something is not settled or an inherited worker has not reported. Requests of the exploration run up to 8 s now, beyond Timing::evict, so that what runs outlives a lowered limit; a directed test covers the claim after a lowered and raised limit.

--- a/crates/monsoonnotch_core/src/reducer/holdings.rs
+++ b/crates/monsoonnotch_core/src/reducer/holdings.rs
@@ -420,7 +420,12 @@
     }
 
     /// Gives up what a lowered limit took, as far as it is not in use any more.
+    ///
+    /// What was owed by a former holder may be in use unseen until its workers have reported.
     fn release_owed(&mut self) {
+        if !self.is_settled() || self.unreported_slots() > 0 {
+            return;
+        }
         let me = self.cfg.me;
         let mut things = Vec::new();
         for team in self.ledger.config.teams.keys() {
--- a/crates/monsoonnotch_core/src/reducer/use_count.rs
+++ b/crates/monsoonnotch_core/src/reducer/use_count.rs
@@ -91,16 +91,11 @@
     }
 
     /// How much more of a team runs here, or may run, than the own part.
-    ///
-    /// What is locked may be in use by a former holder, so all of it counts.
     pub(super) fn allotment_excess(&self, team: &str) -> u32 {
         let part = self.ledger.allotments.part(team, self.cfg.me);
         let given = self.holdings.allotment_given(team);
         let in_use = self.used.of(team).saturating_add(given);
-        match self.used.locked(team) {
-            0 => in_use.saturating_sub(part),
-            _ => u32::MAX,
-        }
+        in_use.saturating_sub(part)
     }
 
     /// Whether one more of a team may start here; open queues have no team.
--- a/tests/invariants/directed.rs
+++ b/tests/invariants/directed.rs
@@ -2,12 +2,17 @@
 
 use std::collections::BTreeSet;
 
+use monsoonnotch_core::config::Change;
+use monsoonnotch_core::config::Setting;
+use monsoonnotch_core::config::Team;
 use monsoonnotch_core::guard::Guarding;
 use monsoonnotch_core::ident::MemberId;
+use monsoonnotch_core::ident::Name;
 use monsoonnotch_core::ledger::Ledger;
 use monsoonnotch_core::record::Batch;
 use monsoonnotch_core::record::Body;
 use monsoonnotch_core::record::Record;
+use monsoonnotch_core::record::Thing;
 use monsoonnotch_core::time::Duration;
 use monsoonnotch_core::time::Time;
 use monsoonnotch_core::timing::Timing;
@@ -236,3 +241,43 @@
     assert_eq!(ending.heir, heir);
     assert!(!ending.at_once, "what it inherited may still be in use");
 }
+
+fn set_limit(ledger: &mut Ledger, seq: u64, limit: u32) {
+    let name: Name = TEAMS[0].into();
+    let replaces = ledger.config.teams.get(&name).map_or(0, |t| t.version);
+    let team = Team {
+        account: "account".into(),
+        share: 1,
+        limit,
+    };
+    let set = Setting::Team(name, team);
+    write(ledger, 7, seq, Body::Config(Change::new(replaces, set)));
+}
+
+fn claim(ledger: &mut Ledger, writer: u64, seq: u64, amount: u32) {
+    let team = TEAMS[0].into();
+    let things = vec![Thing::Allotment { team, amount }];
+    write(ledger, writer, seq, Body::Claim { things });
+}
+
+#[test]
+fn what_a_lowered_limit_took_is_claimed_only_once_released() {
+    let mut ledger = ledger(7);
+    let part = |ledger: &Ledger, m: u64| ledger.allotments.part(TEAMS[0], MemberId(m));
+    set_limit(&mut ledger, 2, 10);
+    claim(&mut ledger, 1, 2, 10);
+    set_limit(&mut ledger, 3, 2);
+    set_limit(&mut ledger, 4, 6);
+    claim(&mut ledger, 2, 2, 6);
+    assert_eq!((part(&ledger, 1), part(&ledger, 2)), (6, 0));
+    set_limit(&mut ledger, 5, 10);
+    claim(&mut ledger, 2, 3, 10);
+    assert_eq!((part(&ledger, 1), part(&ledger, 2)), (10, 0));
+    set_limit(&mut ledger, 6, 2);
+    let team = TEAMS[0].into();
+    let things = vec![Thing::Allotment { team, amount: 8 }];
+    write(&mut ledger, 1, 3, Body::Release { things });
+    set_limit(&mut ledger, 7, 10);
+    claim(&mut ledger, 2, 4, 10);
+    assert_eq!((part(&ledger, 1), part(&ledger, 2)), (2, 8));
+}
--- a/tests/invariants/effects.rs
+++ b/tests/invariants/effects.rs
@@ -41,8 +41,10 @@
 const LINK: u64 = 5 * MS;
 /// Time after which a request to a dark log fails.
 const LOG_TIMEOUT: u64 = 500 * MS;
-/// Longest run of a request.
+/// Longest run of most requests.
 const RUN: u64 = 1_500 * MS;
+/// Longest run of any request.
+const LONG_RUN: u64 = 8_000 * MS;
 
 impl Cell {
     pub(crate) fn carry_out(&mut self, n: usize, effect: Effect) {
@@ -230,7 +232,11 @@
         let cut = run.cut;
         self.workers[vm].runs.push(run);
         self.check_write(n, vm, call);
-        let span = self.random(RUN);
+        let longest = match self.chance(10) {
+            true => LONG_RUN,
+            false => RUN,
+        };
+        let span = self.random(longest);
         self.after(span, Due::Ends(vm, id));
         if cut {
             let ended = CallEnd::MayHaveRun(Reason::UpstreamCut);
@@ -284,7 +290,7 @@
         }];
         let profile = Profile {
             repeatable: true,
-            timeout_ms: RUN / MS,
+            timeout_ms: LONG_RUN / MS,
             ..Profile::default()
         };
         bodies.push(config(Setting::Profile("check".into(), profile)));
