--- a/tests/failures/answers.rs
+++ b/tests/failures/answers.rs
@@ -181,6 +181,31 @@
     assert_eq!(platform_breaches(&site), []);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn point_06_a_caller_without_chunks_sees_a_cut_too() {
+    use tokio::io::AsyncReadExt;
+    use tokio::io::AsyncWriteExt;
+    let (platform, _tap) = tapped().await;
+    let site = Site::start(platform, 1, "").await;
+    // In HTTP/1.0 an answer without a length ends with the connection.
+    for (cut, whole) in [("during", false), ("none", true)] {
+        let stream = tokio::net::TcpStream::connect(site.addr(0)).await;
+        let mut stream = stream.expect("a connection");
+        let text = format!(
+            "GET / HTTP/1.0\r\nauthorization: Bearer {}\r\nprofile: hold\r\n\
+             x-chunks: 8\r\nx-chunk-bytes: 10\r\nx-chunk-ms: 20\r\nx-cut: {cut}\r\n\r\n",
+            site.key
+        );
+        let written = stream.write_all(text.as_bytes()).await;
+        written.expect("it can be written");
+        let mut answer = Vec::new();
+        let read = stream.read_to_end(&mut answer).await;
+        let text = String::from_utf8_lossy(&answer).into_owned();
+        assert!(text.contains(" 200 OK"), "{text}");
+        assert_eq!(read.is_ok(), whole, "cut {cut}: {text}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn point_06_an_answer_after_its_timeout_is_an_error() {
     let (platform, _tap) = tapped().await;
