--- a/crates/monsoonnotch_core/src/wire/mod.rs
+++ b/crates/monsoonnotch_core/src/wire/mod.rs
@@ -55,6 +55,8 @@
     SlotGrant {
         /// The asker's request.
         call: CallKey,
+        /// The asker's clock when it asked, in microseconds.
+        asked: u64,
         /// The worker.
         vm: Name,
         /// Where it answers, as `ip:port`.
@@ -183,6 +185,8 @@
 pub struct SlotAsk {
     /// The asker's request.
     pub call: CallKey,
+    /// The asker's clock, in microseconds.
+    pub asked: u64,
     /// The team, unless the queue is open to all.
     pub team: Option<Name>,
     /// The profile.
