--- a/tests/failures/main.rs
+++ b/tests/failures/main.rs
@@ -7,6 +7,7 @@
 mod leaving;
 mod limits;
 mod not_run;
+mod pairs;
 mod processes;
 mod silence;
 mod site;
--- a/tests/failures/processes.rs
+++ b/tests/failures/processes.rs
@@ -15,7 +15,7 @@
 /// Silence of 1.5 s and the last promise of 2.1 s, two votes through the log,
 /// 2.85 s until the heir may use the workers, and two reports of each of them;
 /// doubled, because a machine under test is slow.
-const TAKEN_OVER: Duration = Duration::from_secs(25);
+pub(crate) const TAKEN_OVER: Duration = Duration::from_secs(25);
 
 #[tokio::test(flavor = "multi_thread")]
 async fn point_02_the_workers_of_a_killed_entry_are_taken_over() {
@@ -106,7 +106,7 @@
 }
 
 /// The workers that the entries hold and know.
-fn held(site: &Site) -> BTreeSet<String> {
+pub(crate) fn held(site: &Site) -> BTreeSet<String> {
     let mut names = BTreeSet::new();
     for e in &site.entries {
         let state = e.ctl_json(&["state"]);
