--- a/examples/decisions/tally.rs
+++ b/examples/decisions/tally.rs
@@ -83,7 +83,7 @@
         use PeerMsg::Promise;
         use PeerMsg::Summary;
         self.messages += 1;
-        if self.messages % SAMPLED == 0 {
+        if self.messages.is_multiple_of(SAMPLED) {
             let always = matches!(msg, Ping { .. } | Promise { .. } | Summary(_));
             self.bytes[usize::from(always)] += record::encode(msg).len() as u64;
         }
--- a/examples/memory.rs
+++ b/examples/memory.rs
@@ -16,6 +16,11 @@
 use monsoonnotch_core::event::KeyProof;
 use monsoonnotch_core::job::Spec;
 use monsoonnotch_core::prelude::*;
+use monsoonnotch_core::record;
+use monsoonnotch_core::record::Batch;
+use monsoonnotch_core::record::Body;
+use monsoonnotch_core::record::Record;
+use monsoonnotch_core::record::Thing;
 
 /// The system's allocator, with a count of the bytes in use.
 #[derive(Debug)]
@@ -66,6 +71,22 @@
     m.log.iter_mut().for_each(|b| b.records = Vec::new());
 }
 
+/// Prints the bytes of what the control stream carries.
+fn print_records(m: &Member) {
+    let batch = |body| Batch {
+        writer: MemberId(u64::MAX),
+        records: vec![Record { seq: 1_000, body }],
+    };
+    let len = |body| record::encode(&batch(body)).len();
+    let vm = member::vm(5_000).name;
+    let things = vec![Thing::Vm(vm)];
+    let change = member::team_change(179, 100_000);
+    println!("record: claim bytes={}", len(Body::Claim { things }));
+    println!("record: config bytes={}", len(Body::Config(change)));
+    let ledger = Box::new(m.control.ledger().clone());
+    println!("record: snapshot bytes={}", len(Body::Snapshot { ledger }));
+}
+
 /// A job of a team is submitted.
 fn submit(m: &mut Member, t: usize, count: u32) {
     let key = Some(KeyProof {
@@ -119,5 +140,6 @@
         m.ticks(1_000);
         forget_log(&mut m);
     });
+    print_records(&m);
     println!("slots in use: {:?}", m.control.fleet().slots());
 }
