--- a/crates/monsoonnotch_core/src/reducer/calls.rs
+++ b/crates/monsoonnotch_core/src/reducer/calls.rs
@@ -162,14 +162,15 @@
     }
 
     /// A slot of a peer was granted.
-    pub(super) fn slot_granted(&mut self, peer: MemberId, call: CallKey, addr: Name) {
+    ///
+    /// It is good for a while from the question that it answers; the peer may
+    /// have lost the worker since.
+    pub(super) fn slot_granted(&mut self, peer: MemberId, call: CallKey, asked: Time, addr: Name) {
         let limit = self.cfg.timing.grant;
         let now = self.now;
-        let asked = |c: &Call| match c.state {
-            State::AskedPeer { peer: p, asked } => p == peer && now.since(asked) < limit,
-            _ => false,
-        };
-        let wanted = self.calls.open.get(&call).is_some_and(asked);
+        let state = State::AskedPeer { peer, asked };
+        let open = self.calls.open.get(&call);
+        let wanted = open.is_some_and(|c| c.state == state) && now.since(asked) < limit;
         if !wanted || !self.is_certain() {
             let verdict = Verdict::NotRun;
             self.send(peer, PeerMsg::SlotReturn { call, verdict });
@@ -179,7 +180,7 @@
         self.stop_asking(call);
         self.calls.queue.left(self.now, Waiter::Own(call));
         self.started(call, class, 0);
-        let until = now + limit;
+        let until = asked + limit;
         self.dispatch(call, State::Remote(peer), addr, until);
     }
 
--- a/crates/monsoonnotch_core/src/reducer/forward.rs
+++ b/crates/monsoonnotch_core/src/reducer/forward.rs
@@ -222,6 +222,7 @@
         let c = &self.calls.open[&call];
         SlotAsk {
             call,
+            asked: self.now.0,
             team: c.team.clone(),
             profile: c.profile_name.clone(),
             size: *c.size(),
--- a/crates/monsoonnotch_entry/src/process/mod.rs
+++ b/crates/monsoonnotch_entry/src/process/mod.rs
@@ -109,8 +109,8 @@
         let callers = rt.spawn(callers::serve(listeners.callers, Arc::clone(&shared), stop));
         rt.spawn(operators::serve(listeners.operators, operators_shared));
         let peers = inbox.clone();
-        rt.spawn(link::accept(listeners.peers, move |from, msg| {
-            peers.peer(Event::Peer { from, msg });
+        rt.spawn(link::accept(listeners.peers, move |f| {
+            peers.peer(f.from, f.to, f.msg);
         }));
         rt.spawn(watch_vms(settings, inbox.clone()));
         Ok(Self {
--- a/examples/decisions/cell.rs
+++ b/examples/decisions/cell.rs
@@ -279,8 +279,9 @@
                     self.tally.count_message(&msg);
                 }
                 let from = MemberId(m as u64 + 1);
-                let ev = Event::Peer { from, msg };
-                self.at(hop, Due::Event(to.member.0 as usize - 1, ev));
+                let to = to.member;
+                let ev = Event::Peer { from, to, msg };
+                self.at(hop, Due::Event(to.0 as usize - 1, ev));
             }
             Effect::Sync(sync) => self.sync(m, sync),
             Effect::StartTask { vm, task, spec, .. } => self.start_task(m, &vm, task, spec),
