--- a/crates/monsoonnotch_core/src/reducer/check.rs
+++ b/crates/monsoonnotch_core/src/reducer/check.rs
@@ -38,6 +38,6 @@
         if teams.iter().any(beyond) {
             return Some("the parts of a team's limit add up to more than it");
         }
-        None
+        self.wrong_use()
     }
 }
--- a/crates/monsoonnotch_core/src/reducer/holdings.rs
+++ b/crates/monsoonnotch_core/src/reducer/holdings.rs
@@ -159,6 +159,7 @@
         for team in teams {
             self.used.take(team.as_ref());
         }
+        self.tasks_worker_dropped(key);
         self.fleet.drop_held(name);
     }
 
--- a/crates/monsoonnotch_core/src/reducer/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/mod.rs
@@ -8,6 +8,7 @@
 mod asker;
 mod calls;
 mod check;
+mod check_use;
 mod decide;
 mod dump;
 mod forward;
--- a/crates/monsoonnotch_core/src/reducer/tasks/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/tasks/mod.rs
@@ -58,7 +58,26 @@
     stop_confirmed: BTreeSet<TaskId>,
 }
 
+impl Tasks {
+    /// Number of tasks on own workers.
+    pub(super) fn len(&self) -> usize {
+        self.at.len()
+    }
+}
+
 impl Control {
+    /// A worker is dropped out of holding, with all that was known of its tasks.
+    pub(super) fn tasks_worker_dropped(&mut self, key: VmKey) {
+        let tasks = self.fleet.get(key).map(|vm| vm.tasks.keys().copied());
+        let tasks: Vec<TaskId> = tasks.into_iter().flatten().collect();
+        for id in tasks {
+            self.tasks.at.remove(&id);
+            self.tasks.reserved.remove(id);
+            self.tasks.stop_confirmed.remove(&id);
+        }
+        self.tasks.syncs.remove(&key);
+    }
+
     pub(super) fn tick_tasks(&mut self) {
         self.expire_reserved();
         self.repeat_ends();
--- a/crates/monsoonnotch_core/src/reducer/use_count.rs
+++ b/crates/monsoonnotch_core/src/reducer/use_count.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::Control;
+use super::check_use::UseByTeam;
 use super::holdings::hands_over_at_once;
 use crate::ident::Name;
 use crate::ledger::Folded;
@@ -49,6 +50,15 @@
         self.by_team.get(team).copied().unwrap_or(0) + self.unknown
     }
 
+    /// Whether the counts are those found otherwise.
+    pub(super) fn is(&self, found: &UseByTeam<'_>) -> bool {
+        let unknown = found.get(&None).copied().unwrap_or(0);
+        let of = |t: &Name| found.get(&Some(t)).copied().unwrap_or(0);
+        let counted = self.by_team.iter().all(|(t, n)| of(t) == *n);
+        let known = |t: &Option<&Name>| t.is_none_or(|t| self.by_team.contains_key(t));
+        unknown == self.unknown && counted && found.keys().all(known)
+    }
+
     /// What is certainly of each team.
     pub(super) fn teams(&self) -> impl Iterator<Item = (&Name, u32)> {
         self.by_team.iter().map(|(t, n)| (t, *n))
