Operators' requests go through tower's limits

Ruled out: a limit of our own beside the semaphore of connections. The change: load_shed, concurrency_limit (64) and timeout (30 s) by tower around the handler; a request too many gets 'not run' with Retry-After at once. Conclusion: behaviour within the limits is as before.

--- a/crates/monsoonnotch_entry/src/operators/mod.rs
+++ b/crates/monsoonnotch_entry/src/operators/mod.rs
@@ -19,20 +19,26 @@
 use http_body_util::Limited;
 use hyper::Request;
 use hyper::body::Incoming;
-use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use hyper_util::service::TowerToHyperService;
 use metrics_exporter_prometheus::PrometheusHandle;
 use monsoonnotch_core::config::KeyHash;
 use monsoonnotch_core::config::Stamp;
 use monsoonnotch_core::config::sound_name;
 use monsoonnotch_core::event::Look;
 use monsoonnotch_core::ident::Name;
+use monsoonnotch_core::time::Duration as Span;
 use monsoonnotch_core::verdict::Reason;
 use monsoonnotch_core::verdict::Refusal;
+use monsoonnotch_core::verdict::Verdict;
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
+use tower::BoxError;
+use tower::Service;
+use tower::ServiceBuilder;
+use tower::load_shed::error::Overloaded;
 
 use self::changes::Asked;
 use crate::callers;
@@ -42,6 +48,12 @@
 
 /// Most open connections of operators.
 const CONNECTIONS_MAX: usize = 128;
+/// Most requests of operators in progress; more are refused at once.
+const REQUESTS_MAX: usize = 64;
+/// Longest request of an operator; longer than any answer of the control thread takes.
+const REQUEST_MAX: Duration = Duration::from_secs(30);
+/// When to come back after a request too many.
+const RETRY_AFTER: Span = Span::from_secs(1);
 /// Largest body of an operator's request, in bytes.
 const BODY_MAX: usize = 1 << 20;
 /// The operator's own name, kept with what they change.
@@ -71,15 +83,15 @@
     let slots = Arc::new(Semaphore::new(CONNECTIONS_MAX));
     let mut open = JoinSet::new();
     open.spawn(upkeep(shared.metrics.clone()));
+    let service = service(shared);
     loop {
         while open.try_join_next().is_some() {}
         let permit = Arc::clone(&slots).acquire_owned().await;
         let Ok((stream, _)) = listener.accept().await else {
             continue;
         };
-        let shared = Arc::clone(&shared);
+        let service = TowerToHyperService::new(service.clone());
         open.spawn(async move {
-            let service = service_fn(|req| handle(Arc::clone(&shared), req));
             let mut builder = hyper::server::conn::http1::Builder::new();
             builder
                 .timer(TokioTimer::new())
@@ -92,6 +104,34 @@
     }
 }
 
+/// Handles operators' requests, a bounded number at a time and each for a bounded time.
+fn service(
+    shared: Arc<Shared>,
+) -> impl Service<Request<Incoming>, Response = Response<Body>, Error = BoxError, Future: Send>
++ Clone
++ Send
++ 'static {
+    ServiceBuilder::new()
+        .map_result(answered)
+        .load_shed()
+        .concurrency_limit(REQUESTS_MAX)
+        .timeout(REQUEST_MAX)
+        .service_fn(move |req| handle(Arc::clone(&shared), req))
+}
+
+/// The answer when there are too many requests, or one took too long.
+fn answered(res: Result<Response<Body>, BoxError>) -> Result<Response<Body>, BoxError> {
+    let refusal = match res {
+        Ok(res) => return Ok(res),
+        Err(e) if e.is::<Overloaded>() => Refusal::later(Reason::QueueFull, RETRY_AFTER),
+        Err(_) => Refusal {
+            verdict: Verdict::MayHaveRun,
+            ..Refusal::later(Reason::Uncertain, RETRY_AFTER)
+        },
+    };
+    Ok(problem::answer(&refusal, None))
+}
+
 /// Sorts recorded values into their ranges, so that they do not pile up between scrapes.
 async fn upkeep(metrics: Option<PrometheusHandle>) {
     let Some(handle) = metrics else {
