Returned slots name their question; owed parts come back only whole

A return for an earlier grant, late by links, freed the slot of a later one in use. Change: a return names the question whose slot it gives back; owed parts become parts again only when all of them fit the limit.

--- a/crates/monsoonnotch_core/src/call/mod.rs
+++ b/crates/monsoonnotch_core/src/call/mod.rs
@@ -31,7 +31,12 @@
     /// It runs on a worker that this member holds.
     Local(VmKey),
     /// It runs on a worker that a peer holds.
-    Remote(MemberId),
+    Remote {
+        /// The peer.
+        peer: MemberId,
+        /// When it was asked.
+        asked: Time,
+    },
 }
 
 /// A request of a caller.
@@ -100,6 +105,8 @@
 /// A slot of this member's workers that a peer's request uses.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Granted {
+    /// The asker's clock when it asked, in microseconds.
+    pub asked: u64,
     /// The worker.
     pub vm: VmKey,
     /// The team, unless the queue is open to all.
--- a/crates/monsoonnotch_core/src/ledger/allot.rs
+++ b/crates/monsoonnotch_core/src/ledger/allot.rs
@@ -81,7 +81,7 @@
     /// Fits the parts to a changed limit.
     ///
     /// Parts of a lowered limit are scaled down, each rounded down; of a raised
-    /// one, holders get back what they owe first.
+    /// one, holders get back what they owe if all of it fits.
     pub fn limit(&mut self, team: &Name, limit: u32) {
         let total = self.total(team);
         match total > limit {
@@ -100,13 +100,17 @@
         }
     }
 
-    fn give_back(&mut self, team: &Name, mut free: u32) {
+    /// Turns what is owed into parts again, once all of it fits.
+    fn give_back(&mut self, team: &Name, free: u32) {
+        let Some(owed) = self.owed.get_mut(team) else {
+            return;
+        };
+        if owed.values().sum::<u32>() > free {
+            return;
+        }
         let parts = self.parts.entry(team.clone()).or_default();
-        for (m, owed) in self.owed.get_mut(team).into_iter().flatten() {
-            let back = free.min(*owed);
-            *owed -= back;
-            free -= back;
-            *parts.entry(*m).or_default() += back;
+        for (m, owed) in std::mem::take(owed) {
+            *parts.entry(m).or_default() += owed;
         }
     }
 
--- a/crates/monsoonnotch_core/src/reducer/calls.rs
+++ b/crates/monsoonnotch_core/src/reducer/calls.rs
@@ -173,7 +173,7 @@
         let wanted = open.is_some_and(|c| c.state == state) && now.since(asked) < limit;
         if !wanted || !self.is_certain() {
             let verdict = Verdict::NotRun;
-            self.send(peer, PeerMsg::SlotReturn { call, verdict });
+            self.return_slot(peer, call, asked, verdict);
             return;
         }
         let class = self.class_of_call(&self.calls.open[&call]);
@@ -181,7 +181,7 @@
         self.calls.queue.left(self.now, Waiter::Own(call));
         self.started(call, class, 0);
         let until = asked + limit;
-        self.dispatch(call, State::Remote(peer), addr, until);
+        self.dispatch(call, State::Remote { peer, asked }, addr, until);
     }
 
     pub(super) fn slot_denied(&mut self, peer: MemberId, call: CallKey, _reason: Reason) {
@@ -314,12 +314,22 @@
 
     /// Takes a request back from a peer's queue.
     fn take_back(&mut self, call: CallKey) {
-        if let Some(peer) = self.stop_asking(call) {
-            let verdict = Verdict::NotRun;
-            self.send(peer, PeerMsg::SlotReturn { call, verdict });
+        if let Some((peer, asked)) = self.stop_asking(call) {
+            self.return_slot(peer, call, asked, Verdict::NotRun);
         }
     }
 
+    /// Returns the slot that answers one question to the peer that was asked.
+    fn return_slot(&mut self, peer: MemberId, call: CallKey, asked: Time, verdict: Verdict) {
+        let asked = asked.0;
+        let msg = PeerMsg::SlotReturn {
+            call,
+            asked,
+            verdict,
+        };
+        self.send(peer, msg);
+    }
+
     fn dispatch(&mut self, call: CallKey, state: State, addr: Name, until: Time) {
         let certain_until = until.min(self.certain_until());
         let c = self
@@ -368,7 +378,7 @@
         }
         match c.state {
             State::Local(key) => self.free_local(key, c, verdict),
-            State::Remote(peer) => self.send(peer, PeerMsg::SlotReturn { call, verdict }),
+            State::Remote { peer, asked } => self.return_slot(peer, call, asked, verdict),
             _ => {}
         }
     }
@@ -433,5 +443,5 @@
 }
 
 fn waiting(c: &Call) -> bool {
-    !matches!(c.state, State::Local(_) | State::Remote(_))
+    !matches!(c.state, State::Local(_) | State::Remote { .. })
 }
--- a/crates/monsoonnotch_core/src/reducer/forward.rs
+++ b/crates/monsoonnotch_core/src/reducer/forward.rs
@@ -80,7 +80,7 @@
     }
 
     /// Takes a request back from the peer that was asked for it.
-    pub(super) fn stop_asking(&mut self, call: CallKey) -> Option<MemberId> {
+    pub(super) fn stop_asking(&mut self, call: CallKey) -> Option<(MemberId, Time)> {
         let c = self.calls.open.get_mut(&call)?;
         let State::AskedPeer { peer, asked } = c.state else {
             return None;
@@ -91,7 +91,7 @@
         if let Some(n) = self.forwarding.out.get_mut(&(peer, team)) {
             *n = n.saturating_sub(1);
         }
-        Some(peer)
+        Some((peer, asked))
     }
 
     /// A peer that held a request had no slot for it.
--- a/crates/monsoonnotch_core/src/reducer/grants.rs
+++ b/crates/monsoonnotch_core/src/reducer/grants.rs
@@ -31,8 +31,26 @@
         }
     }
 
-    pub(super) fn slot_returned(&mut self, from: MemberId, call: CallKey, verdict: Verdict) {
-        self.drop_ask(from, call);
+    /// A peer needs the slot no more that answered, or was to answer, one question.
+    pub(super) fn slot_returned(
+        &mut self,
+        from: MemberId,
+        call: CallKey,
+        asked: u64,
+        verdict: Verdict,
+    ) {
+        let key = (from, call);
+        let waiting = self.calls.asked.get(&key);
+        if waiting.is_some_and(|w| w.ask.asked <= asked) {
+            self.drop_ask(from, call);
+        }
+        let granted = self.calls.granted.get(&key);
+        if granted.is_some_and(|g| g.asked == asked) {
+            self.end_grant(from, call, verdict);
+        }
+    }
+
+    fn end_grant(&mut self, from: MemberId, call: CallKey, verdict: Verdict) {
         if let Some(g) = self.calls.granted.remove(&(from, call)) {
             self.settle_cost(g.team.as_ref(), &g.size, &g.started);
             self.end_use(g.vm, g.team.as_ref(), &g.size, verdict);
@@ -50,7 +68,7 @@
             .map(|(k, _)| *k)
             .collect();
         for (from, call) in late {
-            self.slot_returned(from, call, Verdict::MayHaveRun);
+            self.end_grant(from, call, Verdict::MayHaveRun);
         }
     }
 
@@ -116,6 +134,7 @@
         let timing = &self.cfg.timing;
         let longest = timing.grant + timing.dispatch + Duration::from_millis(ask.timeout_ms);
         let granted = Granted {
+            asked: ask.asked,
             vm: key,
             team: ask.team,
             size: ask.size,
--- a/crates/monsoonnotch_core/src/reducer/peers.rs
+++ b/crates/monsoonnotch_core/src/reducer/peers.rs
@@ -55,7 +55,11 @@
                 call, asked, addr, ..
             } => self.slot_granted(from, call, Time(asked), addr),
             PeerMsg::SlotNone { call, reason } => self.slot_denied(from, call, reason),
-            PeerMsg::SlotReturn { call, verdict } => self.slot_returned(from, call, verdict),
+            PeerMsg::SlotReturn {
+                call,
+                asked,
+                verdict,
+            } => self.slot_returned(from, call, asked, verdict),
             PeerMsg::IntentAsk { call, key, digest } => self.intent_asked(from, call, key, digest),
             PeerMsg::IntentAnswer { call, answer } => self.intent_answered(call, answer),
             PeerMsg::IntentSettle { key, call, verdict } => {
--- a/crates/monsoonnotch_core/src/reducer/stop.rs
+++ b/crates/monsoonnotch_core/src/reducer/stop.rs
@@ -82,7 +82,7 @@
     }
 
     fn refuse_waiting(&mut self, reason: Reason) {
-        let waits = |c: &Call| !matches!(c.state, State::Local(_) | State::Remote(_));
+        let waits = |c: &Call| !matches!(c.state, State::Local(_) | State::Remote { .. });
         let open = self.calls.open.iter();
         let keys: Vec<CallKey> = open.filter(|(_, c)| waits(c)).map(|(k, _)| *k).collect();
         for call in keys {
--- a/crates/monsoonnotch_core/src/wire/mod.rs
+++ b/crates/monsoonnotch_core/src/wire/mod.rs
@@ -73,6 +73,8 @@
     SlotReturn {
         /// The asker's request.
         call: CallKey,
+        /// The asker's clock when it asked, in microseconds.
+        asked: u64,
         /// Whether the request may still run there.
         verdict: Verdict,
     },
