One all-at-once job gathers slots at a time at each home

Ruled out: leaving it to the deadline; jobs that cannot all be gathered take slots from one another until it passes.

Change: a job begins to gather only while no other job of its home does.

--- a/crates/monsoonnotch_core/src/reducer/jobs/gather.rs
+++ b/crates/monsoonnotch_core/src/reducer/jobs/gather.rs
@@ -72,6 +72,17 @@
 }
 
 impl Control {
+    /// Whether another job of this home gathers slots, so that this one does not begin.
+    pub(super) fn waits_to_gather(&self, id: JobId) -> bool {
+        let gathers = |other: &JobId| {
+            let job = self.jobs.jobs.get(other);
+            *other != id && job.is_some_and(|j| matches!(j.gang.step, Step::Gathering(_)))
+        };
+        let job = self.jobs.jobs.get(&id);
+        let begins = job.is_some_and(|j| j.is_gang() && j.gang.is_idle());
+        begins && self.jobs.gangs.iter().any(gathers)
+    }
+
     /// Slots for some tasks were asked for.
     pub(super) fn gang_asked(&mut self, id: JobId) {
         let until = self.now + GATHER;
--- a/crates/monsoonnotch_core/src/reducer/jobs/place.rs
+++ b/crates/monsoonnotch_core/src/reducer/jobs/place.rs
@@ -90,6 +90,10 @@
 
     /// Asks for places for some tasks of a job; returns how many were asked for.
     fn place_turn(&mut self, id: JobId, most: usize) -> usize {
+        if self.waits_to_gather(id) {
+            self.place_missed(id);
+            return 0;
+        }
         let Some(job) = self.jobs.jobs.get(&id) else {
             self.jobs.queue.remove(id);
             return 0;
