Nothing more starts while a team may run more than a lowered limit

Cause: a lowered limit scaled the parts down at once and left the rest owed, so that parts and owed together exceeded the limit: with 5 and 5 running, a limit of 4 let the second holder end and start again beside five of the first. Ruled out: scaling further (a holder that runs under its part is not counted as owing, so the sum still exceeds the limit); refusing while anything is owed (services of one holder would stop a team that is under its limit everywhere). The change: a lowered limit makes all parts owed; holders say what is free, and the rest of the limit is claimed anew. The exploration's witness counts all of a team at each start again; it had come to leave out what ran before a lowered limit. A directed test counts the same on the ledger.

--- a/crates/monsoonnotch_core/src/ledger/allot.rs
+++ b/crates/monsoonnotch_core/src/ledger/allot.rs
@@ -10,9 +10,10 @@
 
 /// Holder's parts of every team's upper limit.
 ///
-/// The parts of a team never add up to more than its limit. What a lowered limit
-/// took from a holder may still be in use there; it stays owed, and is claimed
-/// by nobody, until the holder says that it is free.
+/// The parts of a team never add up to more than its limit. A lowered limit makes
+/// all parts owed: they may still be in use, so each holder says what of its own
+/// is free, and only what the limit leaves beside the rest is claimed anew. So
+/// nothing more starts while a team has more running than its limit.
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Allotments {
     parts: BTreeMap<Name, BTreeMap<MemberId, u32>>,
@@ -80,23 +81,20 @@
 
     /// Fits the parts to a changed limit.
     ///
-    /// Parts of a lowered limit are scaled down, each rounded down; of a raised
-    /// one, holders get back what they owe if all of it fits.
+    /// All parts of a lowered limit are owed from now on; of a raised one,
+    /// holders get back what they owe if all of it fits.
     pub fn limit(&mut self, team: &Name, limit: u32) {
         let total = self.total(team);
         match total > limit {
-            true => self.scale(team, limit, total),
+            true => self.owe_all(team),
             false => self.give_back(team, limit - total),
         }
     }
 
-    fn scale(&mut self, team: &Name, limit: u32, total: u32) {
+    fn owe_all(&mut self, team: &Name) {
         let owed = self.owed.entry(team.clone()).or_default();
-        for (m, part) in self.parts.get_mut(team).into_iter().flatten() {
-            let scaled = u64::from(*part) * u64::from(limit) / u64::from(total);
-            let scaled = u32::try_from(scaled).expect("a part scaled down still fits");
-            *owed.entry(*m).or_default() += *part - scaled;
-            *part = scaled;
+        for (m, part) in self.parts.remove(team).unwrap_or_default() {
+            *owed.entry(m).or_default() += part;
         }
     }
 
--- a/tests/invariants/directed.rs
+++ b/tests/invariants/directed.rs
@@ -269,7 +269,7 @@
     set_limit(&mut ledger, 3, 2);
     set_limit(&mut ledger, 4, 6);
     claim(&mut ledger, 2, 2, 6);
-    assert_eq!((part(&ledger, 1), part(&ledger, 2)), (2, 0));
+    assert_eq!((part(&ledger, 1), part(&ledger, 2)), (0, 0));
     set_limit(&mut ledger, 5, 10);
     claim(&mut ledger, 2, 3, 10);
     assert_eq!((part(&ledger, 1), part(&ledger, 2)), (10, 0));
@@ -281,3 +281,28 @@
     claim(&mut ledger, 2, 4, 10);
     assert_eq!((part(&ledger, 1), part(&ledger, 2)), (2, 8));
 }
+
+#[test]
+fn nothing_more_starts_while_a_team_may_run_more_than_a_lowered_limit() {
+    let mut ledger = ledger(7);
+    let part = |ledger: &Ledger, m: u64| ledger.allotments.part(TEAMS[0], MemberId(m));
+    set_limit(&mut ledger, 2, 10);
+    claim(&mut ledger, 1, 2, 5);
+    claim(&mut ledger, 2, 2, 5);
+    // The first holder may go on running five; the second must not add to them.
+    set_limit(&mut ledger, 3, 4);
+    assert_eq!((part(&ledger, 1), part(&ledger, 2)), (0, 0));
+    claim(&mut ledger, 2, 3, 4);
+    assert_eq!(part(&ledger, 2), 0);
+    let release = |ledger: &mut Ledger, writer, seq, amount| {
+        let team = TEAMS[0].into();
+        let things = vec![Thing::Allotment { team, amount }];
+        write(ledger, writer, seq, Body::Release { things });
+    };
+    release(&mut ledger, 2, 4, 5);
+    claim(&mut ledger, 2, 5, 4);
+    assert_eq!(part(&ledger, 2), 0, "five still run");
+    release(&mut ledger, 1, 3, 3);
+    claim(&mut ledger, 2, 6, 4);
+    assert_eq!(part(&ledger, 2), 2, "two still run");
+}
--- a/tests/invariants/effects.rs
+++ b/tests/invariants/effects.rs
@@ -227,7 +227,6 @@
             call,
             start,
             cut: self.chance(5),
-            legacy: false,
         };
         let cut = run.cut;
         self.workers[vm].runs.push(run);
--- a/tests/invariants/witness.rs
+++ b/tests/invariants/witness.rs
@@ -74,8 +74,6 @@
     pub(crate) changes: BTreeMap<Ticket, Name>,
     /// Limits that members went by of late, with the time, by team.
     recent: BTreeMap<Name, VecDeque<(u64, u32)>>,
-    /// The highest of them at the last look.
-    limits: BTreeMap<Name, u32>,
 }
 
 impl Witness {
@@ -110,7 +108,9 @@
         self.check_versions(n);
         self.check_workers(n);
         self.check_ranges(n);
-        self.limits_in_force();
+        for team in TEAMS {
+            self.recent_limit(team);
+        }
     }
 
     pub(crate) fn appended(&mut self, folded: &[Folded]) {
@@ -174,22 +174,6 @@
         }
     }
 
-    /// A lowered limit is in force once no member that may start work goes by an older one.
-    ///
-    /// What runs at that moment does not count as a breach; it is not replaced either.
-    fn limits_in_force(&mut self) {
-        for team in TEAMS {
-            let limit = self.recent_limit(team);
-            let before = self.witness.limits.insert(team.into(), limit);
-            let before = before.unwrap_or(limit);
-            let runs = self.workers.iter_mut().flat_map(|w| &mut w.runs);
-            if limit < before {
-                runs.filter(|r| r.team == team)
-                    .for_each(|r| r.legacy = true);
-            }
-        }
-    }
-
     /// The highest limit of late; what a member decided on may be written a little later.
     fn recent_limit(&mut self, team: &str) -> u32 {
         let now = self.now;
@@ -216,7 +200,6 @@
     /// A request was written to a worker.
     pub(crate) fn check_write(&mut self, n: usize, vm: usize, call: CallKey) {
         self.witness.figures.written += 1;
-        self.limits_in_force();
         let worker = &self.workers[vm];
         let name = &worker.info.name;
         if worker.is_over_full() {
@@ -241,16 +224,15 @@
         self.check_limit(&team);
     }
 
+    /// No team has more running than its limit at the start of any more of it.
+    ///
+    /// What ran before a lowered limit is no breach by itself, but counts.
     fn check_limit(&mut self, team: &Name) {
         let runs = self.workers.iter().flat_map(|w| &w.runs);
-        let of_team: Vec<bool> = runs.filter(|r| r.team == *team).map(|r| r.legacy).collect();
-        let new = of_team.iter().filter(|legacy| !**legacy).count();
+        let running = runs.filter(|r| r.team == *team).count();
         let limit = self.recent_limit(team);
-        if new as u64 > u64::from(limit) {
-            let what = format!(
-                "{} of '{team}' run, {new} of them new, limit {limit}",
-                of_team.len()
-            );
+        if running as u64 > u64::from(limit) {
+            let what = format!("{running} of '{team}' run, limit {limit}");
             self.witness.breach(what);
         }
     }
--- a/tests/invariants/workers.rs
+++ b/tests/invariants/workers.rs
@@ -20,8 +20,6 @@
     pub(crate) start: u32,
     /// Whether its connection is cut before it ends.
     pub(crate) cut: bool,
-    /// Whether it began before the team's limit was last lowered.
-    pub(crate) legacy: bool,
 }
 
 /// A worker.
