Random failures of several kinds at once; former members are not heard; dead workers end a search

And a worker that died together with its holder kept every search for tasks open until the platform took it off the list.

Ruled out: asking again about every running task; that costs a message for each task and hides such faults.

Change: news and answers of former members are dropped, as their heirs tell what runs. An inherited worker that does not report counts as unknown only until the leases given by its former holder have certainly lapsed, and so does one that the list does not show.

Not explored: deaths of so many members before the first is evicted that their guards are dead, too.

--- a/crates/monsoonnotch_core/src/fleet/mod.rs
+++ b/crates/monsoonnotch_core/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 pub use self::health::Health;
 pub use self::health::Judged;
 pub use self::vm::Doubt;
+pub use self::vm::Held;
 pub use self::vm::Task;
 pub use self::vm::TaskState;
 pub use self::vm::Vm;
--- a/crates/monsoonnotch_core/src/reducer/jobs/news.rs
+++ b/crates/monsoonnotch_core/src/reducer/jobs/news.rs
@@ -15,8 +15,8 @@
 
 impl Control {
     pub(in crate::reducer) fn task_news(&mut self, from: MemberId, news: Vec<(TaskId, TaskNews)>) {
-        if !self.may_keep_records() {
-            // Holders tell ends again.
+        if !self.may_keep_records() || !self.ledger.is_member(from) {
+            // Holders tell ends again, and heirs tell what runs where a former member was.
             return;
         }
         for (id, news) in news {
--- a/crates/monsoonnotch_core/src/reducer/jobs/search.rs
+++ b/crates/monsoonnotch_core/src/reducer/jobs/search.rs
@@ -101,7 +101,7 @@
         unknown: u32,
     ) {
         let current = self.jobs.search.running && question == self.jobs.search.question;
-        if !current || !self.may_keep_records() {
+        if !current || !self.may_keep_records() || !self.ledger.is_member(from) {
             return;
         }
         for id in tasks {
--- a/crates/monsoonnotch_core/src/reducer/tasks/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/tasks/mod.rs
@@ -54,6 +54,8 @@
     reserved: Reserved,
     /// What the sync that is out told each worker.
     syncs: BTreeMap<VmKey, SyncOut>,
+    /// Own workers that the list does not show, until when something may run there.
+    missing: BTreeMap<Name, Time>,
     /// Tasks whose stop a worker has confirmed.
     stop_confirmed: BTreeSet<TaskId>,
 }
@@ -99,15 +101,34 @@
     }
 
     /// Held workers whose tasks are not known yet.
-    pub(super) fn unknown_workers(&self) -> u32 {
+    ///
+    /// On one that has not reported, nothing runs any more once the leases that
+    /// its former holder gave have certainly lapsed.
+    pub(super) fn unknown_workers(&mut self) -> u32 {
+        let lapse = self.lease_end();
+        let now = self.now;
+        let unknown = |h: &crate::fleet::Held| !h.known && now < h.from + lapse;
         let held = self.fleet.held();
-        let unknown = held.filter(|(_, vm)| vm.held.is_some_and(|h| !h.known));
-        let listed = unknown.count();
-        // A worker in the ledger that the list does not show yet is unknown, too.
+        let listed = held.filter(|(_, vm)| vm.held.as_ref().is_some_and(unknown));
+        let listed = listed.count();
+        let missing = self.missing_workers();
+        u32::try_from(listed + missing).unwrap_or(u32::MAX)
+    }
+
+    /// Own workers by the ledger that the platform's list does not show, or not yet.
+    fn missing_workers(&mut self) -> usize {
         let me = self.cfg.me;
         let own = self.ledger.vms.iter().filter(|(_, h)| **h == me);
-        let missing = own.filter(|(vm, _)| self.fleet.find(vm).is_none()).count();
-        u32::try_from(listed + missing).unwrap_or(u32::MAX)
+        let missing = own.filter(|(vm, _)| self.fleet.find(vm).is_none());
+        let missing: BTreeSet<Name> = missing.map(|(vm, _)| vm.clone()).collect();
+        let until = self.now + self.cfg.timing.evict() + self.lease_end();
+        self.tasks.missing.retain(|vm, _| missing.contains(vm));
+        for vm in missing {
+            self.tasks.missing.entry(vm).or_insert(until);
+        }
+        let now = self.now;
+        let waits = self.tasks.missing.values().filter(|until| now < **until);
+        waits.count()
     }
 
     pub(super) fn task_started(&mut self, vm: &Name, id: TaskId, verdict: Verdict) {
--- a/crates/monsoonnotch_core/tests/recovery/jobs/mod.rs
+++ b/crates/monsoonnotch_core/tests/recovery/jobs/mod.rs
@@ -292,3 +292,39 @@
     cell.run(1_000);
     assert_eq!(cell.running(), 0);
 }
+
+#[test]
+fn a_job_survives_the_planned_stop_of_each_home_in_turn() {
+    let mut cell = Cell::new(4, 6);
+    let job = cell.submit(A, "batch", 40, "run:12000");
+    for _ in 0..2 {
+        let leaving = home(&cell, job);
+        cell.run(1_000);
+        cell.step(leaving, Event::Stop);
+        cell.until("it has left", |c| !c.members.contains_key(&leaving));
+        cell.until("an heir", |c| home(c, job) != leaving);
+    }
+    let asker = *cell.members.keys().next().expect("a member");
+    cell.until("the job is done", |c| {
+        phase(c, asker, job) == Some(Phase::Done)
+    });
+    assert!(cell.starts.values().all(|n| *n == 1), "nothing runs again");
+}
+
+#[test]
+fn tasks_on_a_dead_worker_of_a_dead_holder_run_elsewhere() {
+    let mut cell = Cell::new(4, 6);
+    let job = cell.submit(A, "watch", 12, "forever");
+    cell.until("all run", |c| c.running() == 12);
+    let home = home(&cell, job);
+    let busy = cell.busiest();
+    let holder = cell.members[&home].ledger().holder_of_vm(&busy);
+    let worker = cell.workers.get_mut(&busy).expect("a worker");
+    worker.dark = true;
+    cell.kill(holder.expect("a holder"));
+    let asker = *cell.members.keys().next().expect("a member");
+    cell.until("all run elsewhere", |c| {
+        let running = c.running() - c.tasks_on(&busy);
+        running == 12 && c.status(asker, job).is_some_and(|s| s.running == 12)
+    });
+}
--- a/crates/monsoonnotch_core/tests/recovery/keyed/mod.rs
+++ b/crates/monsoonnotch_core/tests/recovery/keyed/mod.rs
@@ -253,3 +253,22 @@
     cell.run(1_000);
     assert_eq!(cell.dispatches(1) + cell.dispatches(2), 1);
 }
+
+#[test]
+fn keys_survive_a_planned_stop_of_their_home_under_load() {
+    let mut cell = Cell::new(4, 4);
+    let (home, other) = home_and_other(&cell);
+    cell.deposit(other, 1, KEY, 9);
+    cell.until("dispatched", |c| c.dispatches(1) == 1);
+    cell.step(home, Event::Stop);
+    cell.complete(other, 1);
+    let asker = third(home, other);
+    for call in 2..100 {
+        cell.deposit(asker, call, KEY, 9);
+        cell.run(50);
+    }
+    assert!(!cell.members.contains_key(&home), "it has left");
+    let again: usize = (2..100).map(|call| cell.dispatches(call)).sum();
+    let last = cell.refusal(99).map(|r| r.reason);
+    assert_eq!((again, last), (0, Some(Reason::AlreadyRan)));
+}
--- a/crates/monsoonnotch_core/tests/recovery/main.rs
+++ b/crates/monsoonnotch_core/tests/recovery/main.rs
@@ -3,4 +3,5 @@
 mod cell;
 mod jobs;
 mod keyed;
+mod random;
 mod retention;
