--- a/crates/monsoonnotch_core/src/config/profile.rs
+++ b/crates/monsoonnotch_core/src/config/profile.rs
@@ -95,6 +95,9 @@
             p if p.size.slots == 0 => Some("'size.slots' must be at least 1."),
             p if p.max_attempts == 0 => Some("'max_attempts' must be at least 1."),
             p if p.timeout_ms == 0 => Some("'timeout_ms' must be at least 1."),
+            p if p.spread != Spread::Pack => {
+                Some("'spread' must be 'pack'; spreading over racks or domains is not built yet.")
+            }
             _ => None,
         }
     }
--- a/crates/monsoonnotch_core/src/effect/mod.rs
+++ b/crates/monsoonnotch_core/src/effect/mod.rs
@@ -122,6 +122,8 @@
     pub acknowledge: Vec<TaskId>,
     /// The lease that the tasks get.
     pub lease: Duration,
+    /// When the right to renew lapses.
+    pub certain_until: Time,
 }
 
 /// An answer to a question from outside.
--- a/crates/monsoonnotch_core/src/reducer/tasks/sync.rs
+++ b/crates/monsoonnotch_core/src/reducer/tasks/sync.rs
@@ -89,6 +89,7 @@
         let timing = self.cfg.timing;
         let now = self.now;
         let lapse = now + self.lease_end();
+        let certain_until = self.certain_until();
         // Whoever did not answer is asked first; only then are its leases renewed again.
         let sync = self.fleet.update(key, |vm| {
             let renews = vm.silent == 0;
@@ -115,6 +116,7 @@
                 stop: std::mem::take(&mut vm.stops),
                 acknowledge: std::mem::take(&mut vm.acks),
                 lease: timing.lease,
+                certain_until,
             }
         });
         let told = SyncOut {
--- a/crates/monsoonnotch_entry/src/control/runner.rs
+++ b/crates/monsoonnotch_entry/src/control/runner.rs
@@ -266,9 +266,13 @@
 
     fn sync(&self, sync: Sync) {
         let asked = self.out.clock.now();
+        let clock = self.out.clock;
         let workers = self.out.workers.clone();
         self.spawn(async move {
             let vm = sync.vm.clone();
+            if clock.now() >= sync.certain_until {
+                return Event::SyncFailed { vm };
+            }
             match workers.sync(&sync).await {
                 Ok(report) => Event::Synced { vm, asked, report },
                 Err(_) => Event::SyncFailed { vm },
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -143,6 +143,7 @@
         ("lane = \"short\"\nlain = 1\n", ":2: unknown field"),
         ("lane = \"quick\"\n", ":1: unknown variant"),
         ("priority = 10\n", "'priority' must be 0 to 9"),
+        ("spread = \"racks\"\n", "'spread' must be 'pack'"),
     ] {
         std::fs::write(&path, text).expect("the profile can be written");
         let out = ctl(&publish);
