A former member's reply confirms nothing; VMs that vanish with their holder are released

Cause: reading the reducer for what crosses incarnations.

Ruled out: releasing at once (its tasks' leases may run on), releasing while no list comes (the list service may be dark). Before: former::a_reply_to_a_former_members_append_confirms_nothing dispatched 1 of 20; former::a_vm_that_vanished_with_its_holder_is_released_by_the_heir did not end within a minute of virtual time. After: both pass. Conclusion: both hold.

--- a/crates/monsoonnotch_core/src/reducer/holdings.rs
+++ b/crates/monsoonnotch_core/src/reducer/holdings.rs
@@ -33,6 +33,11 @@
 }
 
 impl Holdings {
+    /// An own record that moves things was written.
+    pub(super) fn moving(&mut self, seq: u64, things: Vec<Thing>) {
+        self.moving.insert(seq, things);
+    }
+
     /// Workers that are on their way out.
     pub(super) fn moving_vms(&self) -> BTreeSet<&Name> {
         let things = self.moving.values().flatten();
@@ -100,6 +105,7 @@
 
     pub(super) fn vms_listed(&mut self, list: &[crate::event::VmInfo]) {
         self.fleet.list(list);
+        self.note_vanished();
         self.match_vms();
     }
 
@@ -128,7 +134,7 @@
     }
 
     /// Holds in the fleet what may be used, and nothing else.
-    fn match_vms(&mut self) {
+    pub(super) fn match_vms(&mut self) {
         let epoch = self.ledger.next;
         let mut take = Vec::new();
         let mut drop = Vec::new();
@@ -396,30 +402,10 @@
             to,
         });
         self.settling.given(&things);
-        self.holdings.moving.insert(seq, things);
+        self.holdings.moving(seq, things);
         self.match_vms();
     }
 
-    /// Gives up workers that the platform does not list any more and on which nothing can run.
-    fn release_gone(&mut self) {
-        let gone = self
-            .fleet
-            .held()
-            .filter(|(_, vm)| vm.info.leaving && vm.unlisted && vm.is_idle());
-        let things: Vec<Thing> = gone
-            .map(|(_, vm)| Thing::Vm(vm.info.name.clone()))
-            .collect();
-        if !things.is_empty() {
-            let body = Body::Release {
-                things: things.clone(),
-            };
-            let seq = self.write(body);
-            self.settling.given(&things);
-            self.holdings.moving.insert(seq, things);
-            self.match_vms();
-        }
-    }
-
     /// Gives up what a lowered limit took, as far as it is not in use any more.
     ///
     /// What was owed by a former holder may be in use unseen until its workers have reported.
--- a/crates/monsoonnotch_core/src/reducer/log.rs
+++ b/crates/monsoonnotch_core/src/reducer/log.rs
@@ -101,7 +101,9 @@
     pub(super) fn appended(&mut self, stream: Stream, token: u64) {
         match stream {
             Stream::Control => self.append_confirmed(token),
-            Stream::Journal(_) => self.journal_appended(token),
+            Stream::Journal(m) if m == self.cfg.me => self.journal_appended(token),
+            // A reply to a former member of this process.
+            Stream::Journal(_) => {}
         }
     }
 
--- a/crates/monsoonnotch_core/src/reducer/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/mod.rs
@@ -29,6 +29,7 @@
 mod stop;
 mod tasks;
 mod use_count;
+mod vanish;
 mod writer;
 
 use std::collections::BTreeMap;
@@ -69,6 +70,7 @@
 use self::stop::Stopping;
 use self::tasks::Tasks;
 use self::use_count::UseCount;
+use self::vanish::Vanished;
 use self::writer::Writer;
 
 /// What a member is told when it starts.
@@ -102,6 +104,7 @@
     log: LogReader,
     writer: Writer,
     holdings: Holdings,
+    vanished: Vanished,
     settling: Settling,
     fleet: Fleet,
     used: UseCount,
@@ -138,6 +141,7 @@
             history: VecDeque::new(),
             log: LogReader::default(),
             holdings: Holdings::default(),
+            vanished: Vanished::default(),
             settling: Settling::default(),
             fleet: Fleet::default(),
             used: UseCount::default(),
