--- /dev/null
+++ b/crates/monsoonnotch_core/src/reducer/give.rs
@@ -0,0 +1,158 @@
+//! Giving away what is more than an even part.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use super::Control;
+use crate::ident::MemberId;
+use crate::ident::Name;
+use crate::ident::RANGES;
+use crate::ident::RangeId;
+use crate::ident::VmKey;
+use crate::record::Body;
+use crate::record::Thing;
+
+/// Workers that one look gives away at most.
+const GIVE_MAX: usize = 64;
+
+impl Control {
+    pub(super) fn vm_counts(&self) -> BTreeMap<MemberId, usize> {
+        let none = self.ledger.members.keys().map(|m| (*m, 0));
+        let mut counts: BTreeMap<MemberId, usize> = none.collect();
+        for holder in self.ledger.vms.values() {
+            *counts.entry(*holder).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Gives idle workers to the member that has the fewest, if this one has more than its part.
+    pub(super) fn give_workers(&mut self) {
+        let counts = self.vm_counts();
+        let mine = counts.get(&self.cfg.me).copied().unwrap_or(0);
+        let even = self.ledger.vms.len() / counts.len().max(1);
+        let poorest = counts.iter().min_by_key(|(_, n)| **n);
+        let Some((to, least)) = poorest.map(|(m, n)| (*m, *n)) else {
+            return;
+        };
+        if mine <= even || least >= even || to == self.cfg.me {
+            self.stop_draining();
+            return;
+        }
+        let give = (mine - even).min(even - least).min(GIVE_MAX);
+        self.drain_workers(give);
+        let things = self.take_drained(give);
+        if !things.is_empty() {
+            self.move_things(things, to);
+        }
+    }
+
+    fn stop_draining(&mut self) {
+        let draining = self.fleet.held().filter(|(_, vm)| vm.draining);
+        let keys: Vec<VmKey> = draining.map(|(k, _)| k).collect();
+        for key in keys {
+            self.fleet.update(key, |vm| vm.draining = false);
+        }
+    }
+
+    /// Marks workers without tasks, so that they empty soon.
+    fn drain_workers(&mut self, n: usize) {
+        let marked = self.fleet.held().filter(|(_, vm)| vm.draining).count();
+        let free_of_tasks = self
+            .fleet
+            .held()
+            .filter(|(_, vm)| !vm.draining && vm.tasks.is_empty());
+        let mut keys: Vec<(u32, VmKey)> = free_of_tasks.map(|(k, vm)| (vm.requests, k)).collect();
+        keys.sort_unstable();
+        for (_, key) in keys.into_iter().take(n.saturating_sub(marked)) {
+            self.fleet.update(key, |vm| vm.draining = true);
+        }
+    }
+
+    fn take_drained(&mut self, n: usize) -> Vec<Thing> {
+        let ready = self
+            .fleet
+            .held()
+            .filter(|(_, vm)| vm.draining && vm.is_idle() && vm.held.is_some_and(|h| h.known));
+        let names = ready.map(|(_, vm)| vm.info.name.clone()).take(n);
+        names.map(Thing::Vm).collect()
+    }
+
+    /// Gives ranges in which nothing is remembered to the member that has the fewest.
+    pub(super) fn give_ranges(&mut self) {
+        let none = self.ledger.members.keys().map(|m| (*m, 0));
+        let mut counts: BTreeMap<MemberId, usize> = none.collect();
+        for holder in self.ledger.ranges.values() {
+            *counts.entry(*holder).or_default() += 1;
+        }
+        let mine = counts.get(&self.cfg.me).copied().unwrap_or(0);
+        let even = usize::from(RANGES) / counts.len().max(1);
+        let poorest = counts.iter().min_by_key(|(_, n)| **n);
+        let Some((to, least)) = poorest.map(|(m, n)| (*m, *n)) else {
+            return;
+        };
+        if mine <= even + 1 || least >= even || self.has_ancestors() {
+            return;
+        }
+        let busy = self.busy_ranges();
+        let own = self
+            .ledger
+            .ranges
+            .iter()
+            .filter(|(_, h)| **h == self.cfg.me);
+        let clean = own
+            .map(|(r, _)| *r)
+            .filter(|r| !busy.contains(r) && self.holds_range(*r));
+        let give = (mine - even).min(even - least);
+        let things: Vec<Thing> = clean.take(give).map(Thing::Range).collect();
+        if !things.is_empty() {
+            self.move_things(things, to);
+        }
+    }
+
+    /// Ranges in which a key or a job is remembered here.
+    fn busy_ranges(&self) -> BTreeSet<RangeId> {
+        let keys = self.keyed.hashes().map(RangeId::of);
+        let jobs = self.jobs.ids().map(RangeId::of_job);
+        keys.chain(jobs).collect()
+    }
+
+    /// Gives spare parts of limits to members that have less than their even part.
+    pub(super) fn give_allotments(&mut self) {
+        let teams: Vec<Name> = self.ledger.config.teams.keys().cloned().collect();
+        let mut gifts: BTreeMap<MemberId, Vec<Thing>> = BTreeMap::new();
+        for team in teams {
+            if let Some((to, amount)) = self.spare_allotment(&team) {
+                let gift = Thing::Allotment { team, amount };
+                gifts.entry(to).or_default().push(gift);
+            }
+        }
+        for (to, things) in gifts {
+            self.move_things(things, to);
+        }
+    }
+
+    fn spare_allotment(&self, team: &Name) -> Option<(MemberId, u32)> {
+        let limit = self.ledger.config.teams.get(team)?.value.limit;
+        let n = u32::try_from(self.ledger.members.len()).ok()?;
+        let even = limit / n.max(1);
+        let parts = &self.ledger.allotments;
+        let mine = parts.part(team, self.cfg.me);
+        let members = self.ledger.members.keys();
+        let (least, to) = members.map(|m| (parts.part(team, *m), *m)).min()?;
+        let excess = mine.saturating_sub(even);
+        let lack = even.saturating_sub(least);
+        let amount = excess.min(lack).min(self.allotment_left(team));
+        (amount > 0 && to != self.cfg.me).then_some((to, amount))
+    }
+
+    /// Writes a transfer; the things are not used from now on.
+    fn move_things(&mut self, things: Vec<Thing>, to: MemberId) {
+        let seq = self.write(Body::Transfer {
+            things: things.clone(),
+            to,
+        });
+        self.settling.given(&things);
+        self.holdings.moving(seq, things);
+        self.match_vms();
+    }
+}
