One piece of logic for even parts, for giving away, and for the lapse of a lease

Cause: reading the whole change again. Workers and hash ranges worked out their surplus in two copies; transfers and releases wrote, settled and matched in two; the time after which a lease has lapsed stood in three places. Ruled out: the doubled shapes in the catalogue of metrics and in the tests, which are tables and steps of one test each. The change: give.rs has count_held, surplus and write_away; Timing::lapse serves tasks, settling and vanished workers. No behaviour changes. Conclusion: fewer places to change; nothing else.

--- a/crates/monsoonnotch_core/src/reducer/give.rs
+++ b/crates/monsoonnotch_core/src/reducer/give.rs
@@ -16,29 +16,45 @@
 const GIVE_MAX: usize = 64;
 
 impl Control {
+    /// How many workers each member holds.
     pub(super) fn vm_counts(&self) -> BTreeMap<MemberId, usize> {
+        self.count_held(self.ledger.vms.values())
+    }
+
+    fn count_held<'a>(
+        &self,
+        holders: impl Iterator<Item = &'a MemberId>,
+    ) -> BTreeMap<MemberId, usize> {
         let none = self.ledger.members.keys().map(|m| (*m, 0));
         let mut counts: BTreeMap<MemberId, usize> = none.collect();
-        for holder in self.ledger.vms.values() {
+        for holder in holders {
             *counts.entry(*holder).or_default() += 1;
         }
         counts
     }
 
+    /// How many of `total` things to give to whom, if this member has over `slack` too many.
+    fn surplus(
+        &self,
+        counts: &BTreeMap<MemberId, usize>,
+        total: usize,
+        slack: usize,
+    ) -> Option<(MemberId, usize)> {
+        let mine = counts.get(&self.cfg.me).copied().unwrap_or(0);
+        let even = total / counts.len().max(1);
+        let (to, least) = counts.iter().min_by_key(|(_, n)| **n)?;
+        let gives = mine > even + slack && *least < even;
+        gives.then(|| (*to, (mine - even).min(even - least)))
+    }
+
     /// Gives idle workers to the member that has the fewest, if this one has more than its part.
     pub(super) fn give_workers(&mut self) {
-        let counts = self.vm_counts();
-        let mine = counts.get(&self.cfg.me).copied().unwrap_or(0);
-        let even = self.ledger.vms.len() / counts.len().max(1);
-        let poorest = counts.iter().min_by_key(|(_, n)| **n);
-        let Some((to, least)) = poorest.map(|(m, n)| (*m, *n)) else {
-            return;
-        };
-        if mine <= even || least >= even || to == self.cfg.me {
+        let total = self.ledger.vms.len();
+        let Some((to, give)) = self.surplus(&self.vm_counts(), total, 0) else {
             self.stop_draining();
             return;
-        }
-        let give = (mine - even).min(even - least).min(GIVE_MAX);
+        };
+        let give = give.min(GIVE_MAX);
         self.drain_workers(give);
         let things = self.take_drained(give);
         if !things.is_empty() {
@@ -79,20 +95,13 @@
 
     /// Gives ranges in which nothing is remembered to the member that has the fewest.
     pub(super) fn give_ranges(&mut self) {
-        let none = self.ledger.members.keys().map(|m| (*m, 0));
-        let mut counts: BTreeMap<MemberId, usize> = none.collect();
-        for holder in self.ledger.ranges.values() {
-            *counts.entry(*holder).or_default() += 1;
+        if self.has_ancestors() {
+            return;
         }
-        let mine = counts.get(&self.cfg.me).copied().unwrap_or(0);
-        let even = usize::from(RANGES) / counts.len().max(1);
-        let poorest = counts.iter().min_by_key(|(_, n)| **n);
-        let Some((to, least)) = poorest.map(|(m, n)| (*m, *n)) else {
+        let counts = self.count_held(self.ledger.ranges.values());
+        let Some((to, give)) = self.surplus(&counts, usize::from(RANGES), 1) else {
             return;
         };
-        if mine <= even + 1 || least >= even || self.has_ancestors() {
-            return;
-        }
         let busy = self.busy_ranges();
         let own = self
             .ledger
@@ -102,7 +111,6 @@
         let clean = own
             .map(|(r, _)| *r)
             .filter(|r| !busy.contains(r) && self.holds_range(*r));
-        let give = (mine - even).min(even - least);
         let things: Vec<Thing> = clean.take(give).map(Thing::Range).collect();
         if !things.is_empty() {
             self.move_things(things, to);
@@ -145,12 +153,17 @@
         (amount > 0 && to != self.cfg.me).then_some((to, amount))
     }
 
-    /// Writes a transfer; the things are not used from now on.
     fn move_things(&mut self, things: Vec<Thing>, to: MemberId) {
-        let seq = self.write(Body::Transfer {
+        let body = Body::Transfer {
             things: things.clone(),
             to,
-        });
+        };
+        self.write_away(body, things);
+    }
+
+    /// Writes that things are given away or up; they are not used from now on.
+    pub(super) fn write_away(&mut self, body: Body, things: Vec<Thing>) {
+        let seq = self.write(body);
         self.settling.given(&things);
         self.holdings.moving(seq, things);
         self.match_vms();
--- a/crates/monsoonnotch_core/src/reducer/settling.rs
+++ b/crates/monsoonnotch_core/src/reducer/settling.rs
@@ -64,7 +64,7 @@
         self.settle_ranges(from);
         if self.heirless(folded) {
             let timing = &self.cfg.timing;
-            let lapse = timing.lease + timing.dispatch + timing.drift;
+            let lapse = timing.lapse();
             self.settling.quiet = self.now + lapse.max(timing.evict());
         }
     }
--- a/crates/monsoonnotch_core/src/reducer/tasks/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/tasks/mod.rs
@@ -105,7 +105,7 @@
     /// On one that has not reported, nothing runs any more once the leases that
     /// its former holder gave have certainly lapsed.
     pub(super) fn unknown_workers(&mut self) -> u32 {
-        let lapse = self.lease_end();
+        let lapse = self.cfg.timing.lapse();
         let now = self.now;
         let unknown = |h: &crate::fleet::Held| !h.known && now < h.from + lapse;
         let held = self.fleet.held();
@@ -121,7 +121,7 @@
         let own = self.ledger.vms.iter().filter(|(_, h)| **h == me);
         let missing = own.filter(|(vm, _)| self.fleet.find(vm).is_none());
         let missing: BTreeSet<Name> = missing.map(|(vm, _)| vm.clone()).collect();
-        let until = self.now + self.cfg.timing.evict() + self.lease_end();
+        let until = self.now + self.cfg.timing.evict() + self.cfg.timing.lapse();
         self.tasks.missing.retain(|vm, _| missing.contains(vm));
         for vm in missing {
             self.tasks.missing.entry(vm).or_insert(until);
@@ -202,7 +202,7 @@
             size,
             team,
             since: self.now,
-            lapse: self.now + self.lease_end(),
+            lapse: self.now + self.cfg.timing.lapse(),
         };
         self.fleet.update(key, |vm| vm.add_task(id, task));
     }
@@ -216,16 +216,10 @@
         }
     }
 
-    /// Longest time from now after which a lease given now has lapsed.
-    fn lease_end(&self) -> Duration {
-        let timing = &self.cfg.timing;
-        timing.lease + timing.dispatch + timing.drift
-    }
-
     /// The task may run from now on, under a lease counted from now.
     fn began(&mut self, key: VmKey, id: TaskId) {
         let now = self.now;
-        let lapse = now + self.lease_end();
+        let lapse = now + self.cfg.timing.lapse();
         self.fleet.update(key, |vm| {
             if let Some(t) = vm.tasks.get_mut(&id) {
                 t.state = TaskState::Running;
--- a/crates/monsoonnotch_core/src/reducer/tasks/sync.rs
+++ b/crates/monsoonnotch_core/src/reducer/tasks/sync.rs
@@ -72,7 +72,7 @@
             vm.sync_out = false;
             vm.silent = vm.silent.saturating_add(1);
         });
-        let lapse = self.now + self.lease_end();
+        let lapse = self.now + self.cfg.timing.lapse();
         if let Some(told) = self.tasks.syncs.remove(&key) {
             self.fleet.update(key, |vm| {
                 for id in &told.renewed {
@@ -88,7 +88,7 @@
     fn sync_worker(&mut self, key: VmKey) {
         let timing = self.cfg.timing;
         let now = self.now;
-        let lapse = now + self.lease_end();
+        let lapse = now + self.cfg.timing.lapse();
         let certain_until = self.certain_until();
         // Whoever did not answer is asked first; only then are its leases renewed again.
         let sync = self.fleet.update(key, |vm| {
--- a/crates/monsoonnotch_core/src/reducer/vanish.rs
+++ b/crates/monsoonnotch_core/src/reducer/vanish.rs
@@ -11,7 +11,6 @@
 use crate::ident::Name;
 use crate::record::Body;
 use crate::record::Thing;
-use crate::time::Duration;
 use crate::time::Time;
 
 /// Held workers that are not on the list and were not when they came here.
@@ -52,14 +51,12 @@
         let body = Body::Release {
             things: things.clone(),
         };
-        let seq = self.write(body);
-        self.settling.given(&things);
-        self.holdings.moving(seq, things);
-        self.match_vms();
+        self.write_away(body, things);
     }
 
     fn long_vanished(&self) -> Vec<Thing> {
-        let wait = self.longest_lease();
+        // A former holder may have renewed leases for as long as it was certain.
+        let wait = self.cfg.timing.evict() + self.cfg.timing.lapse();
         let last = self.vanished.listed;
         let long = self.vanished.since.iter();
         let long = long.filter(|(_, since)| last.since(**since) >= wait);
@@ -67,10 +64,4 @@
         let names = long.map(|(name, _)| name).filter(held);
         names.cloned().map(Thing::Vm).collect()
     }
-
-    /// How long a task may run on after its last holder was last certain.
-    fn longest_lease(&self) -> Duration {
-        let timing = &self.cfg.timing;
-        timing.evict() + timing.lease + timing.dispatch + timing.drift
-    }
 }
--- a/crates/monsoonnotch_core/src/timing/mod.rs
+++ b/crates/monsoonnotch_core/src/timing/mod.rs
@@ -54,6 +54,11 @@
 }
 
 impl Timing {
+    /// How long a task may run after its holder sent the last renewal of its lease.
+    pub fn lapse(&self) -> Duration {
+        self.lease + self.dispatch + self.drift
+    }
+
     /// How long an heir waits after reading the deciding vote.
     pub fn evict(&self) -> Duration {
         self.fresh.max(self.promise) + self.grant + self.dispatch + self.drift
