--- /dev/null
+++ b/crates/monsoonnotch_jobs/src/effect/mod.rs
@@ -0,0 +1,163 @@
+//! What the holder wants done.
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use monsoonnotch_core::ident::VmKey;
+use monsoonnotch_core::time::Duration;
+
+use crate::holder::RunKey;
+use crate::journal::Stored;
+use crate::plan::StageId;
+use crate::plan::TaskId;
+
+/// A member that can ask the approval service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LaneKey(pub u64);
+
+/// Where the answer to a caller goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct QueryKey {
+    /// The member's link.
+    pub link: u64,
+    /// The number of the question on that link.
+    pub seq: u64,
+}
+
+/// One question to the approval service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AskKey(pub u64);
+
+/// One look at a VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LookKey {
+    /// The VM.
+    pub vm: VmKey,
+    /// The number of the look.
+    pub seq: u64,
+}
+
+/// Where an order goes.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// The VM's address, as `ip:port`.
+    pub addr: CompactString,
+    /// The VM's id.
+    pub id: CompactString,
+}
+
+/// The state of a job, as callers see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum JobState {
+    /// Nothing of it has started.
+    Queued,
+    /// It is at work.
+    Active,
+    /// All of it ended well.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// A caller cancelled it.
+    Cancelled,
+}
+
+/// The answer to a caller's question.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Answer {
+    /// The job's state.
+    State(JobState),
+    /// There is no such job.
+    NoJob,
+    /// Jobs that have not begun.
+    Pending(u64),
+}
+
+/// Something to do.
+#[derive(Debug)]
+pub enum Effect {
+    /// Start a run.
+    Start {
+        /// The run.
+        run: RunKey,
+        /// The VM.
+        to: Target,
+        /// The order.
+        order: Box<StartOrder>,
+    },
+    /// Stop a run, or keep it from starting.
+    Stop {
+        /// The run.
+        run: RunKey,
+        /// The VM.
+        to: Target,
+        /// The task.
+        task: TaskId,
+        /// The attempt.
+        attempt: u64,
+    },
+    /// Look at a VM and renew its lease.
+    Look {
+        /// The look.
+        key: LookKey,
+        /// The VM.
+        to: Target,
+        /// Ends up to this number may be forgotten.
+        seen: u64,
+        /// End of the lease on the VM's clock, in milliseconds.
+        lease_until_ms: Option<u64>,
+        /// How long the VM may wait for an end.
+        wait: Duration,
+    },
+    /// Ask which VMs may run a stage.
+    Approve {
+        /// The question.
+        key: AskKey,
+        /// Who asks.
+        lane: LaneKey,
+        /// The stage.
+        stage: StageId,
+        /// Ids of the VMs.
+        vms: Vec<CompactString>,
+    },
+    /// Store records under the holder's token.
+    Append(Vec<Stored>),
+    /// Answer a caller.
+    Reply {
+        /// Where to.
+        key: QueryKey,
+        /// The answer.
+        answer: Answer,
+    },
+    /// Somebody else holds the jobs now.
+    StepDown,
+    /// A line for the log.
+    Note(Note),
+}
+
+/// A start, as a VM takes it.
+#[derive(Debug)]
+pub struct StartOrder {
+    /// The task.
+    pub task: TaskId,
+    /// The attempt.
+    pub attempt: u64,
+    /// Passed to the task.
+    pub spec: Arc<str>,
+    /// When the order is void, on the VM's clock in milliseconds.
+    pub expires_ms: u64,
+    /// Saved progress to go on from; empty: none.
+    pub saved: CompactString,
+    /// The approval; empty: none.
+    pub ticket: CompactString,
+}
+
+/// A decision worth a line in the log.
+#[derive(Debug)]
+pub struct Note {
+    /// The job it is about, or zero.
+    pub job: u64,
+    /// What was decided.
+    pub what: &'static str,
+    /// What it was decided by.
+    pub why: String,
+}
--- /dev/null
+++ b/crates/monsoonnotch_jobs/src/holder/gang.rs
@@ -0,0 +1,36 @@
+//! Stages whose tasks work only all together.
+
+use super::*;
+use crate::vm::How;
+
+/// Shortest pause before a gang that broke is started again.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Spread of that pause, so that gangs that met do not meet again.
+const PAUSE_SPREAD: u64 = 300;
+
+impl Holder {
+    /// A member of a gang ended without success: the others are stopped.
+    ///
+    /// The next attempt begins once none of them is there any more.
+    pub(super) fn gang_broken(&mut self, key: StageKey, how: How) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(key.job) else { return };
+        let spread = job.id.0 % PAUSE_SPREAD;
+        let Some(stage) = job.stages.get_mut(&(key.occurrence, key.step)) else { return };
+        stage.not_before = now + PAUSE + Duration::from_millis(spread);
+        // Those that a VM reports as broken end by themselves.
+        let runs: Vec<RunKey> = match how {
+            How::Done => Vec::new(),
+            _ => stage.runs().collect(),
+        };
+        for run in runs {
+            self.stop_run(run, "its gang broke");
+        }
+    }
+
+    /// Whether all tasks of a gang wait, so that it can be started.
+    pub(super) fn gang_waits(&self, key: StageKey) -> bool {
+        let Some(stage) = self.stage(key) else { return false };
+        stage.runs().next().is_none() && self.now >= stage.not_before
+    }
+}
--- /dev/null
+++ b/crates/monsoonnotch_jobs/src/holder/job.rs
@@ -0,0 +1,393 @@
+//! Jobs, their stages and tasks, and how a stage becomes ready and ends.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use super::approve::Approvals;
+use super::*;
+use crate::journal::Outcome;
+use crate::journal::StageProgress;
+use crate::site::Queue;
+
+/// Weight of the newest run in what is learnt of a queue's run times.
+const LEARN: f64 = 0.1;
+/// A job later than this many times its objective earns its caller nothing.
+const TOO_LATE: u64 = 3;
+/// Added to the class of a stage whose account sends more than it is owed.
+const CLASS_OVER: u32 = 1_000;
+/// Added to the class of a stage whose job is too late to be of use.
+const CLASS_LATE: u32 = 2_000;
+
+/// The arena key of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct JobKey(u32);
+
+impl Key for JobKey {
+    fn from_index(index: usize) -> Self {
+        Self(u32::try_from(index).expect("an arena holds less than 2^32 items"))
+    }
+
+    fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// A stage inside the holder.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StageKey {
+    /// The job.
+    pub job: JobKey,
+    /// The occurrence.
+    pub occurrence: u32,
+    /// The step.
+    pub step: u16,
+}
+
+/// Place of a stage in line: class, then when the job is due, in Unix milliseconds.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Rank {
+    pub(super) class: u32,
+    pub(super) due_ms: u64,
+}
+
+/// What runs of a queue have shown.
+#[derive(Debug, Default, Clone, Copy)]
+pub(super) struct Learnt {
+    /// Time of a run over its estimate.
+    pub(super) ratio: f64,
+    /// Share of VMs that are approved.
+    pub(super) approved: f64,
+}
+
+/// A job.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub(super) id: JobId,
+    pub(super) queue: CompactString,
+    pub(super) account: CompactString,
+    pub(super) pool: CompactString,
+    pub(super) spec: Arc<str>,
+    pub(super) plan: Plan,
+    pub(super) taken_ms: u64,
+    /// Whether a former holder cannot have started any of it.
+    pub(super) fresh: bool,
+    /// No attempt of a former holder has a higher number.
+    pub(super) attempts_before: u64,
+    /// Whether its account had sent more than it is owed.
+    pub(super) over: bool,
+    pub(super) cancelled: bool,
+    pub(super) outcome: Option<Outcome>,
+    /// The outcome as stored; only this is shown.
+    pub(super) stored: Option<Outcome>,
+    pub(super) begun: bool,
+    pub(super) ended_at: Option<Time>,
+    pub(super) stages: BTreeMap<(u32, u16), Stage>,
+    pub(super) next_occurrence: u32,
+}
+
+/// One step of one occurrence.
+#[derive(Debug, Default)]
+pub(super) struct Stage {
+    pub(super) tasks: Vec<Task>,
+    /// Tasks without a run that have not ended well.
+    pub(super) waiting: BTreeSet<u32>,
+    pub(super) done: u32,
+    pub(super) ready: bool,
+    pub(super) ready_at: Time,
+    pub(super) rank: Rank,
+    pub(super) approvals: Approvals,
+    /// Attempts of the gang that failed, and the last of these.
+    pub(super) gang_fails: (u16, u64),
+    /// Before this the stage starts nothing.
+    pub(super) not_before: Time,
+    /// When the last of its runs was sent.
+    pub(super) started_at: Time,
+}
+
+/// One task.
+#[derive(Debug, Default, Clone)]
+pub(super) struct Task {
+    pub(super) run: Option<RunKey>,
+    pub(super) done: bool,
+    pub(super) fails: u16,
+    /// The last attempt that failed; an end that is listed again counts once.
+    pub(super) failed_attempt: u64,
+    pub(super) attempt: u64,
+    pub(super) saved: CompactString,
+}
+
+impl Stage {
+    fn new(count: u32, attempt: u64) -> Self {
+        let task = Task {
+            attempt,
+            ..Task::default()
+        };
+        Self {
+            tasks: vec![task; count as usize],
+            waiting: (0..count).collect(),
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn whole(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+
+    /// Runs of the stage that may be there.
+    pub(super) fn runs(&self) -> impl Iterator<Item = RunKey> {
+        self.tasks.iter().filter_map(|t| t.run)
+    }
+}
+
+impl Job {
+    pub(super) fn step(&self, step: u16) -> &Step {
+        &self.plan.steps[usize::from(step)]
+    }
+
+    pub(super) fn ended(&self) -> bool {
+        self.cancelled || self.outcome.is_some()
+    }
+
+    /// Time to completion that is good, in milliseconds.
+    pub(super) fn objective_ms(&self, queue: Option<&Queue>) -> u64 {
+        let (factor, target) = queue.map_or((1.5, 1_000), |q| (q.slack_factor, q.target_ms));
+        (self.plan.chain_ms() as f64 * factor) as u64 + target
+    }
+
+    /// When an occurrence may start, in Unix milliseconds.
+    pub(super) fn due_ms(&self, occurrence: u32) -> u64 {
+        match self.plan.repeats {
+            0 => self.taken_ms,
+            _ => self.plan.first_ms + u64::from(occurrence) * self.plan.every_ms,
+        }
+    }
+
+    /// Creates the stages of an occurrence.
+    pub(super) fn open_occurrence(&mut self, occurrence: u32) {
+        for (i, step) in (0_u16..).zip(&self.plan.steps) {
+            let stage = || Stage::new(step.count, self.attempts_before);
+            self.stages.entry((occurrence, i)).or_insert_with(stage);
+        }
+        self.next_occurrence = self.next_occurrence.max(occurrence + 1);
+    }
+
+    /// Whether the steps before a stage have all ended well.
+    pub(super) fn unblocked(&self, occurrence: u32, step: u16) -> bool {
+        let whole = |d: &u16| self.stages.get(&(occurrence, *d)).is_some_and(Stage::whole);
+        self.step(step).after.iter().all(whole)
+    }
+
+    /// Whether every task of every occurrence has ended well.
+    pub(super) fn all_done(&self) -> bool {
+        self.next_occurrence >= self.plan.occurrences() && self.stages.values().all(Stage::whole)
+    }
+
+    /// Takes over what was stored of a stage.
+    pub(super) fn restore(&mut self, p: &StageProgress) {
+        if usize::from(p.step) >= self.plan.steps.len() {
+            return;
+        }
+        self.open_occurrence(p.occurrence);
+        let Some(stage) = self.stages.get_mut(&(p.occurrence, p.step)) else {
+            return;
+        };
+        let all = 0..u32::try_from(stage.tasks.len()).unwrap_or(0);
+        let done: Vec<u32> = if p.whole { all.collect() } else { p.done.clone() };
+        for i in done {
+            let Some(task) = stage.tasks.get_mut(i as usize) else { continue };
+            if !task.done {
+                task.done = true;
+                stage.done += 1;
+                stage.waiting.remove(&i);
+            }
+        }
+        for &(i, fails, attempt) in &p.failed {
+            if let Some(task) = stage.tasks.get_mut(i as usize) {
+                task.fails = task.fails.max(fails);
+                task.failed_attempt = attempt;
+                let (gang_fails, last) = &mut stage.gang_fails;
+                *gang_fails = fails.max(*gang_fails);
+                *last = attempt.max(*last);
+            }
+        }
+        for (i, saved) in &p.saved {
+            if let Some(task) = stage.tasks.get_mut(*i as usize) {
+                task.saved = saved.clone();
+            }
+        }
+    }
+}
+
+impl Holder {
+    pub(super) fn queue(&self, name: &str) -> Option<&Queue> {
+        self.site.queues.get(name)
+    }
+
+    pub(super) fn stage(&self, key: StageKey) -> Option<&Stage> {
+        let job = self.jobs.get(key.job)?;
+        job.stages.get(&(key.occurrence, key.step))
+    }
+
+    pub(super) fn stage_mut(&mut self, key: StageKey) -> Option<&mut Stage> {
+        let job = self.jobs.get_mut(key.job)?;
+        job.stages.get_mut(&(key.occurrence, key.step))
+    }
+
+    pub(super) fn task_id(&self, key: StageKey, index: u32) -> TaskId {
+        let job = self.jobs.get(key.job).map_or(JobId(0), |j| j.id);
+        let stage = crate::plan::StageId {
+            job,
+            occurrence: key.occurrence,
+            step: key.step,
+        };
+        TaskId { stage, index }
+    }
+
+    /// Opens what is due of a job and puts stages that may start in line.
+    pub(super) fn advance(&mut self, key: JobKey) {
+        let unix_ms = self.unix_ms;
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        if job.ended() {
+            return;
+        }
+        while job.next_occurrence < job.plan.occurrences()
+            && job.due_ms(job.next_occurrence) <= unix_ms
+        {
+            job.open_occurrence(job.next_occurrence);
+        }
+        if job.all_done() {
+            return self.end_job(key, Outcome::Completed);
+        }
+        let blocked = job.stages.iter().filter(|(_, s)| !s.ready && !s.whole());
+        let free = blocked.filter(|((k, i), _)| job.unblocked(*k, *i));
+        let free: Vec<(u32, u16)> = free.map(|(&id, _)| id).collect();
+        for (occurrence, step) in free {
+            let stage = StageKey { job: key, occurrence, step };
+            self.stage_ready(stage);
+        }
+    }
+
+    fn stage_ready(&mut self, key: StageKey) {
+        let now = self.now;
+        let rank = self.rank(key);
+        let Some(stage) = self.stage_mut(key) else { return };
+        stage.ready = true;
+        stage.ready_at = now;
+        stage.rank = rank;
+        self.line_up(key);
+    }
+
+    /// Puts a stage in line while tasks of it wait, and takes it out otherwise.
+    pub(super) fn line_up(&mut self, key: StageKey) {
+        let Some(stage) = self.stage(key) else { return };
+        let place = (stage.rank, key);
+        let ended = self.jobs.get(key.job).is_none_or(Job::ended);
+        if stage.ready && !stage.waiting.is_empty() && !ended {
+            self.ready.insert(place);
+            self.changed = true;
+        } else {
+            self.ready.remove(&place);
+        }
+    }
+
+    fn rank(&self, key: StageKey) -> Rank {
+        let Some(job) = self.jobs.get(key.job) else {
+            return Rank::default();
+        };
+        let queue = self.queue(&job.queue);
+        let objective = job.objective_ms(queue);
+        let from = job.due_ms(key.occurrence);
+        let lasting = job.step(key.step).lasting;
+        let late = !lasting && self.unix_ms > from + TOO_LATE * objective;
+        let priority = queue.map_or(u32::from(u8::MAX), |q| q.priority);
+        let over = if job.over { CLASS_OVER } else { 0 };
+        Rank {
+            class: priority + over + if late { CLASS_LATE } else { 0 },
+            due_ms: from + objective,
+        }
+    }
+
+    /// Ends a job for good; what runs of it is stopped.
+    pub(super) fn end_job(&mut self, key: JobKey, outcome: Outcome) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        if job.outcome.is_some() || job.cancelled {
+            return;
+        }
+        job.outcome = Some(outcome);
+        let id = job.id.0;
+        self.flush.dirty(key);
+        self.withdraw(key);
+        let what = match outcome {
+            Outcome::Completed => "job completed",
+            Outcome::Failed => "job failed",
+        };
+        self.note(id, what, String::new());
+    }
+
+    /// Takes a job's stages out of line and stops what runs of it.
+    pub(super) fn withdraw(&mut self, key: JobKey) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        job.ended_at.get_or_insert(now);
+        self.open.remove(&key);
+        let mut places = Vec::new();
+        let mut runs = Vec::new();
+        for (&(occurrence, step), stage) in &job.stages {
+            places.push((stage.rank, StageKey { job: key, occurrence, step }));
+            runs.extend(stage.runs());
+        }
+        for place in places {
+            self.ready.remove(&place);
+        }
+        for run in runs {
+            self.stop_run(run, "the job is over");
+        }
+    }
+
+    /// Opens occurrences that are due and forgets jobs that ended long ago.
+    pub(super) fn scan_jobs(&mut self) {
+        let unix_ms = self.unix_ms;
+        let due = |j: &Job| {
+            j.next_occurrence < j.plan.occurrences() && j.due_ms(j.next_occurrence) <= unix_ms
+        };
+        let open = self.open.iter().copied();
+        let due: Vec<JobKey> = open
+            .filter(|&k| self.jobs.get(k).is_some_and(due))
+            .collect();
+        for key in due {
+            self.advance(key);
+        }
+        let (now, keep) = (self.now, self.tuning.keep_ended);
+        let old = |j: &Job| {
+            let runs = j.stages.values().any(|s| s.runs().next().is_some());
+            !runs && j.ended_at.is_some_and(|t| now > t + keep)
+        };
+        let old = self.jobs.iter().filter(|(_, j)| old(j));
+        let old: Vec<(JobKey, JobId)> = old.map(|(k, j)| (k, j.id)).collect();
+        for (key, id) in old {
+            self.jobs.remove(key);
+            self.by_id.remove(&id);
+            self.flush.drop_job(key, id);
+        }
+    }
+
+    /// Learns how long runs of a queue take, against their estimate.
+    pub(super) fn learn_time(&mut self, queue: &str, ratio: f64) {
+        let first = Learnt {
+            ratio: 1.0,
+            approved: 0.5,
+        };
+        let learnt = self.learnt.entry(queue.into()).or_insert(first);
+        learnt.ratio += LEARN * (ratio - learnt.ratio);
+    }
+
+    /// Learns what share of VMs is approved for steps of a queue.
+    pub(super) fn learn_approved(&mut self, queue: &str, share: f64) {
+        let first = Learnt {
+            ratio: 1.0,
+            approved: share,
+        };
+        let learnt = self.learnt.entry(queue.into()).or_insert(first);
+        learnt.approved += 2.0 * LEARN * (share - learnt.approved);
+    }
+}
--- /dev/null
+++ b/crates/monsoonnotch_jobs/src/holder/make_room.rs
@@ -0,0 +1,24 @@
+//! Makes room: moves lasting tasks off VMs that leave.
+
+use super::*;
+
+impl Holder {
+    /// Stops tasks on VMs that leave where that serves them better than the end.
+    pub(super) fn make_room(&mut self) {
+        let mut moved = Vec::new();
+        let leaving = self.vms.iter().filter(|(_, v)| v.report.draining);
+        for (_, vm) in leaving {
+            for key in &vm.runs {
+                let Some(run) = self.runs.get(key) else { continue };
+                let Some(job) = self.jobs.get(run.stage.job) else { continue };
+                let running = matches!(run.state, runs::State::Running { .. });
+                if running && job.step(run.stage.step).lasting {
+                    moved.push(*key);
+                }
+            }
+        }
+        for key in moved {
+            self.stop_run(key, "its vm leaves");
+        }
+    }
+}
--- /dev/null
+++ b/crates/monsoonnotch_jobs/src/holder/mod.rs
@@ -0,0 +1,197 @@
+//! The reducer: one event and the time go in, effects come out.
+//!
+//! A task is *waiting*, or has one *run*. A run takes room on its VM and counts
+//! against its account's limit from before its start is sent until it is
+//! certain that it neither runs nor will: its end was listed, its start was
+//! refused, a stop was answered and a later look does not show it, or every
+//! lease under which it could run has lapsed.
+
+mod approve;
+mod flush;
+mod fold;
+mod gang;
+mod job;
+mod looks;
+mod make_room;
+mod place;
+mod requests;
+mod runs;
+mod vms;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use crate::effect::Note;
+use crate::prelude::*;
+
+pub use self::job::JobKey;
+pub use self::job::StageKey;
+pub use self::runs::RunKey;
+
+/// Pause between scans for what is due.
+const SCAN_PAUSE: Duration = Duration::from_millis(40);
+
+/// The scheduler of all jobs, while this member holds them.
+#[derive(Debug)]
+pub struct Holder {
+    tuning: Tuning,
+    site: Arc<SiteConfig>,
+    now: Time,
+    unix_ms: u64,
+    token: u64,
+    /// Offset of the first record under this token.
+    marker: Option<u64>,
+    /// When every lease of a former holder has lapsed.
+    settle_at: Time,
+    /// Before this the list of VMs may lack some that live.
+    list_sure_at: Time,
+    jobs: Arena<JobKey, job::Job>,
+    by_id: BTreeMap<JobId, JobKey>,
+    /// Jobs whose cancelling came before them.
+    cancelled_first: BTreeSet<JobId>,
+    /// Jobs that have not ended.
+    open: BTreeSet<JobKey>,
+    vms: Arena<VmKey, vms::Vm>,
+    vm_ids: BTreeMap<CompactString, VmKey>,
+    runs: BTreeMap<RunKey, runs::Run>,
+    next_run: u64,
+    usage: BTreeMap<CompactString, Resources>,
+    rates: BTreeMap<CompactString, fold::Rate>,
+    ready: BTreeSet<(job::Rank, StageKey)>,
+    asks: approve::Asks,
+    flush: flush::Flush,
+    learnt: BTreeMap<CompactString, job::Learnt>,
+    next_scan: Time,
+    /// Whether something changed that may let a waiting task start.
+    changed: bool,
+    /// Whether another holder was seen; nothing is decided any more.
+    over: bool,
+    fx: Vec<Effect>,
+}
+
+impl Holder {
+    /// A holder with a token that the store has just given.
+    ///
+    /// `settle_at` is when every lease that a former holder renewed has lapsed,
+    /// `list_sure_at` when the list of VMs lacks none that lives.
+    pub fn new(
+        token: u64,
+        tuning: Tuning,
+        site: Arc<SiteConfig>,
+        settle_at: Time,
+        list_sure_at: Time,
+    ) -> Self {
+        Self {
+            tuning,
+            site,
+            list_sure_at,
+            now: Time::default(),
+            unix_ms: 0,
+            token,
+            marker: None,
+            settle_at,
+            jobs: Arena::default(),
+            by_id: BTreeMap::new(),
+            cancelled_first: BTreeSet::new(),
+            open: BTreeSet::new(),
+            vms: Arena::default(),
+            vm_ids: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            next_run: 0,
+            usage: BTreeMap::new(),
+            rates: BTreeMap::new(),
+            ready: BTreeSet::new(),
+            asks: approve::Asks::default(),
+            flush: flush::Flush::default(),
+            learnt: BTreeMap::new(),
+            next_scan: Time::default(),
+            changed: false,
+            over: false,
+            fx: Vec::new(),
+        }
+    }
+
+    /// The token under which this holder gives orders.
+    pub fn token(&self) -> u64 {
+        self.token
+    }
+
+    /// Takes in one event; effects follow from [`Self::decide`].
+    pub fn handle(&mut self, event: Event, now: Time, unix_ms: u64) {
+        self.now = now;
+        self.unix_ms = unix_ms;
+        match event {
+            Event::Tick => {}
+            Event::Config(site) => {
+                self.site = site;
+                self.changed = true;
+            }
+            Event::Journal(records) => self.fold(records),
+            Event::CaughtUp { marker } => self.caught_up(marker),
+            Event::Vms(entries) => self.vms_changed(entries),
+            Event::AllVms(reports) => self.vms_listed(reports),
+            Event::Looked { key, answer } => self.looked(key, answer),
+            Event::Started { run, answer } => self.start_answered(run, answer),
+            Event::Stopped { run, answer } => self.stop_answered(run, answer),
+            Event::Approved { key, allowed } => self.approved(key, allowed),
+            Event::Appended { stored } => self.appended(stored),
+            Event::LaneUp(lane) => self.asks.lane_up(lane),
+            Event::LaneDown(lane) => self.asks.lane_down(lane),
+            Event::Query { key, query } => self.answer(key, &query),
+        }
+    }
+
+    /// Decides what follows from the events taken in so far.
+    pub fn decide(&mut self, now: Time, unix_ms: u64) -> Vec<Effect> {
+        self.now = now;
+        self.unix_ms = unix_ms;
+        if !self.over && self.marker.is_some() {
+            if now >= self.next_scan {
+                self.next_scan = now + SCAN_PAUSE;
+                self.scan();
+            }
+            if self.changed {
+                self.changed = false;
+                self.place_all();
+            }
+            self.flush_progress();
+        }
+        std::mem::take(&mut self.fx)
+    }
+
+    /// When [`Self::decide`] wants to be called next without any event.
+    pub fn wake_at(&self) -> Time {
+        self.next_scan
+    }
+
+    /// What is due by time alone.
+    fn scan(&mut self) {
+        self.scan_vms();
+        self.scan_runs();
+        self.scan_jobs();
+        self.scan_asks();
+        self.make_room();
+    }
+
+    fn step_down(&mut self) {
+        if !self.over {
+            self.over = true;
+            self.fx.push(Effect::StepDown);
+        }
+    }
+
+    fn note(&mut self, job: u64, what: &'static str, why: String) {
+        self.fx.push(Effect::Note(Note { job, what, why }));
+    }
+
+    /// Sizes of the tables, for gauges: jobs open, runs, VMs, stages that wait.
+    pub fn sizes(&self) -> [usize; 4] {
+        [
+            self.open.len(),
+            self.runs.len(),
+            self.vms.len(),
+            self.ready.len(),
+        ]
+    }
+}
--- /dev/null
+++ b/crates/monsoonnotch_jobs/src/holder/place.rs
@@ -0,0 +1,310 @@
+//! Placement: which waiting task goes to which VM, in which order.
+//!
+//! Stages stand in line by the priority of their queue, then by when their job
+//! is due. A stage that cannot start all its tasks starts what it can; the
+//! stages behind it may use what it cannot. Part of the fleet is kept for the
+//! first priority.
+
+use super::job::Job;
+use super::job::Rank;
+use super::*;
+use crate::plan::Step;
+
+/// Priority that may use the reserve and preempt others.
+pub(super) const URGENT: u32 = 0;
+/// Share of its usual time that a task may take longer on a VM before another
+/// with room is preferred.
+const SLOW: f64 = 1.15;
+
+/// A VM that may run tasks of a stage.
+#[derive(Debug)]
+struct Candidate {
+    vm: VmKey,
+    free: Resources,
+    /// Tasks of the stage there, and the most there may be.
+    here: u32,
+    most: u32,
+    /// Better ones are lower.
+    preference: u64,
+    rack: CompactString,
+    ticket: CompactString,
+}
+
+/// Processor of the VMs of a pool, in thousandths of a core.
+#[derive(Debug, Default, Clone, Copy)]
+struct PoolRoom {
+    free: u64,
+    total: u64,
+}
+
+/// How many times `need` fits into `free`.
+pub(super) fn times_fitting(free: &Resources, need: &Resources) -> u64 {
+    let part = |have: u64, takes: u64| have.checked_div(takes).unwrap_or(u64::MAX);
+    part(free.cpu_milli, need.cpu_milli)
+        .min(part(free.memory_mib, need.memory_mib))
+        .min(part(free.accelerators, need.accelerators))
+}
+
+impl Holder {
+    /// Starts what can be started, first in line first.
+    pub(super) fn place_all(&mut self) {
+        let mut room = self.pool_rooms();
+        let line: Vec<(Rank, StageKey)> = self.ready.iter().copied().collect();
+        let settled = self.settled();
+        for (rank, key) in line {
+            let Some(job) = self.jobs.get(key.job) else { continue };
+            // A former holder may have started it where no look has reached yet.
+            if !job.fresh && !settled {
+                continue;
+            }
+            let pool = job.pool.clone();
+            let mut left = room.get(&pool).copied().unwrap_or_default();
+            self.place_stage(rank, key, &mut left);
+            room.insert(pool, left);
+        }
+    }
+
+    fn pool_rooms(&self) -> BTreeMap<CompactString, PoolRoom> {
+        let mut rooms: BTreeMap<CompactString, PoolRoom> = BTreeMap::new();
+        for (_, vm) in self.vms.iter().filter(|(_, vm)| vm.usable(self.now)) {
+            let room = rooms.entry(vm.report.pool.clone()).or_default();
+            room.free += vm.free().cpu_milli;
+            room.total += vm.report.capacity.cpu_milli;
+        }
+        rooms
+    }
+
+    fn place_stage(&mut self, rank: Rank, key: StageKey, room: &mut PoolRoom) {
+        let approval = self.approval_of(key);
+        let candidates = self.candidates(key, approval.is_some());
+        let gang = self.jobs.get(key.job).is_some_and(|j| j.step(key.step).gang);
+        let (placed, all) = match gang {
+            true => self.place_gang(rank, key, candidates, room),
+            false => self.place_tasks(rank, key, candidates, room),
+        };
+        if let Some(approval) = approval
+            && !all
+            && (placed == 0 || self.stage(key).is_some_and(|s| !s.waiting.is_empty()))
+        {
+            self.ask_for(key, approval);
+        }
+    }
+
+    /// Whether a VM may ever run a step, and may now be given work.
+    pub(super) fn suits(&self, vm: VmKey, job: &Job, step: &Step) -> bool {
+        let Some(row) = self.vms.get(vm) else { return false };
+        let label = |l: &CompactString| row.report.labels.contains(l);
+        row.usable(self.now)
+            && row.report.pool == job.pool
+            && row.report.capacity.fits(&Resources {
+                slots: 0,
+                connections: 0,
+                ..step.need
+            })
+            && step.label.as_ref().is_none_or(label)
+    }
+
+    fn candidates(&self, key: StageKey, approved: bool) -> Vec<Candidate> {
+        let Some(job) = self.jobs.get(key.job) else { return Vec::new() };
+        let Some(stage) = self.stage(key) else { return Vec::new() };
+        let step = job.step(key.step);
+        let mut here: BTreeMap<VmKey, u32> = BTreeMap::new();
+        for run in stage.runs().filter_map(|r| self.runs.get(&r)) {
+            *here.entry(run.vm).or_default() += 1;
+        }
+        let mut found = Vec::new();
+        let need = step.room();
+        let mut consider = |vm: VmKey, ticket: CompactString| {
+            let Some(row) = self.vms.get(vm) else { return };
+            let free = row.free();
+            if !self.suits(vm, job, step) || !free.fits(&Resources { slots: 0, connections: 0, ..need }) {
+                return;
+            }
+            found.push(Candidate {
+                vm,
+                free,
+                here: here.get(&vm).copied().unwrap_or(0),
+                most: match step.per_vm_max {
+                    0 => u32::MAX,
+                    n => n,
+                },
+                preference: preference(row, step),
+                rack: rack_of(&row.report.labels),
+                ticket,
+            });
+        };
+        if approved {
+            for (&vm, ticket) in &stage.approvals.tickets {
+                let born = self.vms.get(vm).map(|v| v.report.born_ms);
+                if ticket.until > self.now && born == Some(ticket.born_ms) {
+                    consider(vm, ticket.text.clone());
+                }
+            }
+        } else {
+            for (vm, _) in self.vms.iter() {
+                consider(vm, CompactString::default());
+            }
+        }
+        found.retain(|c| c.here < c.most);
+        found
+    }
+
+    /// Starts waiting tasks one by one; returns how many, and whether that was all.
+    fn place_tasks(
+        &mut self,
+        rank: Rank,
+        key: StageKey,
+        mut candidates: Vec<Candidate>,
+        room: &mut PoolRoom,
+    ) -> (usize, bool) {
+        let Some(stage) = self.stage(key) else { return (0, true) };
+        if self.now < stage.not_before {
+            return (0, true);
+        }
+        let waiting: Vec<(u32, u64)> = stage
+            .waiting
+            .iter()
+            .map(|&i| (i, stage.tasks[i as usize].attempt + 1))
+            .collect();
+        let job = self.jobs.get(key.job).expect("a stage has a job");
+        let (account, step) = (job.account.clone(), job.step(key.step).clone());
+        let need = step.room();
+        let total = waiting.len();
+        let mut placed = 0;
+        for (index, attempt) in waiting {
+            if !self.within_limit(&account, &step.need) || !self.leaves_reserve(rank, &need, room) {
+                return (placed, true);
+            }
+            let Some(at) = choose(&candidates, &need) else { break };
+            let c = &mut candidates[at];
+            let (vm, ticket) = (c.vm, c.ticket.clone());
+            c.free.take(&need);
+            c.here += 1;
+            if c.here >= c.most || !c.free.fits(&Resources { slots: 0, connections: 0, ..need }) {
+                candidates.swap_remove(at);
+            }
+            room.free = room.free.saturating_sub(need.cpu_milli);
+            self.start(key, index, vm, attempt, ticket);
+            placed += 1;
+        }
+        (placed, placed == total)
+    }
+
+    /// Starts all tasks of a gang, or none.
+    fn place_gang(
+        &mut self,
+        rank: Rank,
+        key: StageKey,
+        mut candidates: Vec<Candidate>,
+        room: &mut PoolRoom,
+    ) -> (usize, bool) {
+        if !self.gang_waits(key) {
+            return (0, true);
+        }
+        let stage = self.stage(key).expect("a gang that waits has a stage");
+        let waiting: Vec<u32> = stage.waiting.iter().copied().collect();
+        let attempt = stage.tasks.iter().map(|t| t.attempt).max().unwrap_or(0) + 1;
+        let job = self.jobs.get(key.job).expect("a stage has a job");
+        let (account, step) = (job.account.clone(), job.step(key.step).clone());
+        let need = step.room();
+        let count = waiting.len() as u64;
+        let all = step.need.times(count);
+        if !self.within_limit(&account, &all) || !self.leaves_reserve(rank, &need.times(count), room) {
+            return (0, true);
+        }
+        if step.rack_local
+            && let Some(rack) = roomy_rack(&candidates, &need, count)
+        {
+            candidates.retain(|c| c.rack == rack);
+        }
+        let mut chosen = Vec::new();
+        for _ in &waiting {
+            let Some(at) = choose(&candidates, &need) else { return (0, false) };
+            let c = &mut candidates[at];
+            chosen.push((c.vm, c.ticket.clone()));
+            c.free.take(&need);
+            c.here += 1;
+            if c.here >= c.most || !c.free.fits(&Resources { slots: 0, connections: 0, ..need }) {
+                candidates.swap_remove(at);
+            }
+        }
+        room.free = room.free.saturating_sub(need.times(count).cpu_milli);
+        for (index, (vm, ticket)) in waiting.iter().zip(chosen) {
+            self.start(key, *index, vm, attempt, ticket);
+        }
+        (waiting.len(), true)
+    }
+
+    /// Whether an account may have so much more running.
+    pub(super) fn within_limit(&self, account: &str, need: &Resources) -> bool {
+        let Some(limit) = self.site.accounts.get(account).map(|a| a.limit) else {
+            return true;
+        };
+        let used = self.usage.get(account).copied().unwrap_or_default();
+        let fits = |limit: u64, used: u64, need: u64| limit == 0 || used + need <= limit;
+        fits(limit.cpu_milli, used.cpu_milli, need.cpu_milli)
+            && fits(limit.memory_mib, used.memory_mib, need.memory_mib)
+            && fits(limit.accelerators, used.accelerators, need.accelerators)
+    }
+
+    /// Whether a start leaves what is kept for the first priority.
+    fn leaves_reserve(&self, rank: Rank, need: &Resources, room: &PoolRoom) -> bool {
+        let kept = room.total * self.tuning.urgent_reserve_milli / 1_000;
+        rank.class == URGENT || need.cpu_milli == 0 || room.free >= need.cpu_milli + kept
+    }
+}
+
+/// The rack among a VM's labels, by its form; empty where there is none.
+pub(super) fn rack_of(labels: &[CompactString]) -> CompactString {
+    let rack = labels.iter().find(|l| l.contains('-') || l.starts_with('r'));
+    rack.cloned().unwrap_or_default()
+}
+
+/// What speaks against a VM for a step, apart from its room; lower is better.
+fn preference(vm: &vms::Vm, step: &Step) -> u64 {
+    let mut against = 0;
+    if let Some(rack) = &step.data_rack
+        && !vm.report.labels.contains(rack)
+    {
+        against += 8;
+    }
+    // Work that fills disturbs work that serves: they are kept apart.
+    if step.fills && vm.serving > 0 {
+        against += 4;
+    }
+    if step.target_ms > 0 && vm.filling > 0 {
+        against += 4;
+    }
+    if vm.health.slowness > SLOW {
+        against += 2;
+    }
+    if vm.health.bad > 0 {
+        against += 1;
+    }
+    against
+}
+
+/// The candidate to take next: preferred first, then the fullest that fits.
+fn choose(candidates: &[Candidate], need: &Resources) -> Option<usize> {
+    let fitting = candidates.iter().enumerate();
+    let best = fitting.min_by_key(|(_, c)| {
+        let left = match need.cpu_milli {
+            // Work that takes no processor room goes where most is left over.
+            0 => u64::MAX - c.free.cpu_milli,
+            _ => c.free.cpu_milli,
+        };
+        (c.preference, left)
+    });
+    best.map(|(i, _)| i)
+}
+
+/// A rack that holds so many tasks, if there is one.
+fn roomy_rack(candidates: &[Candidate], need: &Resources, count: u64) -> Option<CompactString> {
+    let mut fits: BTreeMap<&CompactString, u64> = BTreeMap::new();
+    for c in candidates {
+        let most = u64::from(c.most - c.here);
+        *fits.entry(&c.rack).or_default() += times_fitting(&c.free, need).min(most);
+    }
+    let enough = fits.into_iter().filter(|&(_, n)| n >= count);
+    enough.min_by_key(|&(_, n)| n).map(|(r, _)| r.clone())
+}
--- /dev/null
+++ b/crates/monsoonnotch_jobs/src/holder/requests.rs
@@ -0,0 +1,40 @@
+//! Answers to callers' questions, from what is stored.
+
+use super::*;
+use crate::effect::Answer;
+use crate::effect::JobState;
+use crate::effect::QueryKey;
+use crate::event::Query;
+use crate::journal::Outcome;
+
+impl Holder {
+    /// Answers a question.
+    pub(super) fn answer(&mut self, key: QueryKey, query: &Query) {
+        let answer = match query {
+            Query::State { id, account } => self.state_of(*id, account),
+            Query::Pending { queue } => self.pending(queue),
+        };
+        self.fx.push(Effect::Reply { key, answer });
+    }
+
+    fn state_of(&self, id: JobId, account: &str) -> Answer {
+        let job = self.by_id.get(&id).and_then(|&k| self.jobs.get(k));
+        let Some(job) = job.filter(|j| j.account.is_empty() || j.account == account) else {
+            return Answer::NoJob;
+        };
+        let state = match job.stored {
+            Some(Outcome::Completed) => JobState::Completed,
+            Some(Outcome::Failed) => JobState::Failed,
+            None if job.cancelled => JobState::Cancelled,
+            None if job.begun => JobState::Active,
+            None => JobState::Queued,
+        };
+        Answer::State(state)
+    }
+
+    fn pending(&self, queue: &str) -> Answer {
+        let open = self.open.iter().filter_map(|&k| self.jobs.get(k));
+        let waits = |j: &&job::Job| j.queue == queue && !j.begun && !j.ended();
+        Answer::Pending(open.filter(waits).count() as u64)
+    }
+}
--- /dev/null
+++ b/crates/monsoonnotch_jobs/src/journal/mod.rs
@@ -0,0 +1,158 @@
+//! Records of the journal: what is stored of a job, each under its own key.
+//!
+//! A job has up to three keys: what was submitted (written by the member that
+//! took it), that it was cancelled (likewise), and how far it is (written by the
+//! holder under its token). The newest record of each key is kept by the store.
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use monsoonnotch_core::record::decode;
+use monsoonnotch_core::record::encode;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::plan::JobId;
+use crate::plan::Plan;
+use crate::plan::parse_job_id;
+
+/// Key of the record by which a holder ends its predecessor's writing.
+pub const HOLDER_KEY: &str = "holder";
+
+/// A record with its key, as the store has it; no value: the key is dropped.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Stored {
+    /// The key.
+    pub key: CompactString,
+    /// The value.
+    pub value: Vec<u8>,
+}
+
+/// What a caller handed in.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Submission {
+    /// The queue.
+    pub queue: CompactString,
+    /// The client account; empty where the queue needs none.
+    pub account: CompactString,
+    /// Where the queue sent its tasks when the job was taken.
+    pub pool: CompactString,
+    /// When it was taken, in Unix milliseconds.
+    pub taken_ms: u64,
+    /// The work.
+    pub plan: Plan,
+}
+
+/// How a job ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// All tasks ended well.
+    Completed,
+    /// A task failed too often.
+    Failed,
+}
+
+/// How far a job is.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Progress {
+    /// How it ended.
+    pub outcome: Option<Outcome>,
+    /// Whether a task of it has started.
+    pub begun: bool,
+    /// The stages of which a task has ended.
+    pub stages: Vec<StageProgress>,
+}
+
+/// How far a stage is.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct StageProgress {
+    /// The occurrence.
+    pub occurrence: u32,
+    /// The step.
+    pub step: u16,
+    /// Whether all its tasks ended well.
+    pub whole: bool,
+    /// Tasks that ended well, unless all did.
+    pub done: Vec<u32>,
+    /// Tasks that failed, how often, and the last attempt that did.
+    pub failed: Vec<(u32, u16, u64)>,
+    /// Saved progress of tasks that have ended without success.
+    pub saved: Vec<(u32, CompactString)>,
+}
+
+/// What a stored record says.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Entry {
+    /// A job was handed in.
+    Submitted(JobId, Box<Submission>),
+    /// A job was cancelled.
+    Cancelled(JobId),
+    /// How far a job is.
+    Progressed(JobId, Progress),
+    /// A new holder writes from here on.
+    Held {
+        /// Its token.
+        token: u64,
+    },
+    /// The key was dropped.
+    Dropped,
+}
+
+/// The record of a submission.
+pub fn submitted(id: JobId, submission: &Submission) -> Stored {
+    Stored {
+        key: format_compact!("{id}"),
+        value: encode(submission),
+    }
+}
+
+/// The record of a cancelling.
+pub fn cancelled(id: JobId) -> Stored {
+    Stored {
+        key: format_compact!("{id}.c"),
+        value: vec![1],
+    }
+}
+
+/// The record of a job's progress.
+pub fn progressed(id: JobId, progress: &Progress) -> Stored {
+    Stored {
+        key: format_compact!("{id}.p"),
+        value: encode(progress),
+    }
+}
+
+/// The record by which a holder begins.
+pub fn held(token: u64) -> Stored {
+    Stored {
+        key: CompactString::const_new(HOLDER_KEY),
+        value: encode(&token),
+    }
+}
+
+/// The records that drop what is stored of a job.
+pub fn dropped(id: JobId) -> Vec<Stored> {
+    let key = |suffix: &str| Stored {
+        key: format_compact!("{id}{suffix}"),
+        value: Vec::new(),
+    };
+    vec![key(".p"), key(".c"), key("")]
+}
+
+/// Reads a stored record; `None` when it is not one of ours.
+pub fn read(stored: &Stored) -> Option<Entry> {
+    if stored.key == HOLDER_KEY {
+        let token = decode(&stored.value)?;
+        return Some(Entry::Held { token });
+    }
+    let (id, suffix) = stored.key.split_at_checked(16)?;
+    let id = parse_job_id(id)?;
+    if stored.value.is_empty() {
+        return Some(Entry::Dropped);
+    }
+    match suffix {
+        "" => Some(Entry::Submitted(id, Box::new(decode(&stored.value)?))),
+        ".c" => Some(Entry::Cancelled(id)),
+        ".p" => Some(Entry::Progressed(id, decode(&stored.value)?)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/monsoonnotch_member/src/cell/mod.rs
@@ -0,0 +1,203 @@
+//! Who holds the jobs.
+//!
+//! A claim is a record in a topic of the store, and its offset gives the
+//! token: the newest claim holds. Whoever finds the holder silent claims, on
+//! condition that nobody has claimed since. Being wrong costs a move and no
+//! more, because VMs and the journal refuse the lower token.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use monsoonnotch_adapter::store;
+use monsoonnotch_adapter::store::APPEND_TIMES;
+use monsoonnotch_adapter::store::Error;
+use monsoonnotch_core::record::decode;
+use monsoonnotch_core::record::encode;
+use monsoonnotch_jobs::journal::Stored;
+use tokio::sync::watch;
+
+use crate::cx::Claim;
+use crate::cx::Cx;
+use crate::cx::Held;
+use crate::links::Heard;
+
+/// The topic of claims.
+const TOPIC: &str = "keyed.holder";
+/// The key of claims in it.
+const KEY: &str = "jobs";
+/// How long a read waits for the next claim.
+const WAIT: Duration = Duration::from_millis(2_000);
+/// Pause after a read that failed.
+const PAUSE: Duration = Duration::from_millis(150);
+/// Pause between looks at whether to claim.
+const TICK: Duration = Duration::from_millis(40);
+/// Dials refused in a row after which the holder's process is taken to be gone.
+const REFUSED_MAX: u32 = 2;
+/// Spread of claims, so that mostly one member tries first.
+const SPREAD_MS: u64 = 120;
+/// Time by which weak members wait longer than others: a claim and a dial.
+const WEAK_WAIT: Duration = Duration::from_millis(700);
+/// Failure of the store here after which a holder hands the jobs to another.
+pub(crate) const HAND_OVER: Duration = Duration::from_millis(900);
+
+/// What is known of the topic of claims.
+#[derive(Debug, Clone, Copy, Default)]
+struct Seen {
+    /// Where the topic ends.
+    next: u64,
+}
+
+/// Follows claims, and claims when the holder is silent.
+pub(crate) async fn run(cx: Arc<Cx>, heard: Arc<Heard>) {
+    let (seen, rx) = watch::channel(None);
+    let follower = tokio::spawn(follow(Arc::clone(&cx), Arc::clone(&heard), seen));
+    watch_holder(&cx, &heard, rx).await;
+    follower.abort();
+}
+
+async fn follow(cx: Arc<Cx>, heard: Arc<Heard>, seen: watch::Sender<Option<Seen>>) {
+    loop {
+        let newest = cx.store.newest(TOPIC).await;
+        cx.store_answered(newest.is_ok());
+        let Ok(newest) = newest else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        for (offset, stored) in &newest.records {
+            take(&cx, &heard, *offset, stored);
+        }
+        seen.send_replace(Some(Seen { next: newest.next }));
+        tail(&cx, &heard, newest.next, &seen).await;
+    }
+}
+
+async fn tail(
+    cx: &Arc<Cx>,
+    heard: &Heard,
+    mut from: u64,
+    seen: &watch::Sender<Option<Seen>>,
+) {
+    loop {
+        match cx.store.read(TOPIC, from, WAIT).await {
+            Ok(page) => {
+                cx.store_answered(true);
+                from = page.next;
+                for (offset, record) in &page.records {
+                    if let Some(stored) = store::decode_keyed(record) {
+                        take(cx, heard, *offset, &stored);
+                    }
+                }
+                seen.send_replace(Some(Seen { next: from }));
+            }
+            Err(Error::Trimmed(_)) => return,
+            Err(_) => {
+                cx.store_answered(false);
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Takes in a claim.
+fn take(cx: &Cx, heard: &Heard, offset: u64, stored: &Stored) {
+    let claim: Option<Claim> = decode(&stored.value);
+    let Some(claim) = claim.filter(|_| stored.key == KEY) else {
+        log::warn!(event = "record skipped", offset = offset; "a record among the claims is none");
+        return;
+    };
+    let token = offset + 1;
+    let newer = cx.held.borrow().as_ref().is_none_or(|h| h.token < token);
+    if newer {
+        let own = claim.boot == cx.boot;
+        log::info!(event = "claim seen", token = token, holder = claim.name.as_str(), own = own; "another claim holds");
+        heard.reset();
+        cx.held.send_replace(Some(Held { token, claim }));
+    }
+}
+
+async fn watch_holder(cx: &Arc<Cx>, heard: &Heard, seen: watch::Receiver<Option<Seen>>) {
+    let mut asked = heard.asked.subscribe();
+    let mut last = Instant::now();
+    let mut wait = patience(cx);
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(TICK) => {}
+            r = asked.changed() => if r.is_err() { return },
+        }
+        // After a pause of this process the silence may be its own.
+        if last.elapsed() > Duration::from_millis(cx.settings.tuning.suspect_ms) {
+            heard.reset();
+        }
+        last = Instant::now();
+        let is_asked = *heard.asked.borrow();
+        let Some(at) = *seen.borrow() else { continue };
+        if cx.is_stopping() || (!is_asked && !gone(cx, heard, wait)) {
+            continue;
+        }
+        heard.asked.send_replace(false);
+        claim(cx, heard, at).await;
+        wait = patience(cx);
+    }
+}
+
+/// How long this member waits beyond the others, at random.
+fn patience(cx: &Cx) -> Duration {
+    let spread = Duration::from_millis(rand::random_range(0..SPREAD_MS));
+    match cx.settings.member.cores < cx.settings.tuning.weak_cores {
+        true => spread + WEAK_WAIT,
+        false => spread,
+    }
+}
+
+/// Whether the holder is taken to be gone.
+fn gone(cx: &Cx, heard: &Heard, wait: Duration) -> bool {
+    let silent = heard.silent_for();
+    let suspect = Duration::from_millis(cx.settings.tuning.suspect_ms);
+    match &*cx.held.borrow() {
+        None => silent > wait,
+        Some(held) if held.claim.boot == cx.boot => false,
+        // The same address with another start: this process's former self.
+        Some(held) if held.claim.addr == cx.settings.member.peers.to_string().as_str() => true,
+        Some(_) if heard.refused() >= REFUSED_MAX => silent > wait,
+        Some(_) => silent > suspect + wait,
+    }
+}
+
+async fn claim(cx: &Arc<Cx>, heard: &Heard, at: Seen) {
+    let claim = Claim {
+        name: cx.settings.member.name.clone(),
+        addr: cx.settings.member.peers.to_string().into(),
+        boot: cx.boot,
+    };
+    let record = Stored {
+        key: KEY.into(),
+        value: encode(&claim),
+    };
+    let silent_ms = heard.silent_for().as_millis() as u64;
+    let refused = heard.refused();
+    let records = [record];
+    let append = cx.store.append(TOPIC, &records, None, Some(at.next), APPEND_TIMES[1]);
+    let claimed = append.await;
+    log::info!(event = "claim tried", silent_ms = silent_ms, refused = refused, at = at.next, outcome = format!("{claimed:?}"); "tried to claim the jobs");
+    match claimed {
+        Ok(offset) => {
+            cx.store_answered(true);
+            let [record] = &records;
+            take(cx, heard, offset, record);
+        }
+        // Another was first, or it shows when the topic is read.
+        Err(Error::Refused(412)) => tokio::time::sleep(TICK).await,
+        Err(_) => {
+            cx.store_answered(false);
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+/// Whether the newest claim is still that of a token; `None` when the store does not say.
+pub(crate) async fn still_newest(cx: &Cx, token: u64) -> Option<bool> {
+    let newest = cx.store.newest(TOPIC).await.ok()?;
+    let last = newest.records.iter().map(|(offset, _)| offset + 1).max();
+    Some(last.is_none_or(|last| last <= token))
+}
--- /dev/null
+++ b/crates/monsoonnotch_member/src/cx/mod.rs
@@ -0,0 +1,186 @@
+//! What the tasks of a member share.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use compact_str::CompactString;
+use monsoonnotch_adapter::http::Http;
+use monsoonnotch_adapter::store::Store;
+use monsoonnotch_adapter::worker::Workers;
+use monsoonnotch_entry::clock::Clock;
+use monsoonnotch_jobs::effect::Answer;
+use monsoonnotch_jobs::effect::LaneKey;
+use monsoonnotch_jobs::site::SiteConfig;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::control::Inbox;
+use crate::links::Frame;
+use crate::settings::Settings;
+
+/// The lane and link of the holder's own process.
+pub(crate) const OWN: u64 = 0;
+
+/// The record by which a member claims the jobs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Claim {
+    /// The member's name.
+    pub(crate) name: CompactString,
+    /// Where other members reach it.
+    pub(crate) addr: CompactString,
+    /// A number that is new with each start of its process.
+    pub(crate) boot: u64,
+}
+
+/// The newest claim and the token that it gives.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Held {
+    pub(crate) token: u64,
+    pub(crate) claim: Claim,
+}
+
+/// Whether the store answers this process.
+#[derive(Debug, Default)]
+pub(crate) struct StoreHealth {
+    failing_since: Option<Instant>,
+    last_failure: Option<Instant>,
+}
+
+/// What the tasks of a member share.
+#[derive(Debug)]
+pub(crate) struct Cx {
+    pub(crate) settings: Settings,
+    pub(crate) boot: u64,
+    pub(crate) clock: Clock,
+    pub(crate) http: Http,
+    pub(crate) store: Store,
+    pub(crate) workers: Workers,
+    pub(crate) control: Inbox,
+    pub(crate) site: watch::Sender<Option<Arc<SiteConfig>>>,
+    pub(crate) held: watch::Sender<Option<Held>>,
+    pub(crate) stopping: watch::Sender<bool>,
+    health: Mutex<StoreHealth>,
+    /// The configuration in force, as published.
+    pub(crate) config_bytes: Mutex<Vec<u8>>,
+    /// Links of other members, while this one holds the jobs.
+    pub(crate) guests: Mutex<BTreeMap<u64, mpsc::Sender<Frame>>>,
+    /// The link to the holder, while another member is.
+    pub(crate) host: Mutex<Option<mpsc::Sender<Frame>>>,
+    waiting: Mutex<BTreeMap<u64, oneshot::Sender<Answer>>>,
+    next_seq: AtomicU64,
+    /// Calls that have no answer yet.
+    pub(crate) open_calls: AtomicU64,
+    /// The highest token that this process held and gave up.
+    pub(crate) given_up: AtomicU64,
+}
+
+impl Cx {
+    pub(crate) fn new(settings: Settings, control: Inbox) -> Self {
+        let http = Http::default();
+        Self {
+            store: Store::new(&settings.services.store.to_string(), http.clone()),
+            workers: Workers::new(http.clone()),
+            http,
+            settings,
+            boot: rand::random(),
+            clock: Clock::default(),
+            control,
+            site: watch::Sender::new(None),
+            held: watch::Sender::new(None),
+            stopping: watch::Sender::new(false),
+            health: Mutex::default(),
+            config_bytes: Mutex::default(),
+            guests: Mutex::default(),
+            host: Mutex::default(),
+            waiting: Mutex::default(),
+            next_seq: AtomicU64::new(1),
+            open_calls: AtomicU64::new(0),
+            given_up: AtomicU64::new(0),
+        }
+    }
+
+    /// The newest claim, if it is this process's own.
+    pub(crate) fn own_token(&self) -> Option<u64> {
+        let held = self.held.borrow();
+        let own = held.as_ref().filter(|h| h.claim.boot == self.boot);
+        own.map(|h| h.token)
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Notes whether a call to the store was answered.
+    pub(crate) fn store_answered(&self, ok: bool) {
+        let mut health = lock(&self.health);
+        let was = health.failing_since;
+        if ok {
+            health.failing_since = None;
+        } else {
+            health.failing_since.get_or_insert_with(Instant::now);
+            health.last_failure = Some(Instant::now());
+        }
+        drop(health);
+        match (was, ok) {
+            (None, false) => log::warn!(event = "store lost"; "the store does not answer"),
+            (Some(since), true) => {
+                let ms = since.elapsed().as_millis() as u64;
+                log::info!(event = "store regained", lost_ms = ms; "the store answers again");
+            }
+            _ => {}
+        }
+    }
+
+    /// How long the store has not answered; zero while it does.
+    pub(crate) fn store_lost_for(&self) -> Duration {
+        let since = lock(&self.health).failing_since;
+        since.map_or(Duration::ZERO, |s| s.elapsed())
+    }
+
+    /// Time since the store last failed to answer.
+    pub(crate) fn store_well_for(&self) -> Duration {
+        let last = lock(&self.health).last_failure;
+        last.map_or(Duration::MAX, |l| l.elapsed())
+    }
+
+    /// Registers a question; its answer comes on the channel.
+    pub(crate) fn question(&self) -> (u64, oneshot::Receiver<Answer>) {
+        let seq = self.next_seq.fetch_add(1, Ordering::Relaxed);
+        let (tx, rx) = oneshot::channel();
+        lock(&self.waiting).insert(seq, tx);
+        (seq, rx)
+    }
+
+    /// Hands an answer to whoever asked.
+    pub(crate) fn answered(&self, seq: u64, answer: Answer) {
+        if let Some(tx) = lock(&self.waiting).remove(&seq) {
+            // Whoever asked may have given up.
+            let _ = tx.send(answer);
+        }
+    }
+
+    /// Forgets a question that nobody waits for.
+    pub(crate) fn forget_question(&self, seq: u64) {
+        lock(&self.waiting).remove(&seq);
+    }
+
+    /// Sends a frame to the link of a guest; false when there is none.
+    pub(crate) fn to_guest(&self, lane: LaneKey, frame: Frame) -> bool {
+        let guests = lock(&self.guests);
+        guests.get(&lane.0).is_some_and(|tx| tx.try_send(frame).is_ok())
+    }
+}
+
+/// Locks a mutex whose holders never panic.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder of the lock panics")
+}
--- /dev/null
+++ b/crates/monsoonnotch_member/src/links/guest.rs
@@ -0,0 +1,202 @@
+//! A member's end of its link to the holder.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use monsoonnotch_adapter::approval;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use super::Frame;
+use super::WAITING_MAX;
+use super::frame_of;
+use super::message;
+use crate::cx::Cx;
+use crate::cx::Held;
+use crate::cx::lock;
+
+/// Longest dial with handshake: some hundred times the way between failure domains.
+const DIAL: Duration = Duration::from_millis(350);
+/// Pause between dials.
+const DIAL_PAUSE: Duration = Duration::from_millis(60);
+
+/// What the link says of the holder.
+#[derive(Debug)]
+pub(crate) struct Heard {
+    state: Mutex<State>,
+    /// Turns true when the holder wants this member to claim.
+    pub(crate) asked: watch::Sender<bool>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct State {
+    at: Instant,
+    /// Dials in a row that were refused: the process is not there.
+    refused: u32,
+}
+
+impl Default for Heard {
+    fn default() -> Self {
+        let state = State {
+            at: Instant::now(),
+            refused: 0,
+        };
+        Self {
+            state: Mutex::new(state),
+            asked: watch::Sender::new(false),
+        }
+    }
+}
+
+impl Heard {
+    /// How long the holder has been silent.
+    pub(crate) fn silent_for(&self) -> Duration {
+        lock(&self.state).at.elapsed()
+    }
+
+    /// Dials in a row that were refused.
+    pub(crate) fn refused(&self) -> u32 {
+        lock(&self.state).refused
+    }
+
+    /// Begins anew: there is another holder, or the process had stood still.
+    pub(crate) fn reset(&self) {
+        let mut state = lock(&self.state);
+        state.at = Instant::now();
+        state.refused = 0;
+    }
+
+    fn heard(&self) {
+        self.reset();
+    }
+
+    fn refusal(&self) {
+        lock(&self.state).refused += 1;
+    }
+}
+
+/// Keeps a link to whoever holds the jobs, while another member does.
+pub(crate) async fn keep(cx: Arc<Cx>, heard: Arc<Heard>) {
+    let mut rx = cx.held.subscribe();
+    loop {
+        let held = rx.borrow_and_update().clone();
+        let other = held.filter(|h| h.claim.boot != cx.boot);
+        let Some(held) = other else {
+            if rx.changed().await.is_err() {
+                return;
+            }
+            continue;
+        };
+        tokio::select! {
+            () = carry(&cx, &held, &heard) => tokio::time::sleep(DIAL_PAUSE).await,
+            _ = rx.changed() => {}
+        }
+        *lock(&cx.host) = None;
+    }
+}
+
+/// Dials the holder and carries frames until the link ends.
+async fn carry(cx: &Arc<Cx>, held: &Held, heard: &Heard) {
+    let dialled = tokio::time::timeout(DIAL, dial(&held.claim.addr)).await;
+    let mut socket = match dialled {
+        Ok(Ok(socket)) => socket,
+        Ok(Err(refused)) => {
+            if refused {
+                heard.refusal();
+            }
+            return;
+        }
+        Err(_) => return,
+    };
+    let hello = Frame::Hello {
+        token: held.token,
+        name: cx.settings.member.name.clone(),
+        cores: cx.settings.member.cores,
+    };
+    if socket.send(message(&hello)).await.is_err() {
+        return;
+    }
+    let (tx, mut out) = mpsc::channel(WAITING_MAX);
+    let mut beats = tokio::time::interval(Duration::from_millis(cx.settings.tuning.beat_ms));
+    let suspect = Duration::from_millis(cx.settings.tuning.suspect_ms);
+    let mut last = Instant::now();
+    loop {
+        let going = tokio::select! {
+            frame = out.recv() => match frame {
+                Some(frame) => socket.send(message(&frame)).await.is_ok(),
+                None => false,
+            },
+            _ = beats.tick() => {
+                let frame = beat(cx);
+                last.elapsed() < suspect && socket.send(message(&frame)).await.is_ok()
+            }
+            msg = socket.next() => match msg {
+                Some(Ok(msg)) => {
+                    last = Instant::now();
+                    if let Some(frame) = frame_of(&msg) {
+                        take(cx, held, heard, &tx, frame);
+                    }
+                    true
+                }
+                _ => false,
+            },
+        };
+        if !going {
+            break;
+        }
+    }
+    log::warn!(event = "holder link lost", holder = held.claim.name.as_str(), token = held.token; "the link to the holder ended");
+    *lock(&cx.host) = None;
+}
+
+type Socket = tokio_tungstenite::WebSocketStream<TcpStream>;
+
+/// Dials; an error says whether the address refused.
+async fn dial(addr: &str) -> Result<Socket, bool> {
+    let stream = TcpStream::connect(addr).await;
+    let stream = stream.map_err(|e| e.kind() == std::io::ErrorKind::ConnectionRefused)?;
+    stream.set_nodelay(true).map_err(|_| false)?;
+    let url = format!("ws://{addr}/");
+    let client = tokio_tungstenite::client_async(url, stream).await;
+    client.map(|(socket, _)| socket).map_err(|_| false)
+}
+
+fn beat(cx: &Cx) -> Frame {
+    Frame::GuestBeat {
+        store: cx.store_lost_for().is_zero(),
+        config: cx.site.borrow().as_ref().map_or(0, |s| s.version),
+    }
+}
+
+fn take(cx: &Arc<Cx>, held: &Held, heard: &Heard, tx: &mpsc::Sender<Frame>, frame: Frame) {
+    match frame {
+        Frame::HostBeat { token } if token == held.token => {
+            heard.heard();
+            let mut host = lock(&cx.host);
+            if host.is_none() {
+                log::info!(event = "holder linked", holder = held.claim.name.as_str(), token = token; "linked to the holder");
+                *host = Some(tx.clone());
+            }
+        }
+        Frame::Answer { seq, answer } => cx.answered(seq, answer),
+        Frame::Approve { ask, stage, vms } => {
+            let (cx, tx) = (Arc::clone(cx), tx.clone());
+            tokio::spawn(async move {
+                let addr = &cx.settings.services.approval;
+                let allowed = approval::ask(&cx.http, addr, &stage, &vms).await;
+                // When the link is gone, so is whoever waits for it.
+                let _ = tx.send(Frame::Approved { ask, allowed }).await;
+            });
+        }
+        Frame::Config { value } => crate::site::take(cx, &value, "the holder"),
+        Frame::Claim => {
+            heard.asked.send_replace(true);
+        }
+        _ => log::warn!(event = "odd frame"; "the holder sent a frame that is not for a member"),
+    }
+}
--- /dev/null
+++ b/crates/monsoonnotch_member/src/site/mod.rs
@@ -0,0 +1,92 @@
+//! The operators' configuration in this process.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use monsoonnotch_adapter::lists;
+use monsoonnotch_adapter::store;
+use monsoonnotch_adapter::store::Error;
+use monsoonnotch_adapter::store::OPERATORS;
+use monsoonnotch_jobs::event::Event;
+use monsoonnotch_jobs::journal::Stored;
+use serde_bytes::ByteBuf;
+
+use crate::cx::Cx;
+use crate::cx::lock;
+use crate::links::Frame;
+
+/// How long a read waits for a change. A connection that went silent costs this
+/// and the exchange's timeout, which is less than a change may take.
+const WAIT: Duration = Duration::from_millis(1_000);
+/// Pause after a read that failed.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Follows the configuration for ever.
+pub(crate) async fn follow(cx: Arc<Cx>) {
+    loop {
+        let newest = cx.store.newest(OPERATORS).await;
+        cx.store_answered(newest.is_ok());
+        let Ok(newest) = newest else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        newest.records.iter().for_each(|(_, s)| taken(&cx, s));
+        tail(&cx, newest.next).await;
+    }
+}
+
+/// Reads changes until the records that come next are gone.
+async fn tail(cx: &Arc<Cx>, mut from: u64) {
+    loop {
+        match cx.store.read(OPERATORS, from, WAIT).await {
+            Ok(page) => {
+                cx.store_answered(true);
+                from = page.next;
+                let records = page.records.iter().filter_map(|(_, r)| store::decode_keyed(r));
+                records.for_each(|s| taken(cx, &s));
+            }
+            Err(Error::Trimmed(_)) => return,
+            Err(_) => {
+                cx.store_answered(false);
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn taken(cx: &Arc<Cx>, stored: &Stored) {
+    if stored.key == lists::CONFIG {
+        take(cx, &stored.value, "the store");
+    }
+}
+
+/// Puts a configuration in force, if it is newer than what is.
+pub(crate) fn take(cx: &Arc<Cx>, value: &[u8], from: &str) {
+    let Some(config) = lists::config_of(value) else {
+        log::error!(event = "configuration unreadable", from = from, bytes = value.len(); "a configuration cannot be read and is skipped");
+        return;
+    };
+    let now = cx.site.borrow().as_ref().map(|s| s.version);
+    if now.is_some_and(|v| v >= config.version) {
+        return;
+    }
+    log::info!(event = "configuration in force", version = config.version, from = from, queues = config.queues.len(), accounts = config.accounts.len(); "a configuration is in force");
+    let config = Arc::new(config);
+    *lock(&cx.config_bytes) = value.to_vec();
+    cx.site.send_replace(Some(Arc::clone(&config)));
+    if let Some(token) = cx.own_token() {
+        cx.control.event(token, Event::Config(config));
+    }
+}
+
+/// Sends the configuration to a guest that has an older one.
+pub(crate) fn help(cx: &Cx, link: u64, version: u64) {
+    let own = cx.site.borrow().as_ref().map_or(0, |s| s.version);
+    if version >= own {
+        return;
+    }
+    let value = ByteBuf::from(lock(&cx.config_bytes).clone());
+    let lane = monsoonnotch_jobs::effect::LaneKey(link);
+    // The next heartbeat shows whether it has arrived.
+    let _ = cx.to_guest(lane, Frame::Config { value });
+}
