Approvals: all lanes are used, and a call names what can help

Cause: guests link before the reducer begins, so only the holder's own lane was known; calls named six VMs and asked again and again for stages without room. Ruled out: the service being slow (23 ms a short call, as its page says). The change: lanes of earlier guests are told to the reducer; a first call names 30 VMs, later ones only VMs with room; the pause between calls of a stage doubles.

--- a/crates/monsoonnotch_jobs/src/holder/approve.rs
+++ b/crates/monsoonnotch_jobs/src/holder/approve.rs
@@ -4,6 +4,7 @@
 //! lane. Long calls leave half of the lanes to short ones.
 
 use super::job::Job;
+use super::job::Stage;
 use super::*;
 use crate::effect::AskKey;
 use crate::effect::LaneKey;
@@ -12,8 +13,9 @@
 
 /// VMs that one call may name, from the service's page.
 const NAMED_MAX: usize = 100;
-/// VMs that a call names at least, as far as there are so many.
-const NAMED_MIN: usize = 6;
+/// VMs that a stage's first call names at least, as far as there are so many:
+/// the number that the users count on for a step.
+const FIRST_MIN: usize = 30;
 /// A call that takes no longer is short, in milliseconds.
 const SHORT_MS: f64 = 120.0;
 /// Part of a ticket's time kept for the way of the start.
@@ -25,7 +27,8 @@
 /// Time before the end of its predecessors at which a stage's call is begun,
 /// beyond the call's own.
 const ASK_AHEAD_MS: f64 = 250.0;
-/// Shortest time between two calls for one stage.
+/// Shortest time between two calls for one stage; doubled with each further
+/// call up to sixteen times, so that no stage keeps the lanes busy.
 const ASK_PAUSE: Duration = Duration::from_millis(60);
 
 /// Approvals of a stage.
@@ -39,6 +42,8 @@
     asked: Option<AskKey>,
     /// When the last call was answered.
     answered_at: Time,
+    /// Calls that were answered.
+    calls: u32,
 }
 
 /// An approval of one VM.
@@ -58,6 +63,18 @@
     lanes: BTreeMap<LaneKey, Option<AskKey>>,
 }
 
+/// A VM that a call may name.
+#[derive(Debug)]
+struct Askable {
+    vm: VmKey,
+    /// Tasks that fit there now.
+    fits: u64,
+    /// Whether it is known to be approved.
+    known: bool,
+    /// Free processor, in thousandths of a core.
+    free: u64,
+}
+
 #[derive(Debug)]
 struct Call {
     stage: StageKey,
@@ -127,7 +144,8 @@
         let Some(stage) = self.stage(key) else { return };
         let approvals = &stage.approvals;
         let first = approvals.answered_at == Time::default();
-        if approvals.asked.is_some() || (!first && now < approvals.answered_at + ASK_PAUSE) {
+        let pause = ASK_PAUSE.times(1 << approvals.calls.min(4));
+        if approvals.asked.is_some() || (!first && now < approvals.answered_at + pause) {
             return;
         }
         let tasks = stage.waiting.len().max(1);
@@ -167,46 +185,58 @@
         self.note(stage.job.0, "approval asked", note);
     }
 
-    /// VMs to name in a call, best first: room now, then known to be approved.
+    /// VMs to name in a call, best first; none when no call would help.
     fn vms_to_name(&self, key: StageKey, tasks: usize) -> Vec<VmKey> {
         let Some(job) = self.jobs.get(key.job) else { return Vec::new() };
         let Some(stage) = self.stage(key) else { return Vec::new() };
         let step = job.step(key.step);
         let learnt = self.learnt.get(&job.queue);
         let share = learnt.map_or(0.5, |l| l.approved).clamp(0.1, 1.0);
+        let first = stage.approvals.answered_at == Time::default();
+        let rows = self.vms_to_ask(job, stage, step);
+        // A gang starts whole: room that is approved for long enough counts, too.
+        let wanted = tasks as f64 * ASK_ROOM + 1.0;
+        let mut sum = 0.0;
+        let mut named = Vec::new();
+        for row in rows {
+            let enough = sum >= wanted && (!first || named.len() >= FIRST_MIN);
+            if enough || named.len() >= NAMED_MAX || (row.fits == 0 && !first) {
+                break;
+            }
+            sum += row.fits as f64 * if row.known { 1.0 } else { share };
+            named.push(row.vm);
+        }
+        let short = step.gang && !first && sum < tasks as f64 * share;
+        if short { Vec::new() } else { named }
+    }
+
+    /// VMs that may be asked for, best first.
+    fn vms_to_ask(&self, job: &Job, stage: &Stage, step: &Step) -> Vec<Askable> {
         let now = self.now;
-        let mut rows: Vec<(u64, bool, VmKey)> = Vec::new();
+        let approvals = &stage.approvals;
+        let mut rows = Vec::new();
         for (vm, row) in self.vms.iter() {
-            let approvals = &stage.approvals;
             let ticket = approvals.tickets.get(&vm);
-            let held = ticket.is_some_and(|t| t.until > now && t.born_ms == row.report.born_ms);
-            if held || approvals.denied.contains(&vm) || !self.suits(vm, job, step) {
+            let same = ticket.is_some_and(|t| t.born_ms == row.report.born_ms);
+            let held = same && ticket.is_some_and(|t| t.until > now);
+            let skip = (held && !step.gang) || approvals.denied.contains(&vm);
+            if skip || !self.suits(vm, job, step) {
                 continue;
             }
-            let fits = place::times_fitting(&row.free(), &step.room());
             let most = match step.per_vm_max {
                 0 => u64::MAX,
                 n => u64::from(n),
             };
-            rows.push((fits.min(most), ticket.is_some(), vm));
-        }
-        rows.sort_by_key(|&(fits, known, vm)| {
-            let load = self.vms.get(vm).map_or(0, |v| v.free().cpu_milli);
-            std::cmp::Reverse((known && fits > 0, fits.min(4), load))
-        });
-        let wanted = tasks as f64 * ASK_ROOM + 1.0;
-        let mut sum = 0.0;
-        let mut named = Vec::new();
-        for (fits, known, vm) in rows {
-            let enough = sum >= wanted && named.len() >= NAMED_MIN;
-            if enough || named.len() >= NAMED_MAX || (fits == 0 && !named.is_empty() && sum >= 1.0)
-            {
-                break;
-            }
-            sum += fits as f64 * if known { 1.0 } else { share };
-            named.push(vm);
+            let fits = place::times_fitting(&row.free(), &step.room()).min(most);
+            rows.push(Askable {
+                vm,
+                fits,
+                known: same,
+                free: row.free().cpu_milli,
+            });
         }
-        named
+        rows.sort_by_key(|r| std::cmp::Reverse((r.known && r.fits > 0, r.fits.min(4), r.free)));
+        rows
     }
 
     /// Takes in the answer to a call.
@@ -237,6 +267,7 @@
         let approvals = &mut stage.approvals;
         approvals.asked = None;
         approvals.answered_at = now;
+        approvals.calls += 1;
         if allowed.is_none() {
             return;
         }
--- a/crates/monsoonnotch_jobs/src/holder/job.rs
+++ b/crates/monsoonnotch_jobs/src/holder/job.rs
@@ -9,6 +9,8 @@
 use crate::journal::StageProgress;
 use crate::site::Queue;
 
+/// A stage that waits this long is noted, and again each time it has passed.
+const WAIT_NOTED: Duration = Duration::from_millis(1_500);
 /// Weight of the newest run in what is learnt of a queue's run times.
 const LEARN: f64 = 0.1;
 /// A job later than this many times its objective earns its caller nothing.
@@ -102,6 +104,28 @@
     pub(super) not_before: Time,
     /// When the last of its runs was sent.
     pub(super) started_at: Time,
+    /// What keeps its waiting tasks from starting, as last seen.
+    pub(super) blocked: Blocked,
+    /// When that was last noted.
+    pub(super) noted_at: Time,
+}
+
+/// What keeps waiting tasks from starting.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Blocked {
+    /// Nothing known.
+    #[default]
+    No,
+    /// A former holder may have started them where no look has reached.
+    Unsettled,
+    /// The account is at its limit.
+    Limit,
+    /// What is left is kept for the first priority.
+    Reserve,
+    /// No VM that may run them has room.
+    Room,
+    /// A gang that broke is not whole yet.
+    Gang,
 }
 
 /// One task.
@@ -357,6 +381,7 @@
         for key in due {
             self.advance(key);
         }
+        self.note_waiting();
         let (now, keep) = (self.now, self.tuning.keep_ended);
         let old = |j: &Job| {
             let runs = j.stages.values().any(|s| s.runs().next().is_some());
@@ -371,6 +396,26 @@
         }
     }
 
+    /// Notes stages that wait long, with what keeps them.
+    fn note_waiting(&mut self) {
+        let now = self.now;
+        let long = |s: &Stage| now > s.ready_at.max(s.noted_at) + WAIT_NOTED;
+        let line: Vec<StageKey> = self.ready.iter().map(|(_, k)| *k).collect();
+        for key in line {
+            let Some(stage) = self.stage_mut(key).filter(|s| long(s)) else { continue };
+            stage.noted_at = now;
+            let (blocked, waiting) = (stage.blocked, stage.waiting.len());
+            let (rank, tickets) = (stage.rank, stage.approvals.tickets.len());
+            let since = now.since(stage.ready_at).as_millis();
+            let id = self.task_id(key, 0).stage;
+            let note = format!(
+                "step={} waiting={waiting} blocked={blocked:?} class={} tickets={tickets} since_ms={since}",
+                id.step, rank.class
+            );
+            self.note(id.job.0, "stage waits", note);
+        }
+    }
+
     /// Learns how long runs of a queue take, against their estimate.
     pub(super) fn learn_time(&mut self, queue: &str, ratio: f64) {
         let first = Learnt {
--- a/crates/monsoonnotch_jobs/src/holder/place.rs
+++ b/crates/monsoonnotch_jobs/src/holder/place.rs
@@ -5,6 +5,7 @@
 //! stages behind it may use what it cannot. Part of the fleet is kept for the
 //! first priority.
 
+use super::job::Blocked;
 use super::job::Job;
 use super::job::Rank;
 use super::*;
@@ -55,6 +56,7 @@
             let Some(job) = self.jobs.get(key.job) else { continue };
             // A former holder may have started it where no look has reached yet.
             if !job.fresh && !settled {
+                self.blocked(key, Blocked::Unsettled);
                 continue;
             }
             let pool = job.pool.clone();
@@ -172,10 +174,18 @@
         let total = waiting.len();
         let mut placed = 0;
         for (index, attempt) in waiting {
-            if !self.within_limit(&account, &step.need) || !self.leaves_reserve(rank, &need, room) {
+            if !self.within_limit(&account, &step.need) {
+                self.blocked(key, Blocked::Limit);
                 return (placed, true);
             }
-            let Some(at) = choose(&candidates, &need) else { break };
+            if !self.leaves_reserve(rank, &need, room) {
+                self.blocked(key, Blocked::Reserve);
+                return (placed, true);
+            }
+            let Some(at) = choose(&candidates, &need) else {
+                self.blocked(key, Blocked::Room);
+                break;
+            };
             let c = &mut candidates[at];
             let (vm, ticket) = (c.vm, c.ticket.clone());
             c.free.take(&need);
@@ -199,6 +209,7 @@
         room: &mut PoolRoom,
     ) -> (usize, bool) {
         if !self.gang_waits(key) {
+            self.blocked(key, Blocked::Gang);
             return (0, true);
         }
         let stage = self.stage(key).expect("a gang that waits has a stage");
@@ -209,7 +220,12 @@
         let need = step.room();
         let count = waiting.len() as u64;
         let all = step.need.times(count);
-        if !self.within_limit(&account, &all) || !self.leaves_reserve(rank, &need.times(count), room) {
+        if !self.within_limit(&account, &all) {
+            self.blocked(key, Blocked::Limit);
+            return (0, true);
+        }
+        if !self.leaves_reserve(rank, &need.times(count), room) {
+            self.blocked(key, Blocked::Reserve);
             return (0, true);
         }
         if step.rack_local
@@ -219,7 +235,10 @@
         }
         let mut chosen = Vec::new();
         for _ in &waiting {
-            let Some(at) = choose(&candidates, &need) else { return (0, false) };
+            let Some(at) = choose(&candidates, &need) else {
+                self.blocked(key, Blocked::Room);
+                return (0, false);
+            };
             let c = &mut candidates[at];
             chosen.push((c.vm, c.ticket.clone()));
             c.free.take(&need);
@@ -235,6 +254,12 @@
         (waiting.len(), true)
     }
 
+    fn blocked(&mut self, key: StageKey, why: Blocked) {
+        if let Some(stage) = self.stage_mut(key) {
+            stage.blocked = why;
+        }
+    }
+
     /// Whether an account may have so much more running.
     pub(super) fn within_limit(&self, account: &str, need: &Resources) -> bool {
         let Some(limit) = self.site.accounts.get(account).map(|a| a.limit) else {
--- a/crates/monsoonnotch_member/src/term/mod.rs
+++ b/crates/monsoonnotch_member/src/term/mod.rs
@@ -26,6 +26,7 @@
 use crate::control::Input;
 use crate::cx::Cx;
 use crate::cx::OWN;
+use crate::cx::lock;
 use crate::links::Frame;
 use crate::links::Guests;
 use crate::perform::ForTerm;
@@ -184,6 +185,11 @@
     let old = jobs.records.into_iter().map(|(_, stored)| (0, stored));
     event(Event::Journal(old.collect()));
     event(Event::LaneUp(LaneKey(OWN)));
+    // Guests may have come before there was a reducer to tell.
+    let links: Vec<u64> = lock(&cx.guests).keys().copied().collect();
+    for link in links {
+        event(Event::LaneUp(LaneKey(link)));
+    }
     event(Event::CaughtUp { marker });
     // The configuration may have changed since it was read above.
     if let Some(site) = cx.site.borrow().clone() {
