Strays count as room; failed attempts are kept one by one

Cause: after a change of holder, runs of jobs that were over meanwhile were listed by their VMs and being stopped, but took no room in the new holder's books (LIMIT); of two failed ends that came in the other order only one was counted (BUDGET). Ruled out: late orders of the former holder: VMs had seen the new token. The change: a listed run that belongs to no run of the holder takes room and counts against its account until a later look does not show it; failed attempts are a set.

--- a/crates/monsoonnotch_jobs/src/holder/flush.rs
+++ b/crates/monsoonnotch_jobs/src/holder/flush.rs
@@ -121,14 +121,14 @@
         let tasks = || (0_u32..).zip(&stage.tasks);
         let whole = stage.whole();
         let done = tasks().filter(|(_, t)| t.done && !whole);
-        let failed = tasks().filter(|(_, t)| t.fails > 0 && !whole);
+        let failed = tasks().filter(|(_, t)| !t.failed.is_empty() && !whole);
         let saved = tasks().filter(|(_, t)| !t.saved.is_empty() && !t.done && t.run.is_none());
         let progress = StageProgress {
             occurrence,
             step,
             whole,
             done: done.map(|(i, _)| i).collect(),
-            failed: failed.map(|(i, t)| (i, t.fails, t.failed_attempt)).collect(),
+            failed: failed.map(|(i, t)| (i, t.failed.iter().copied().collect())).collect(),
             saved: saved.map(|(i, t)| (i, t.saved.clone())).collect(),
         };
         let some = whole || !progress.done.is_empty() || !progress.failed.is_empty();
--- a/crates/monsoonnotch_jobs/src/holder/job.rs
+++ b/crates/monsoonnotch_jobs/src/holder/job.rs
@@ -98,8 +98,8 @@
     pub(super) ready_at: Time,
     pub(super) rank: Rank,
     pub(super) approvals: Approvals,
-    /// Attempts of the gang that failed, and the last of these.
-    pub(super) gang_fails: (u16, u64),
+    /// Attempts of any of its tasks that failed; a gang fails as a whole.
+    pub(super) gang_failed: BTreeSet<u64>,
     /// Before this the stage starts nothing.
     pub(super) not_before: Time,
     /// When the last of its runs was sent.
@@ -133,9 +133,8 @@
 pub(super) struct Task {
     pub(super) run: Option<RunKey>,
     pub(super) done: bool,
-    pub(super) fails: u16,
-    /// The last attempt that failed; an end that is listed again counts once.
-    pub(super) failed_attempt: u64,
+    /// Attempts that failed: an end may be listed again, and late.
+    pub(super) failed: BTreeSet<u64>,
     pub(super) attempt: u64,
     pub(super) saved: CompactString,
 }
@@ -225,13 +224,10 @@
                 stage.waiting.remove(&i);
             }
         }
-        for &(i, fails, attempt) in &p.failed {
-            if let Some(task) = stage.tasks.get_mut(i as usize) {
-                task.fails = task.fails.max(fails);
-                task.failed_attempt = attempt;
-                let (gang_fails, last) = &mut stage.gang_fails;
-                *gang_fails = fails.max(*gang_fails);
-                *last = attempt.max(*last);
+        for (i, attempts) in &p.failed {
+            if let Some(task) = stage.tasks.get_mut(*i as usize) {
+                task.failed.extend(attempts);
+                stage.gang_failed.extend(attempts);
             }
         }
         for (i, saved) in &p.saved {
--- a/crates/monsoonnotch_jobs/src/holder/looks.rs
+++ b/crates/monsoonnotch_jobs/src/holder/looks.rs
@@ -204,11 +204,22 @@
     fn take_running(&mut self, key: VmKey, sent: Time, look: &Look) {
         let Some(vm) = self.vms.get(key) else { return };
         let mut unseen = vm.runs.clone();
+        let mut strays = vms::Strays {
+            sent,
+            ..vms::Strays::default()
+        };
+        let newer = sent >= vm.strays.sent;
         for row in &look.running {
-            if let Some(run) = self.run_seen(key, row) {
-                unseen.remove(&run);
+            match self.run_seen(key, row) {
+                Some(run) => {
+                    unseen.remove(&run);
+                }
+                None => self.add_stray(key, row, &mut strays),
             }
         }
+        if newer {
+            self.set_strays(key, strays);
+        }
         if look.more {
             return;
         }
@@ -250,6 +261,25 @@
         Some(self.run_adopted(stage, vm, row))
     }
 
+    /// Counts what a listed run takes that is no run of this holder.
+    fn add_stray(&self, vm: VmKey, row: &RunningRow, strays: &mut vms::Strays) {
+        let job = self.by_id.get(&row.task.stage.job);
+        let job = job.and_then(|&k| self.jobs.get(k));
+        let step = job.and_then(|j| j.plan.steps.get(usize::from(row.task.stage.step)));
+        match job.zip(step) {
+            Some((job, step)) => {
+                strays.room.add(&step.room());
+                strays.needs.push((job.account.clone(), step.need));
+            }
+            None => {
+                // Nothing is known of what it takes, so nothing is put beside it.
+                let all = self.vms.get(vm).map(|v| v.report.capacity);
+                strays.room.add(&all.unwrap_or_default());
+                strays.needs.push(Default::default());
+            }
+        }
+    }
+
     fn run_ended(&mut self, vm: VmKey, end: &EndRow) {
         let Some(&job) = self.by_id.get(&end.task.stage.job) else { return };
         let stage = StageKey {
--- a/crates/monsoonnotch_jobs/src/holder/runs.rs
+++ b/crates/monsoonnotch_jobs/src/holder/runs.rs
@@ -464,18 +464,11 @@
         let queue = job.queue.clone();
         let Some(stage) = job.stages.get_mut(&(key.occurrence, key.step)) else { return };
         let Some(task) = stage.tasks.get_mut(index as usize) else { return };
-        if attempt <= task.failed_attempt {
+        if !task.failed.insert(attempt) {
             return;
         }
-        task.failed_attempt = attempt;
-        task.fails += 1;
-        let mut fails = task.fails;
-        if gang {
-            let (count, last) = &mut stage.gang_fails;
-            *count += u16::from(attempt > *last);
-            *last = attempt.max(*last);
-            fails = *count;
-        }
+        stage.gang_failed.insert(attempt);
+        let fails = if gang { stage.gang_failed.len() } else { task.failed.len() };
         let done = task.done;
         let most = self.queue(&queue).map_or(u32::MAX, |q| q.attempts_max);
         let note = format!("step={} index={index} fails={fails} most={most}", key.step);
@@ -484,7 +477,7 @@
             return self.task_again(key, index, true, How::Failed);
         }
         self.flush.dirty(key.job);
-        if !done && most > 0 && u32::from(fails) >= most {
+        if !done && most > 0 && fails >= most as usize {
             return self.end_job(key.job, Outcome::Failed);
         }
         self.task_again(key, index, true, How::Failed);
--- a/crates/monsoonnotch_jobs/src/holder/vms.rs
+++ b/crates/monsoonnotch_jobs/src/holder/vms.rs
@@ -36,6 +36,19 @@
     /// Ends up to this number are stored.
     pub(super) ends_stored: u64,
     pub(super) health: Health,
+    /// What runs there and belongs to no run of this holder.
+    pub(super) strays: Strays,
+}
+
+/// Listed runs that belong to no run of this holder: they are being stopped.
+#[derive(Debug, Default)]
+pub(super) struct Strays {
+    /// Room that they take.
+    pub(super) room: Resources,
+    /// What counts against accounts' limits.
+    pub(super) needs: Vec<(CompactString, Resources)>,
+    /// When the look was sent that showed them.
+    pub(super) sent: Time,
 }
 
 /// What a VM's answers and runs say of it.
@@ -67,6 +80,7 @@
             ends_seen: 0,
             ends_stored: 0,
             health: Health::default(),
+            strays: Strays::default(),
         }
     }
 
@@ -95,7 +109,7 @@
 
     /// Room that is free.
     pub(super) fn free(&self) -> Resources {
-        self.report.capacity.minus(&self.used)
+        self.report.capacity.minus(&self.used).minus(&self.strays.room)
     }
 
     /// Whether something new may be started there.
@@ -188,6 +202,8 @@
         vm.ends_stored = 0;
         vm.health = Health::default();
         vm.looks.forget();
+        self.set_strays(key, Strays::default());
+        let Some(vm) = self.vms.get_mut(key) else { return };
         let (id, runs) = (vm.report.id.clone(), vm.runs.clone());
         self.note(0, "vm reborn", format!("vm={id} runs_lost={}", runs.len()));
         for run in runs {
@@ -196,6 +212,22 @@
         self.look_now(key);
     }
 
+    /// Puts what a look showed in place of what an earlier one did.
+    pub(super) fn set_strays(&mut self, key: VmKey, strays: Strays) {
+        let Some(vm) = self.vms.get_mut(key) else { return };
+        let old = std::mem::replace(&mut vm.strays, strays);
+        if !old.needs.is_empty() {
+            self.changed = true;
+        }
+        for (account, need) in old.needs {
+            self.usage.entry(account).or_default().take(&need);
+        }
+        let Some(vm) = self.vms.get(key) else { return };
+        for (account, need) in &vm.strays.needs {
+            self.usage.entry(account.clone()).or_default().add(need);
+        }
+    }
+
     /// Counts a bad end against a VM, or clears it by a good one.
     pub(super) fn judge(&mut self, key: VmKey, good: bool) {
         let now = self.now;
@@ -226,7 +258,7 @@
             let over = vm.looks.silent > 0 && now > vm.lapsed_at(drift);
             // A VM that had announced its leaving and is unlisted has left.
             let left = vm.report.draining && !vm.listed && vm.looks.silent > 1;
-            if (over || left) && !vm.runs.is_empty() {
+            if (over || left) && !(vm.runs.is_empty() && vm.strays.needs.is_empty()) {
                 lapsed.push(key);
             }
             if vm.looks.due(now) {
@@ -244,6 +276,7 @@
     fn vm_lapsed(&mut self, key: VmKey) {
         let Some(vm) = self.vms.get(key) else { return };
         let (id, runs) = (vm.report.id.clone(), vm.runs.clone());
+        self.set_strays(key, Strays::default());
         self.note(0, "leases lapsed", format!("vm={id} runs={}", runs.len()));
         for run in runs {
             self.run_gone(run, "lease lapsed");
--- a/crates/monsoonnotch_jobs/src/journal/mod.rs
+++ b/crates/monsoonnotch_jobs/src/journal/mod.rs
@@ -73,8 +73,8 @@
     pub whole: bool,
     /// Tasks that ended well, unless all did.
     pub done: Vec<u32>,
-    /// Tasks that failed, how often, and the last attempt that did.
-    pub failed: Vec<(u32, u16, u64)>,
+    /// Tasks that failed, and the attempts that did.
+    pub failed: Vec<(u32, Vec<u64>)>,
     /// Saved progress of tasks that have ended without success.
     pub saved: Vec<(u32, CompactString)>,
 }
