Limits count what may run where no look has reached

Cause: after all members were killed while the store was away, the list of VMs was incomplete; an account's use was counted over the VMs known, and QUOTA broke. Ruled out: late orders; the former holder was dead for 2 s. The change: until every listed VM has answered and the list is sure, what the others could hold counts against every limit.

--- a/crates/monsoonnotch_jobs/src/holder/mod.rs
+++ b/crates/monsoonnotch_jobs/src/holder/mod.rs
@@ -56,6 +56,8 @@
     vm_ids: BTreeMap<CompactString, VmKey>,
     runs: BTreeMap<RunKey, runs::Run>,
     next_run: u64,
+    /// What may run for any account where no look has reached yet.
+    unseen: Resources,
     usage: BTreeMap<CompactString, Resources>,
     rates: BTreeMap<CompactString, fold::Rate>,
     ready: BTreeSet<(job::Rank, StageKey)>,
@@ -99,6 +101,7 @@
             vm_ids: BTreeMap::new(),
             runs: BTreeMap::new(),
             next_run: 0,
+            unseen: Resources::default(),
             usage: BTreeMap::new(),
             rates: BTreeMap::new(),
             ready: BTreeSet::new(),
--- a/crates/monsoonnotch_jobs/src/holder/place.rs
+++ b/crates/monsoonnotch_jobs/src/holder/place.rs
@@ -52,6 +52,7 @@
         let mut room = self.pool_rooms();
         let line: Vec<(Rank, StageKey)> = self.ready.iter().copied().collect();
         let settled = self.settled();
+        self.unseen = self.unseen_room();
         for (rank, key) in line {
             let Some(job) = self.jobs.get(key.job) else { continue };
             // A former holder may have started it where no look has reached yet.
@@ -265,7 +266,8 @@
         let Some(limit) = self.site.accounts.get(account).map(|a| a.limit) else {
             return true;
         };
-        let used = self.usage.get(account).copied().unwrap_or_default();
+        let mut used = self.usage.get(account).copied().unwrap_or_default();
+        used.add(&self.unseen);
         let fits = |limit: u64, used: u64, need: u64| limit == 0 || used + need <= limit;
         fits(limit.cpu_milli, used.cpu_milli, need.cpu_milli)
             && fits(limit.memory_mib, used.memory_mib, need.memory_mib)
--- a/crates/monsoonnotch_jobs/src/holder/vms.rs
+++ b/crates/monsoonnotch_jobs/src/holder/vms.rs
@@ -283,6 +283,25 @@
         }
     }
 
+    /// The most that can run unseen, started by a former holder.
+    pub(super) fn unseen_room(&self) -> Resources {
+        if self.now >= self.settle_at {
+            return Resources::default();
+        }
+        if self.now < self.list_sure_at {
+            return Resources {
+                cpu_milli: u64::MAX / 4,
+                memory_mib: u64::MAX / 4,
+                accelerators: u64::MAX / 4,
+                ..Resources::default()
+            };
+        }
+        let unseen = self.vms.iter().filter(|(_, vm)| vm.listed && !vm.answered);
+        let mut room = Resources::default();
+        unseen.for_each(|(_, vm)| room.add(&vm.report.capacity));
+        room
+    }
+
     /// Whether nothing of a former holder can run unseen.
     pub(super) fn settled(&self) -> bool {
         let all_answered = || self.vms.iter().all(|(_, vm)| vm.answered || !vm.listed);
