--- a/crates/monsoonnotch_jobs/src/holder/fold.rs
+++ b/crates/monsoonnotch_jobs/src/holder/fold.rs
@@ -84,7 +84,9 @@
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
         self.open.insert(key);
-        self.note(id.0, "job taken in", note);
+        if self.marker.is_some() {
+            self.note(id.0, "job taken in", note);
+        }
         if ended {
             return self.withdraw(key);
         }
--- a/crates/monsoonnotch_jobs/src/holder/mod.rs
+++ b/crates/monsoonnotch_jobs/src/holder/mod.rs
@@ -29,6 +29,11 @@
 pub use self::job::StageKey;
 pub use self::runs::RunKey;
 
+/// Pause between passes of placement for each so many stages in line: a long
+/// line makes a pass dear, and what it waits for comes no sooner by more passes.
+const PLACE_PAUSE: Duration = Duration::from_millis(2);
+/// Stages in line for each pause.
+const PLACE_LINE: u64 = 16;
 /// Pause between scans for what is due.
 const SCAN_PAUSE: Duration = Duration::from_millis(40);
 
@@ -65,6 +70,7 @@
     flush: flush::Flush,
     learnt: BTreeMap<CompactString, job::Learnt>,
     next_scan: Time,
+    next_place: Time,
     /// Whether something changed that may let a waiting task start.
     changed: bool,
     /// Whether another holder was seen; nothing is decided any more.
@@ -109,6 +115,7 @@
             flush: flush::Flush::default(),
             learnt: BTreeMap::new(),
             next_scan: Time::default(),
+            next_place: Time::default(),
             changed: false,
             over: false,
             fx: Vec::new(),
@@ -154,8 +161,10 @@
                 self.next_scan = now + SCAN_PAUSE;
                 self.scan();
             }
-            if self.changed {
+            if self.changed && now >= self.next_place {
                 self.changed = false;
+                let line = u64::try_from(self.ready.len()).unwrap_or(0);
+                self.next_place = now + PLACE_PAUSE.times(line / PLACE_LINE);
                 self.place_all();
             }
             self.flush_progress();
@@ -165,7 +174,10 @@
 
     /// When [`Self::decide`] wants to be called next without any event.
     pub fn wake_at(&self) -> Time {
-        self.next_scan
+        match self.changed {
+            true => self.next_scan.min(self.next_place),
+            false => self.next_scan,
+        }
     }
 
     /// What is due by time alone.
--- a/crates/monsoonnotch_jobs/src/holder/runs.rs
+++ b/crates/monsoonnotch_jobs/src/holder/runs.rs
@@ -8,8 +8,11 @@
 use crate::vm::How;
 use crate::vm::RunningRow;
 
-/// Time after which a stop without an answer is sent again.
-const STOP_RETRY: Duration = Duration::from_millis(250);
+/// Time after which a stop without an answer is sent again: above the timeout
+/// of an order. Doubled with each further one, up to the longest.
+const STOP_RETRY: Duration = Duration::from_millis(450);
+/// Longest such time; leases lapse in a few seconds anyway.
+const STOP_RETRY_MAX: Duration = Duration::from_millis(2_000);
 /// Pause of a stage after a VM refused a start of it for want of room.
 const ROOM_PAUSE: Duration = Duration::from_millis(120);
 /// Runs to learn slowness from must take at least this long.
@@ -39,6 +42,8 @@
         voided: Option<Time>,
         /// When the stop was last sent.
         asked: Time,
+        /// Stops that were sent.
+        times: u32,
     },
 }
 
@@ -275,14 +280,17 @@
     pub(super) fn stop_run(&mut self, key: RunKey, why: &'static str) {
         let now = self.now;
         let Some(run) = self.runs.get_mut(&key) else { return };
-        if let State::Ending { voided, asked } = run.state
-            && (voided.is_some() || now < asked + STOP_RETRY)
-        {
-            return;
+        let mut sent = 0;
+        if let State::Ending { voided, asked, times } = run.state {
+            if voided.is_some() || now < stop_again_at(asked, times) {
+                return;
+            }
+            sent = times;
         }
         run.state = State::Ending {
             voided: None,
             asked: now,
+            times: sent + 1,
         };
         let (vm, attempt, stage, index) = (run.vm, run.attempt, run.stage, run.index);
         let task = self.task_id(stage, index);
@@ -329,11 +337,15 @@
         let mut again = Vec::new();
         for (&key, run) in &self.runs {
             let due = match run.state {
-                State::Ending { voided, asked } => voided.is_none() && now >= asked + STOP_RETRY,
+                State::Ending { voided, asked, times } => {
+                    voided.is_none() && now >= stop_again_at(asked, times)
+                }
                 State::Unsure => now >= run.sent + STOP_RETRY,
                 State::Starting | State::Running { .. } => false,
             };
-            if due {
+            // To a VM that does not answer nothing is sent; its leases lapse.
+            let silent = self.vms.get(run.vm).is_some_and(|v| v.looks.silent > 1);
+            if due && !silent {
                 again.push(key);
             }
         }
@@ -497,3 +509,9 @@
         self.line_up(key);
     }
 }
+
+/// When a stop that was not answered is sent again.
+fn stop_again_at(asked: Time, times: u32) -> Time {
+    let factor = 1 << times.saturating_sub(1).min(4);
+    asked + STOP_RETRY.times(factor).min(STOP_RETRY_MAX)
+}
--- a/crates/monsoonnotch_member/src/logs/mod.rs
+++ b/crates/monsoonnotch_member/src/logs/mod.rs
@@ -21,6 +21,8 @@
 
 /// Lines a second, at most; the worst burst on the sites seen needs half of it.
 const LINES_A_SECOND: u32 = 400;
+/// Warnings and errors a second beyond those.
+const WARNINGS_BEYOND: u32 = 100;
 /// Lines that wait for the writer, at most.
 const WAITING_MAX: usize = 1_024;
 
@@ -40,7 +42,7 @@
 
 impl Append for Bounded {
     fn append(&self, record: &Record<'_>, diags: &[Box<dyn Diagnostic>]) -> Result<(), logforth::Error> {
-        let Some(left_out) = self.admit() else {
+        let Some(left_out) = self.admit(record.level()) else {
             return Ok(());
         };
         if left_out > 0 {
@@ -66,7 +68,7 @@
     }
 
     /// Whether a line may be written, and how many were left out before it.
-    fn admit(&self) -> Option<u64> {
+    fn admit(&self, level: Level) -> Option<u64> {
         let mut second = self.lock();
         let mut left_out = 0;
         if second.began.elapsed() >= Duration::from_secs(1) {
@@ -75,7 +77,11 @@
             second.lines = 0;
         }
         second.lines += 1;
-        if second.lines > LINES_A_SECOND {
+        let most = match level {
+            Level::Warn | Level::Error => LINES_A_SECOND + WARNINGS_BEYOND,
+            _ => LINES_A_SECOND,
+        };
+        if second.lines > most {
             second.left_out += 1;
             return None;
         }
