--- a/crates/monsoonnotch_jobs/src/holder/mod.rs
+++ b/crates/monsoonnotch_jobs/src/holder/mod.rs
@@ -34,6 +34,9 @@
 const PLACE_PAUSE: Duration = Duration::from_millis(2);
 /// Stages in line for each pause.
 const PLACE_LINE: u64 = 16;
+/// Pause between passes of placement without any event: about the shortest of
+/// the pauses that end by time alone.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Pause between scans for what is due.
 const SCAN_PAUSE: Duration = Duration::from_millis(40);
 
@@ -71,6 +74,7 @@
     learnt: BTreeMap<CompactString, job::Learnt>,
     next_scan: Time,
     next_place: Time,
+    next_retry: Time,
     /// Whether something changed that may let a waiting task start.
     changed: bool,
     /// Whether another holder was seen; nothing is decided any more.
@@ -116,6 +120,7 @@
             learnt: BTreeMap::new(),
             next_scan: Time::default(),
             next_place: Time::default(),
+            next_retry: Time::default(),
             changed: false,
             over: false,
             fx: Vec::new(),
@@ -182,6 +187,12 @@
 
     /// What is due by time alone.
     fn scan(&mut self) {
+        // What waits for a time alone (a gang that broke, a VM put aside, the pause
+        // between calls for approval) brings no event.
+        if self.now >= self.next_retry {
+            self.next_retry = self.now + RETRY_PAUSE;
+            self.changed |= !self.ready.is_empty();
+        }
         self.scan_vms();
         self.scan_runs();
         self.scan_jobs();
--- a/crates/monsoonnotch_jobs/src/holder/runs.rs
+++ b/crates/monsoonnotch_jobs/src/holder/runs.rs
@@ -370,16 +370,13 @@
         self.task_again(stage, index, true, How::Lapsed);
     }
 
-    /// The VM of a run began anew. What was on its way may still arrive there.
-    pub(super) fn run_lost_by_rebirth(&mut self, key: RunKey) {
+    /// The VM of a run began anew, at a time not known: the run was lost with the
+    /// former incarnation, or was started by the new one. The next look tells.
+    pub(super) fn doubt_run(&mut self, key: RunKey) {
+        let now = self.now;
         let Some(run) = self.runs.get_mut(&key) else { return };
-        match run.state {
-            State::Running { .. } | State::Ending { voided: Some(_), .. } => {
-                self.run_gone(key, "vm reborn");
-            }
-            State::Starting | State::Unsure | State::Ending { .. } => {
-                self.stop_run(key, "vm reborn");
-            }
+        if let State::Running { since } = &mut run.state {
+            *since = now;
         }
     }
 
--- a/crates/monsoonnotch_jobs/src/holder/vms.rs
+++ b/crates/monsoonnotch_jobs/src/holder/vms.rs
@@ -192,7 +192,7 @@
         }
     }
 
-    /// A new incarnation: what the former one ran is gone, its numbers begin anew.
+    /// A new incarnation: its numbers begin anew, and what runs there is in doubt.
     pub(super) fn vm_reborn(&mut self, key: VmKey) {
         let Some(vm) = self.vms.get_mut(key) else { return };
         vm.answered = false;
@@ -205,9 +205,9 @@
         self.set_strays(key, Strays::default());
         let Some(vm) = self.vms.get_mut(key) else { return };
         let (id, runs) = (vm.report.id.clone(), vm.runs.clone());
-        self.note(0, "vm reborn", format!("vm={id} runs_lost={}", runs.len()));
+        self.note(0, "vm reborn", format!("vm={id} runs_in_doubt={}", runs.len()));
         for run in runs {
-            self.run_lost_by_rebirth(run);
+            self.doubt_run(run);
         }
         self.look_now(key);
     }
--- /dev/null
+++ b/crates/monsoonnotch_jobs/tests/promises/patterns.rs
@@ -0,0 +1,1 @@
+//! Patterns of load, each with the test that names it.
