Submissions share an append, and go through the holder where the store refuses a member

Ruled out: more partitions: each reader would have to follow all of them. The change: one append at a time for each member, carrying all that came meanwhile; what this member cannot store the holder stores; while the store answers nothing what is handed in is refused at once; reads probe without waiting then.

--- a/crates/monsoonnotch_member/src/calls/mod.rs
+++ b/crates/monsoonnotch_member/src/calls/mod.rs
@@ -1,6 +1,6 @@
 //! Callers' calls, as any member answers them.
 
-mod submit;
+pub(crate) mod submit;
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
--- a/crates/monsoonnotch_member/src/calls/submit.rs
+++ b/crates/monsoonnotch_member/src/calls/submit.rs
@@ -1,5 +1,9 @@
-//! Stores what a caller hands in. The store keeps one record for each key, so
-//! an append without an answer can be repeated.
+//! Stores what callers hand in, many records to an append.
+//!
+//! One append is on its way at a time and carries all that came meanwhile, so
+//! that a slow store takes as many jobs as a fast one. The store keeps one
+//! record for each key, so what has no answer is appended again. A member whom
+//! the store refuses has the holder store for it.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,17 +18,65 @@
 use monsoonnotch_jobs::plan::JobId;
 use monsoonnotch_jobs::plan::Plan;
 use monsoonnotch_jobs::site::Queue;
+use serde_bytes::ByteBuf;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use super::RETRY_S;
 use crate::control::unix_ms;
 use crate::cx::Cx;
+use crate::cx::lock;
+use crate::links::Fate;
+use crate::links::Frame;
 use crate::term::JOURNAL;
 
-/// How long appends that are refused go again before the caller is refused.
+/// How long a record that the store refuses is tried again before the caller
+/// is refused: a quarter of the shortest objective of the sites.
 const REFUSE_AFTER: Duration = Duration::from_millis(150);
-/// Pause between appends.
+/// How long a record without an answer is tried again while the store answers
+/// nothing at all: two appends.
+const UNKNOWN_AFTER: Duration = Duration::from_millis(900);
+/// Pause before a batch that failed goes again.
 const PAUSE: Duration = Duration::from_millis(40);
+/// An append that took no longer than this shows a store that is well again.
+const QUICK: Duration = Duration::from_millis(120);
+/// Records of a batch, at most, and their bytes; the store takes 2 MB at once.
+const BATCH_MAX: usize = 128;
+const BATCH_BYTES: usize = 1 << 20;
+/// Longest wait for the holder to store a record: two of its appends.
+const RELAY_MAX: Duration = Duration::from_millis(800);
+/// Silence of the store after which nothing new is tried: what is handed in
+/// then is refused at once, and true it is that it has not run.
+const DARK: Duration = Duration::from_millis(500);
+
+/// A record that waits to be stored.
+#[derive(Debug)]
+pub(crate) struct Pending {
+    record: Stored,
+    began: Instant,
+    until: Instant,
+    may_have_run: bool,
+    reply: oneshot::Sender<Reply>,
+}
+
+impl Pending {
+    /// Whether there is nothing more to try, and what is said then.
+    fn verdict(&self, dark: bool) -> Option<Reply> {
+        let tried = self.began.elapsed();
+        let over = Instant::now() + PAUSE >= self.until;
+        match self.may_have_run {
+            true => (over || (dark && tried >= UNKNOWN_AFTER)).then_some(Reply::MayHaveRun),
+            false if over || tried >= REFUSE_AFTER => Some(Reply::NotRun { retry_s: RETRY_S }),
+            false => None,
+        }
+    }
+
+    fn answer(self, reply: Reply) {
+        // The caller may have left.
+        let _ = self.reply.send(reply);
+    }
+}
 
 /// What is stored of a job.
 pub(super) fn submission(
@@ -47,31 +99,117 @@
     journal::submitted(id, submission)
 }
 
-/// Stores a record; the reply says whether it may have been.
+/// Stores a record here, or through the holder; the reply says whether it may have been.
 pub(super) async fn store(cx: &Arc<Cx>, record: Stored, until: Instant) -> Reply {
-    let records = [record];
-    let began = Instant::now();
-    let mut may_have_run = false;
-    for i in 0.. {
-        let timeout = APPEND_TIMES[i.min(APPEND_TIMES.len() - 1)];
-        let timeout = timeout.min(until.saturating_duration_since(Instant::now()));
-        if timeout < PAUSE {
-            break;
+    let stored = match is_dark(cx) {
+        true => Reply::NotRun { retry_s: RETRY_S },
+        false => store_here(cx, record.clone(), until).await,
+    };
+    match stored {
+        // The store may refuse this member alone.
+        Reply::NotRun { .. } => relay(cx, record).await.unwrap_or(stored),
+        _ => stored,
+    }
+}
+
+/// Stores a record through this member's own connection.
+pub(crate) async fn store_here(cx: &Arc<Cx>, record: Stored, until: Instant) -> Reply {
+    let (reply, rx) = oneshot::channel();
+    let pending = Pending {
+        record,
+        began: Instant::now(),
+        until,
+        may_have_run: false,
+        reply,
+    };
+    let none = Reply::NotRun { retry_s: RETRY_S };
+    if cx.submit.send(pending).is_err() {
+        return none;
+    }
+    rx.await.unwrap_or(Reply::MayHaveRun)
+}
+
+fn is_dark(cx: &Cx) -> bool {
+    cx.store_lost_for() > DARK
+}
+
+/// Has the holder store a record; `None` when there is none to ask.
+async fn relay(cx: &Arc<Cx>, record: Stored) -> Option<Reply> {
+    let (seq, rx) = cx.fate();
+    let frame = Frame::Store {
+        seq,
+        key: record.key,
+        value: ByteBuf::from(record.value),
+    };
+    let sent = lock(&cx.host).as_ref().is_some_and(|tx| tx.try_send(frame).is_ok());
+    let fate = match sent {
+        true => tokio::time::timeout(RELAY_MAX, rx).await,
+        false => {
+            cx.forget_fate(seq);
+            return None;
+        }
+    };
+    cx.forget_fate(seq);
+    Some(match fate {
+        Ok(Ok(Fate::Stored)) => Reply::Stored,
+        Ok(Ok(Fate::NotStored)) => Reply::NotRun { retry_s: RETRY_S },
+        Ok(Ok(Fate::Unknown)) | Ok(Err(_)) | Err(_) => Reply::MayHaveRun,
+    })
+}
+
+/// Appends what is handed in, batch by batch, for as long as the process lives.
+pub(crate) async fn run(cx: Arc<Cx>, mut rx: mpsc::UnboundedReceiver<Pending>) {
+    let mut waiting: Vec<Pending> = Vec::new();
+    let mut level = 0;
+    loop {
+        if waiting.is_empty() {
+            match rx.recv().await {
+                Some(pending) => waiting.push(pending),
+                None => return,
+            }
         }
-        let appended = cx.store.append(JOURNAL, &records, None, None, timeout).await;
+        fill(&mut waiting, &mut rx);
+        let records: Vec<Stored> = waiting.iter().map(|p| p.record.clone()).collect();
+        let began = Instant::now();
+        let appended = cx.store.append(JOURNAL, &records, None, None, APPEND_TIMES[level]).await;
         cx.store_answered(appended.is_ok());
+        level = match &appended {
+            Ok(_) if began.elapsed() <= QUICK => 0,
+            Err(Error::Unknown) => (level + 1).min(APPEND_TIMES.len() - 1),
+            _ => level,
+        };
+        let tried = std::mem::take(&mut waiting);
         match appended {
-            Ok(_) => return Reply::Stored,
-            Err(Error::Unknown) => may_have_run = true,
-            Err(_) if !may_have_run && began.elapsed() >= REFUSE_AFTER => {
-                return Reply::NotRun { retry_s: RETRY_S };
+            Ok(_) => tried.into_iter().for_each(|p| p.answer(Reply::Stored)),
+            Err(e) => {
+                waiting = sort_out(tried, e == Error::Unknown, is_dark(&cx));
+                tokio::time::sleep(PAUSE).await;
             }
-            Err(_) => {}
         }
-        tokio::time::sleep(PAUSE).await;
     }
-    match may_have_run {
-        true => Reply::MayHaveRun,
-        false => Reply::NotRun { retry_s: RETRY_S },
+}
+
+/// Adds what has come to a batch.
+fn fill(waiting: &mut Vec<Pending>, rx: &mut mpsc::UnboundedReceiver<Pending>) {
+    let mut bytes: usize = waiting.iter().map(|p| p.record.value.len()).sum();
+    while waiting.len() < BATCH_MAX
+        && bytes < BATCH_BYTES
+        && let Ok(pending) = rx.try_recv()
+    {
+        bytes += pending.record.value.len();
+        waiting.push(pending);
+    }
+}
+
+/// Answers what is given up after a failed append; returns what is tried again.
+fn sort_out(tried: Vec<Pending>, unknown: bool, dark: bool) -> Vec<Pending> {
+    let mut again = Vec::new();
+    for mut pending in tried {
+        pending.may_have_run |= unknown;
+        match pending.verdict(dark) {
+            Some(reply) => pending.answer(reply),
+            None => again.push(pending),
+        }
     }
+    again
 }
--- a/crates/monsoonnotch_member/src/cell/mod.rs
+++ b/crates/monsoonnotch_member/src/cell/mod.rs
@@ -79,7 +79,7 @@
     seen: &watch::Sender<Option<Seen>>,
 ) {
     loop {
-        match cx.store.read(TOPIC, from, WAIT).await {
+        match cx.store.read(TOPIC, from, cx.store_wait(WAIT)).await {
             Ok(page) => {
                 cx.store_answered(true);
                 from = page.next;
--- a/crates/monsoonnotch_member/src/cx/mod.rs
+++ b/crates/monsoonnotch_member/src/cx/mod.rs
@@ -23,7 +23,9 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::calls::submit::Pending;
 use crate::control::Inbox;
+use crate::links::Fate;
 use crate::links::Frame;
 use crate::settings::Settings;
 
@@ -75,7 +77,11 @@
     pub(crate) guests: Mutex<BTreeMap<u64, mpsc::Sender<Frame>>>,
     /// The link to the holder, while another member is.
     pub(crate) host: Mutex<Option<mpsc::Sender<Frame>>>,
+    /// Where records go that callers hand in.
+    pub(crate) submit: mpsc::UnboundedSender<Pending>,
     waiting: Mutex<BTreeMap<u64, oneshot::Sender<Answer>>>,
+    /// Records that the holder stores for this member.
+    fates: Mutex<BTreeMap<u64, oneshot::Sender<Fate>>>,
     next_seq: AtomicU64,
     /// Calls that have no answer yet.
     pub(crate) open_calls: AtomicU64,
@@ -84,7 +90,11 @@
 }
 
 impl Cx {
-    pub(crate) fn new(settings: Settings, control: Inbox) -> Self {
+    pub(crate) fn new(
+        settings: Settings,
+        control: Inbox,
+        submit: mpsc::UnboundedSender<Pending>,
+    ) -> Self {
         let http = Http::default();
         Self {
             store: Store::new(&settings.services.store.to_string(), http.clone()),
@@ -101,7 +111,9 @@
             config_bytes: Mutex::default(),
             guests: Mutex::default(),
             host: Mutex::default(),
+            submit,
             waiting: Mutex::default(),
+            fates: Mutex::default(),
             next_seq: AtomicU64::new(1),
             open_calls: AtomicU64::new(0),
             given_up: AtomicU64::new(0),
@@ -146,6 +158,15 @@
         since.map_or(Duration::ZERO, |s| s.elapsed())
     }
 
+    /// How long a read may wait: not at all while the store does not answer, so
+    /// that its return shows at once.
+    pub(crate) fn store_wait(&self, wait: Duration) -> Duration {
+        match self.store_lost_for().is_zero() {
+            true => wait,
+            false => Duration::ZERO,
+        }
+    }
+
     /// Time since the store last failed to answer.
     pub(crate) fn store_well_for(&self) -> Duration {
         let last = lock(&self.health).last_failure;
@@ -173,6 +194,27 @@
         lock(&self.waiting).remove(&seq);
     }
 
+    /// Registers a record that the holder is asked to store.
+    pub(crate) fn fate(&self) -> (u64, oneshot::Receiver<Fate>) {
+        let seq = self.next_seq.fetch_add(1, Ordering::Relaxed);
+        let (tx, rx) = oneshot::channel();
+        lock(&self.fates).insert(seq, tx);
+        (seq, rx)
+    }
+
+    /// Hands the fate of a record to whoever waits for it.
+    pub(crate) fn fate_known(&self, seq: u64, fate: Fate) {
+        if let Some(tx) = lock(&self.fates).remove(&seq) {
+            // Whoever waited may have given up.
+            let _ = tx.send(fate);
+        }
+    }
+
+    /// Forgets a record that nobody waits for.
+    pub(crate) fn forget_fate(&self, seq: u64) {
+        lock(&self.fates).remove(&seq);
+    }
+
     /// Sends a frame to the link of a guest; false when there is none.
     pub(crate) fn to_guest(&self, lane: LaneKey, frame: Frame) -> bool {
         let guests = lock(&self.guests);
--- a/crates/monsoonnotch_member/src/links/guest.rs
+++ b/crates/monsoonnotch_member/src/links/guest.rs
@@ -184,6 +184,7 @@
             }
         }
         Frame::Answer { seq, answer } => cx.answered(seq, answer),
+        Frame::StoreFate { seq, fate } => cx.fate_known(seq, fate),
         Frame::Approve { ask, stage, vms } => {
             let (cx, tx) = (Arc::clone(cx), tx.clone());
             tokio::spawn(async move {
--- a/crates/monsoonnotch_member/src/links/host.rs
+++ b/crates/monsoonnotch_member/src/links/host.rs
@@ -10,18 +10,22 @@
 
 use futures_util::SinkExt;
 use futures_util::StreamExt;
+use monsoonnotch_adapter::front::Reply;
 use monsoonnotch_jobs::effect::AskKey;
 use monsoonnotch_jobs::effect::LaneKey;
 use monsoonnotch_jobs::effect::QueryKey;
 use monsoonnotch_jobs::event::Event;
+use monsoonnotch_jobs::journal::Stored;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
+use super::Fate;
 use super::Frame;
 use super::WAITING_MAX;
 use super::frame_of;
 use super::message;
+use crate::calls::submit;
 use crate::cx::Cx;
 use crate::cx::lock;
 
@@ -30,6 +34,9 @@
 /// Silence of a guest, in heartbeats, after which its link is closed.
 const SILENT_BEATS: u32 = 8;
 
+/// Longest time spent on a record for a guest, which waits a little longer.
+const STORE_FOR: Duration = Duration::from_millis(700);
+
 /// What the holder knows of its guests.
 #[derive(Debug, Default)]
 pub(crate) struct Guests {
@@ -142,6 +149,23 @@
             let key = AskKey(ask);
             cx.control.event(token, Event::Approved { key, allowed });
         }
+        Frame::Store { seq, key, value } => {
+            let cx = Arc::clone(cx);
+            let value = value.into_vec();
+            tokio::spawn(async move { store_for(&cx, link, seq, Stored { key, value }).await });
+        }
         _ => log::warn!(event = "odd frame", link = link; "a member sent a frame that is not for a holder"),
     }
 }
+
+/// Stores a record for a guest whom the store refuses, and tells it what became of it.
+async fn store_for(cx: &Arc<Cx>, link: u64, seq: u64, record: Stored) {
+    let until = tokio::time::Instant::now() + STORE_FOR;
+    let fate = match submit::store_here(cx, record, until).await {
+        Reply::Stored => Fate::Stored,
+        Reply::NotRun { .. } => Fate::NotStored,
+        _ => Fate::Unknown,
+    };
+    // A guest whose link is gone takes the record's fate as unknown.
+    let _ = cx.to_guest(LaneKey(link), Frame::StoreFate { seq, fate });
+}
--- a/crates/monsoonnotch_member/src/links/mod.rs
+++ b/crates/monsoonnotch_member/src/links/mod.rs
@@ -85,6 +85,13 @@
         /// The value.
         value: ByteBuf,
     },
+    /// What became of a record that the holder was asked to store.
+    StoreFate {
+        /// Number of the question.
+        seq: u64,
+        /// What became of it.
+        fate: Fate,
+    },
     /// The configuration, for a member that lags behind.
     Config {
         /// As the operators published it.
@@ -94,6 +101,17 @@
     Claim,
 }
 
+/// What became of a record.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) enum Fate {
+    /// It is stored.
+    Stored,
+    /// It is not, and will not be.
+    NotStored,
+    /// It may be, now or later.
+    Unknown,
+}
+
 fn message(frame: &Frame) -> Message {
     Message::Binary(encode(frame).into())
 }
--- a/crates/monsoonnotch_member/src/process/mod.rs
+++ b/crates/monsoonnotch_member/src/process/mod.rs
@@ -45,7 +45,9 @@
     let member = settings.member.clone();
     log::info!(event = "start", name = member.name.as_str(), domain = member.domain.as_str(), version = env!("CARGO_PKG_VERSION"); "starting");
     let (inbox, control_rx) = control::inbox();
-    let cx = Arc::new(Cx::new(settings, inbox));
+    let (submit, submit_rx) = mpsc::unbounded_channel();
+    let cx = Arc::new(Cx::new(settings, inbox, submit));
+    tokio::spawn(calls::submit::run(Arc::clone(&cx), submit_rx));
     let peers = TcpListener::bind(member.peers).await?;
     let callers = TcpListener::bind(member.callers).await?;
     serve_metrics(member.metrics);
--- a/crates/monsoonnotch_member/src/site/mod.rs
+++ b/crates/monsoonnotch_member/src/site/mod.rs
@@ -38,7 +38,7 @@
 /// Reads changes until the records that come next are gone.
 async fn tail(cx: &Arc<Cx>, mut from: u64) {
     loop {
-        match cx.store.read(OPERATORS, from, WAIT).await {
+        match cx.store.read(OPERATORS, from, cx.store_wait(WAIT)).await {
             Ok(page) => {
                 cx.store_answered(true);
                 from = page.next;
--- a/crates/monsoonnotch_member/src/term/mod.rs
+++ b/crates/monsoonnotch_member/src/term/mod.rs
@@ -221,7 +221,7 @@
 /// Feeds the journal's records to the reducer.
 async fn journal(cx: &Cx, token: u64, mut from: u64) {
     loop {
-        match cx.store.read(JOURNAL, from, WAIT).await {
+        match cx.store.read(JOURNAL, from, cx.store_wait(WAIT)).await {
             Ok(page) => {
                 cx.store_answered(true);
                 from = page.next;
