Calls for approval leave out VMs that a step has used up

Ruled out: tickets that ran out (they were renewed in time), the limit. The change: room of a VM for a step counts what the step has there.

--- a/crates/monsoonnotch_jobs/src/holder/approve.rs
+++ b/crates/monsoonnotch_jobs/src/holder/approve.rs
@@ -214,6 +214,7 @@
     fn vms_to_ask(&self, job: &Job, stage: &Stage, step: &Step) -> Vec<Askable> {
         let now = self.now;
         let approvals = &stage.approvals;
+        let here = self.tasks_by_vm(stage);
         let mut rows = Vec::new();
         for (vm, row) in self.vms.iter() {
             let ticket = approvals.tickets.get(&vm);
@@ -225,7 +226,7 @@
             }
             let most = match step.per_vm_max {
                 0 => u64::MAX,
-                n => u64::from(n),
+                n => u64::from(n.saturating_sub(here.get(&vm).copied().unwrap_or(0))),
             };
             let fits = place::times_fitting(&row.free(), &step.room()).min(most);
             rows.push(Askable {
--- a/crates/monsoonnotch_jobs/src/holder/place.rs
+++ b/crates/monsoonnotch_jobs/src/holder/place.rs
@@ -8,6 +8,7 @@
 use super::job::Blocked;
 use super::job::Job;
 use super::job::Rank;
+use super::job::Stage;
 use super::*;
 use crate::plan::Step;
 
@@ -107,14 +108,20 @@
             && step.label.as_ref().is_none_or(label)
     }
 
-    fn candidates(&self, key: StageKey, approved: bool) -> Vec<Candidate> {
-        let Some(job) = self.jobs.get(key.job) else { return Vec::new() };
-        let Some(stage) = self.stage(key) else { return Vec::new() };
-        let step = job.step(key.step);
+    /// Tasks of a stage that each VM has.
+    pub(super) fn tasks_by_vm(&self, stage: &Stage) -> BTreeMap<VmKey, u32> {
         let mut here: BTreeMap<VmKey, u32> = BTreeMap::new();
         for run in stage.runs().filter_map(|r| self.runs.get(&r)) {
             *here.entry(run.vm).or_default() += 1;
         }
+        here
+    }
+
+    fn candidates(&self, key: StageKey, approved: bool) -> Vec<Candidate> {
+        let Some(job) = self.jobs.get(key.job) else { return Vec::new() };
+        let Some(stage) = self.stage(key) else { return Vec::new() };
+        let step = job.step(key.step);
+        let here = self.tasks_by_vm(stage);
         let mut found = Vec::new();
         let need = step.room();
         let mut consider = |vm: VmKey, ticket: CompactString| {
--- a/crates/monsoonnotch_jobs/tests/promises/patterns.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/patterns.rs
@@ -1,1 +1,56 @@
 //! Patterns of load, each with the test that names it.
+
+use monsoonnotch_jobs::plan::JobId;
+use monsoonnotch_jobs::plan::Step;
+use monsoonnotch_jobs::plan::TaskId;
+
+use crate::random::cpu;
+use crate::random::fleet;
+use crate::random::site;
+use crate::random::submission;
+use crate::world::Faults;
+use crate::world::World;
+
+fn run(world: &mut World, ms: u64) {
+    for _ in 0..ms {
+        world.step();
+    }
+}
+
+fn step(count: u32, milli: u64, estimate_ms: u64) -> Step {
+    Step {
+        count,
+        need: cpu(milli),
+        estimate_ms,
+        ..Step::default()
+    }
+}
+
+fn hand_in(world: &mut World, id: u64, queue: &str, steps: Vec<Step>) {
+    let job = submission(world, queue, "ann", steps);
+    world.submit(JobId(id), job);
+}
+
+/// A lasting step with one task a VM, where the VMs that it may still use have
+/// less room than those that have a task of it: a call must name the former.
+#[test]
+fn a_lasting_step_spread_thin_finds_its_last_vms() {
+    let mut world = World::new(7, site(0, true), fleet(30, 8_000), Faults::default());
+    world.claim();
+    run(&mut world, 50);
+    let spread = |lasting: bool, count, milli| Step {
+        lasting,
+        per_vm_max: 1,
+        ..step(count, milli, 4_000)
+    };
+    // Jobs 2, 5 and 8 are approved for the same twenty VMs.
+    hand_in(&mut world, 2, "bulk", vec![spread(true, 10, 4_000)]);
+    run(&mut world, 100);
+    hand_in(&mut world, 5, "bulk", vec![spread(false, 10, 4_000)]);
+    run(&mut world, 100);
+    hand_in(&mut world, 8, "bulk", vec![spread(true, 20, 2_000)]);
+    run(&mut world, 9_000);
+    let of_job = |t: &TaskId| t.stage.job == JobId(8);
+    let running = world.vms.values().flat_map(|v| v.running.keys());
+    assert_eq!(running.filter(|t| of_job(t)).count(), 20, "tasks at work");
+}
