--- a/crates/monsoonnotch_jobs/src/holder/fold.rs
+++ b/crates/monsoonnotch_jobs/src/holder/fold.rs
@@ -54,7 +54,7 @@
             return;
         }
         let fresh = self.marker.is_some_and(|m| offset > m);
-        let over = fresh && !self.within_share(&submission.account);
+        let over = fresh && !self.within_share(&submission.account, submission.taken_ms);
         let note = format!(
             "queue={} account={} offset={offset} over_share={over} steps={}",
             submission.queue,
@@ -96,7 +96,8 @@
         }
     }
 
-    fn within_share(&mut self, account: &str) -> bool {
+    /// Whether an account is owed a job that was taken at a time.
+    fn within_share(&mut self, account: &str, taken_ms: u64) -> bool {
         let Some(weight) = self.site.accounts.get(account).map(|a| a.weight) else {
             return true;
         };
@@ -105,10 +106,25 @@
         }
         let full = Rate {
             left: weight * BURST_S,
-            at_ms: self.unix_ms,
+            at_ms: taken_ms,
         };
         let rate = self.rates.entry(account.into()).or_insert(full);
-        rate.take(weight, self.unix_ms)
+        rate.take(weight, taken_ms)
+    }
+
+    /// Works out anew which jobs their accounts are owed, in the order they were
+    /// taken: a former holder's reckoning ended with it.
+    fn reckon_shares(&mut self) {
+        let mut line: Vec<(u64, JobKey)> =
+            self.jobs.iter().map(|(k, j)| (j.taken_ms, k)).collect();
+        line.sort_unstable();
+        for (taken_ms, key) in line {
+            let Some(account) = self.jobs.get(key).map(|j| j.account.clone()) else { continue };
+            let over = !self.within_share(&account, taken_ms);
+            if let Some(job) = self.jobs.get_mut(key) {
+                job.over = over;
+            }
+        }
     }
 
     fn cancelled(&mut self, id: JobId) {
@@ -147,6 +163,7 @@
     /// Begins to decide: the journal has been read up to this holder's first record.
     pub(super) fn caught_up(&mut self, marker: u64) {
         self.marker = Some(marker);
+        self.reckon_shares();
         let keys: Vec<JobKey> = self.open.iter().copied().collect();
         let open = self.open.len();
         self.note(0, "journal read", format!("marker={marker} jobs={} open={open}", keys.len()));
--- a/crates/monsoonnotch_jobs/src/holder/place.rs
+++ b/crates/monsoonnotch_jobs/src/holder/place.rs
@@ -14,6 +14,9 @@
 
 /// Priority that may use the reserve and preempt others.
 pub(super) const URGENT: u32 = 0;
+/// Part of an account's limit kept for its urgent work, in thousandths: about
+/// what urgent work takes of the whole on the sites.
+const LIMIT_KEPT_MILLI: u64 = 200;
 /// Share of its usual time that a task may take longer on a VM before another
 /// with room is preferred.
 const SLOW: f64 = 1.15;
@@ -182,7 +185,7 @@
         let total = waiting.len();
         let mut placed = 0;
         for (index, attempt) in waiting {
-            if !self.within_limit(&account, &step.need) {
+            if !self.within_limit(rank, &account, &step.need) {
                 self.blocked(key, Blocked::Limit);
                 return (placed, true);
             }
@@ -228,7 +231,7 @@
         let need = step.room();
         let count = waiting.len() as u64;
         let all = step.need.times(count);
-        if !self.within_limit(&account, &all) {
+        if !self.within_limit(rank, &account, &all) {
             self.blocked(key, Blocked::Limit);
             return (0, true);
         }
@@ -269,13 +272,22 @@
     }
 
     /// Whether an account may have so much more running.
-    pub(super) fn within_limit(&self, account: &str, need: &Resources) -> bool {
+    ///
+    /// What is not urgent leaves part of the limit free, so that an account's
+    /// quick work does not wait for its own bundles, unless it uses little.
+    fn within_limit(&self, rank: Rank, account: &str, need: &Resources) -> bool {
         let Some(limit) = self.site.accounts.get(account).map(|a| a.limit) else {
             return true;
         };
         let mut used = self.usage.get(account).copied().unwrap_or_default();
         used.add(&self.unseen);
-        let fits = |limit: u64, used: u64, need: u64| limit == 0 || used + need <= limit;
+        let fits = |limit: u64, used: u64, need: u64| {
+            let kept = match rank.class == URGENT || used * 2 <= limit {
+                true => 0,
+                false => limit * LIMIT_KEPT_MILLI / 1_000,
+            };
+            limit == 0 || used + need + kept <= limit
+        };
         fits(limit.cpu_milli, used.cpu_milli, need.cpu_milli)
             && fits(limit.memory_mib, used.memory_mib, need.memory_mib)
             && fits(limit.accelerators, used.accelerators, need.accelerators)
--- a/crates/monsoonnotch_member/src/calls/submit.rs
+++ b/crates/monsoonnotch_member/src/calls/submit.rs
@@ -24,6 +24,7 @@
 use tokio::time::Instant;
 
 use super::RETRY_S;
+use crate::cell::TOPIC as CLAIMS;
 use crate::control::unix_ms;
 use crate::cx::Cx;
 use crate::cx::lock;
@@ -37,6 +38,8 @@
 /// How long a record without an answer is tried again while the store answers
 /// nothing at all: two appends.
 const UNKNOWN_AFTER: Duration = Duration::from_millis(900);
+/// Longest probe; a slow store takes 50 to 70 times its usual 4 ms.
+const PROBE_MAX: Duration = Duration::from_millis(350);
 /// Pause before a batch that failed goes again.
 const PAUSE: Duration = Duration::from_millis(40);
 /// An append that took no longer than this shows a store that is well again.
@@ -161,6 +164,7 @@
 pub(crate) async fn run(cx: Arc<Cx>, mut rx: mpsc::UnboundedReceiver<Pending>) {
     let mut waiting: Vec<Pending> = Vec::new();
     let mut level = 0;
+    let mut failed = false;
     loop {
         if waiting.is_empty() {
             match rx.recv().await {
@@ -169,6 +173,13 @@
             }
         }
         fill(&mut waiting, &mut rx);
+        // What has not been sent can still be refused truly, so after a failure
+        // nothing is sent before the store has answered a question.
+        if failed && !probe(&cx).await {
+            waiting = sort_out(waiting, false, is_dark(&cx));
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        }
         let records: Vec<Stored> = waiting.iter().map(|p| p.record.clone()).collect();
         let began = Instant::now();
         let appended = cx.store.append(JOURNAL, &records, None, None, APPEND_TIMES[level]).await;
@@ -178,6 +189,7 @@
             Err(Error::Unknown) => (level + 1).min(APPEND_TIMES.len() - 1),
             _ => level,
         };
+        failed = appended.is_err();
         let tried = std::mem::take(&mut waiting);
         match appended {
             Ok(_) => tried.into_iter().for_each(|p| p.answer(Reply::Stored)),
@@ -189,6 +201,14 @@
     }
 }
 
+/// Whether the store answers.
+async fn probe(cx: &Cx) -> bool {
+    let probed = tokio::time::timeout(PROBE_MAX, cx.store.newest(CLAIMS)).await;
+    let answers = matches!(probed, Ok(Ok(_)));
+    cx.store_answered(answers);
+    answers
+}
+
 /// Adds what has come to a batch.
 fn fill(waiting: &mut Vec<Pending>, rx: &mut mpsc::UnboundedReceiver<Pending>) {
     let mut bytes: usize = waiting.iter().map(|p| p.record.value.len()).sum();
--- a/crates/monsoonnotch_member/src/cell/mod.rs
+++ b/crates/monsoonnotch_member/src/cell/mod.rs
@@ -23,7 +23,7 @@
 use crate::links::Heard;
 
 /// The topic of claims.
-const TOPIC: &str = "keyed.holder";
+pub(crate) const TOPIC: &str = "keyed.holder";
 /// The key of claims in it.
 const KEY: &str = "jobs";
 /// How long a read waits for the next claim.
