A start without an answer is sent again; lines for what was started

Cause: with 3 to 6 of 100 orders unanswered, four of ten hold checks had a task whose start was stopped, looked for and made anew, which took a second. Ruled out: the VM's own slowness: it answers other orders in 2 ms. One line names the VMs of each step that starts, and one its end. Also tried: moving runs that are far behind the others of their step, by the percent that VMs list. Taken out again.

--- a/crates/monsoonnotch_jobs/src/holder/place.rs
+++ b/crates/monsoonnotch_jobs/src/holder/place.rs
@@ -89,6 +89,9 @@
             true => self.place_gang(rank, key, candidates, room),
             false => self.place_tasks(rank, key, candidates, room),
         };
+        if placed > 0 {
+            self.note_placed(key, placed);
+        }
         if let Some(approval) = approval
             && !all
             && (placed == 0 || self.stage(key).is_some_and(|s| !s.waiting.is_empty()))
@@ -97,6 +100,25 @@
         }
     }
 
+    fn note_placed(&mut self, key: StageKey, placed: usize) {
+        let now = self.now;
+        let Some(stage) = self.stage(key) else { return };
+        let new = stage.runs().filter_map(|r| self.runs.get(&r));
+        let new = new.filter(|r| r.sent == now).filter_map(|r| self.vms.get(r.vm));
+        let vms: Vec<&str> = new.map(|v| v.report.id.as_str()).collect();
+        let note = format!(
+            "step={} occurrence={} tasks={placed} waiting={} class={} ready_ms={} vms={}",
+            key.step,
+            key.occurrence,
+            stage.waiting.len(),
+            stage.rank.class,
+            now.since(stage.ready_at).as_millis(),
+            vms.join(",")
+        );
+        let id = self.task_id(key, 0).stage.job.0;
+        self.note(id, "tasks started", note);
+    }
+
     /// Whether a VM may ever run a step, and may now be given work.
     pub(super) fn suits(&self, vm: VmKey, job: &Job, step: &Step) -> bool {
         let Some(row) = self.vms.get(vm) else { return false };
--- a/crates/monsoonnotch_jobs/src/holder/runs.rs
+++ b/crates/monsoonnotch_jobs/src/holder/runs.rs
@@ -13,6 +13,9 @@
 const STOP_RETRY: Duration = Duration::from_millis(450);
 /// Longest such time; leases lapse in a few seconds anyway.
 const STOP_RETRY_MAX: Duration = Duration::from_millis(2_000);
+/// Times that a start is sent before a look and a stop are to tell: a VM that
+/// leaves some orders unanswered mostly answers the next.
+const TRIES: u32 = 3;
 /// Pause of a stage after a VM refused a start of it for want of room.
 const ROOM_PAUSE: Duration = Duration::from_millis(120);
 /// Runs to learn slowness from must take at least this long.
@@ -29,7 +32,7 @@
 pub(super) enum State {
     /// Its start is on its way.
     Starting,
-    /// Its start was not answered; a look will tell.
+    /// Its start was sent again and again without an answer; a look will tell.
     Unsure,
     /// It runs.
     Running {
@@ -64,6 +67,9 @@
     account: CompactString,
     fills: bool,
     serves: bool,
+    ticket: CompactString,
+    /// Times its start was sent.
+    tries: u32,
 }
 
 impl Holder {
@@ -83,6 +89,8 @@
             account: job.account.clone(),
             fills: step.fills,
             serves: step.target_ms > 0,
+            ticket: CompactString::default(),
+            tries: 0,
         };
         self.next_run += 1;
         let key = RunKey(self.next_run);
@@ -127,20 +135,33 @@
         attempt: u64,
         ticket: CompactString,
     ) {
-        let now = self.now;
         let key = self.add_run(stage, index, vm, attempt);
-        let task = self.task_id(stage, index);
+        self.runs.get_mut(&key).expect("just made").ticket = ticket;
         let job = self.jobs.get_mut(stage.job).expect("a stage has a job");
+        let (id, taken_ms) = (job.id.0, job.taken_ms);
+        if !std::mem::replace(&mut job.begun, true) {
+            let waited = self.unix_ms.saturating_sub(taken_ms);
+            self.note(id, "job begun", format!("waited_ms={waited}"));
+        }
+        self.send_start(key);
+    }
+
+    /// Sends the start of a run, for the first time or again: a VM that has the
+    /// run says so, and one that had it refuses.
+    fn send_start(&mut self, key: RunKey) {
+        let now = self.now;
+        let Some(run) = self.runs.get_mut(&key) else { return };
+        run.tries += 1;
+        let (stage, index, vm) = (run.stage, run.index, run.vm);
+        let (attempt, ticket) = (run.attempt, run.ticket.clone());
+        let task = self.task_id(stage, index);
+        let Some(job) = self.jobs.get(stage.job) else { return };
         let spec = Arc::clone(&job.spec);
         let saved = job.stages[&(stage.occurrence, stage.step)].tasks[index as usize]
             .saved
             .clone();
-        if !std::mem::replace(&mut job.begun, true) {
-            let waited = self.unix_ms.saturating_sub(job.taken_ms);
-            self.note(task.stage.job.0, "job begun", format!("waited_ms={waited}"));
-        }
         let valid = self.tuning.start_valid.as_millis();
-        let row = self.vms.get_mut(vm).expect("a VM was chosen");
+        let row = self.vms.get_mut(vm).expect("a run has a VM");
         let expires_ms = row.clock_at(now).unwrap_or(0) + valid;
         row.lease_until_ms = row.lease_until_ms.max(expires_ms);
         let to = row.target();
@@ -165,11 +186,15 @@
         let Some(run) = self.runs.get_mut(&key) else { return };
         let (vm, stage, index) = (run.vm, run.stage, run.index);
         let starting = matches!(run.state, State::Starting | State::Unsure);
+        let wanted = self.is_wanted(stage, index);
+        let Some(run) = self.runs.get_mut(&key) else { return };
         match answer {
             StartAnswer::Running if starting => run.state = State::Running { since: now },
             StartAnswer::Running => {}
             StartAnswer::Fenced => self.step_down(),
             StartAnswer::OtherIncarnation => self.other_incarnation(vm),
+            StartAnswer::Unknown if starting && !wanted => self.stop_run(key, "not wanted"),
+            StartAnswer::Unknown if starting && run.tries < TRIES => self.send_start(key),
             StartAnswer::Unknown if starting => {
                 run.state = State::Unsure;
                 run.sent = now;
@@ -180,6 +205,13 @@
         }
     }
 
+    /// Whether a task still has to run.
+    fn is_wanted(&self, stage: StageKey, index: u32) -> bool {
+        let ended = self.jobs.get(stage.job).is_none_or(job::Job::ended);
+        let task = self.stage(stage).and_then(|s| s.tasks.get(index as usize));
+        !ended && task.is_some_and(|t| !t.done)
+    }
+
     fn start_refused(
         &mut self,
         key: RunKey,
@@ -412,6 +444,10 @@
         self.judge(vm, true);
         if let Some(sent) = sent {
             self.learn_run(key, vm, sent);
+            let took = self.now.since(sent).as_millis();
+            if let Some(stage) = self.stage_mut(key) {
+                stage.took_ms.push(took);
+            }
         }
         let Some(job) = self.jobs.get_mut(key.job) else { return };
         let (gang, lasting) = (job.step(key.step).gang, job.step(key.step).lasting);
@@ -437,7 +473,16 @@
             self.stop_run(run, "the task is done");
         }
         self.line_up(key);
-        if self.stage(key).is_some_and(job::Stage::whole) {
+        if let Some(stage) = self.stage(key).filter(|s| s.whole()) {
+            let note = format!(
+                "step={} occurrence={} ms={} slowest_ms={}",
+                key.step,
+                key.occurrence,
+                self.now.since(stage.ready_at).as_millis(),
+                stage.took_ms.iter().max().copied().unwrap_or(0)
+            );
+            let id = self.task_id(key, 0).stage.job.0;
+            self.note(id, "step done", note);
             self.advance(key.job);
         }
     }
--- a/crates/monsoonnotch_member/src/logs/mod.rs
+++ b/crates/monsoonnotch_member/src/logs/mod.rs
@@ -19,8 +19,6 @@
 use logforth::record::LevelFilter;
 use logforth::record::Record;
 
-/// Lines a second, at most; the worst burst on the sites seen needs half of it.
-const LINES_A_SECOND: u32 = 400;
 /// Warnings and errors a second beyond those.
 const WARNINGS_BEYOND: u32 = 100;
 /// Lines that wait for the writer, at most.
@@ -31,6 +29,8 @@
     layout: JsonLayout,
     tx: SyncSender<Vec<u8>>,
     second: Mutex<Second>,
+    /// Lines a second, at most.
+    most: u32,
 }
 
 #[derive(Debug)]
@@ -78,8 +78,8 @@
         }
         second.lines += 1;
         let most = match level {
-            Level::Warn | Level::Error => LINES_A_SECOND + WARNINGS_BEYOND,
-            _ => LINES_A_SECOND,
+            Level::Warn | Level::Error => self.most + WARNINGS_BEYOND,
+            _ => self.most,
         };
         if second.lines > most {
             second.left_out += 1;
@@ -89,8 +89,8 @@
     }
 }
 
-/// Sets up logging to standard output.
-pub(crate) fn set_up() {
+/// Sets up logging to standard output, with at most so many lines a second.
+pub(crate) fn set_up(most: u32) {
     let (tx, rx) = mpsc::sync_channel::<Vec<u8>>(WAITING_MAX);
     std::thread::spawn(move || {
         for mut line in rx {
@@ -108,6 +108,7 @@
         layout: JsonLayout::default(),
         tx,
         second: Mutex::new(second),
+        most,
     };
     let filter = LevelFilter::MoreSevereEqual(Level::Info);
     logforth::starter_log::builder()
--- a/crates/monsoonnotch_member/src/settings/mod.rs
+++ b/crates/monsoonnotch_member/src/settings/mod.rs
@@ -104,6 +104,8 @@
     pub weak_cores: f64,
     /// Share of the fleet's processor kept free for the first priority, in thousandths.
     pub urgent_reserve_milli: u64,
+    /// Log lines a second, at most; warnings have 100 of their own.
+    pub log_lines_per_s: u32,
 }
 
 impl Default for Tuned {
@@ -114,6 +116,7 @@
             beat_ms: 200,
             weak_cores: 0.2,
             urgent_reserve_milli: 60,
+            log_lines_per_s: 400,
         }
     }
 }
