--- a/crates/monsoonnotch_member/src/cell/mod.rs
+++ b/crates/monsoonnotch_member/src/cell/mod.rs
@@ -36,8 +36,8 @@
 const REFUSED_MAX: u32 = 2;
 /// Spread of claims, so that mostly one member tries first.
 const SPREAD_MS: u64 = 120;
-/// Time by which weak members wait longer than others: a claim and a dial.
-const WEAK_WAIT: Duration = Duration::from_millis(700);
+/// Time by which weak members wait longer than others: a restart of a process.
+const WEAK_WAIT: Duration = Duration::from_millis(1_500);
 /// Failure of the store here after which a holder hands the jobs to another.
 pub(crate) const HAND_OVER: Duration = Duration::from_millis(900);
 
--- a/crates/monsoonnotch_member/src/links/host.rs
+++ b/crates/monsoonnotch_member/src/links/host.rs
@@ -50,12 +50,12 @@
 }
 
 impl Guests {
-    /// The link of the strongest guest whom the store answers.
-    pub(crate) fn best(&self) -> Option<u64> {
+    /// The link of the strongest guest whom the store answers, and its cores.
+    pub(crate) fn best(&self) -> Option<(u64, f64)> {
         let rows = lock(&self.rows);
         let well = rows.iter().filter(|(_, r)| r.store);
         let best = well.max_by(|(_, a), (_, b)| a.cores.total_cmp(&b.cores));
-        best.map(|(&link, _)| link)
+        best.map(|(&link, r)| (link, r.cores))
     }
 }
 
--- a/crates/monsoonnotch_member/src/term/mod.rs
+++ b/crates/monsoonnotch_member/src/term/mod.rs
@@ -8,6 +8,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use monsoonnotch_adapter::lists;
@@ -44,6 +45,10 @@
 const RELISTED: Duration = Duration::from_millis(2_300);
 /// Way of orders that a former holder sent just before it was fenced.
 const SETTLE_SLACK: Duration = Duration::from_millis(400);
+/// How many times the cores of the holder a member must have to be handed the jobs.
+const STRONGER: f64 = 2.0;
+/// A weak member holds the jobs at least this long, so that they move once.
+const WEAK_TERM: Duration = Duration::from_millis(1_500);
 /// Pause between looks at whether to hand over.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -120,18 +125,20 @@
     }
 }
 
-/// Has another member claim, when this one stops or the store does not answer it.
+/// Has another member claim, when this one stops, the store does not answer it,
+/// or the other is far stronger.
 fn hand_over(cx: &Cx, guests: &Guests, term: Option<&Term>) {
     let Some(term) = term else { return };
+    let Some((best, cores)) = guests.best() else { return };
     let lost = cx.store_lost_for() > cell::HAND_OVER;
-    if !lost && !cx.is_stopping() {
+    let weaker = cx.settings.member.cores * STRONGER <= cores;
+    let weaker = weaker && term.began.elapsed() > WEAK_TERM;
+    if !lost && !weaker && !cx.is_stopping() {
         return;
     }
-    if let Some(best) = guests.best() {
-        log::info!(event = "hand over", token = term.token, store_lost = lost; "asked another member to claim");
-        // It is asked again at the next tick until a newer claim is seen.
-        let _ = cx.to_guest(LaneKey(best), Frame::Claim);
-    }
+    log::info!(event = "hand over", token = term.token, store_lost = lost, weaker = weaker; "asked another member to claim");
+    // It is asked again at the next tick until a newer claim is seen.
+    let _ = cx.to_guest(LaneKey(best), Frame::Claim);
 }
 
 /// One term and its tasks, which end with it.
@@ -139,6 +146,7 @@
 struct Term {
     token: u64,
     append: mpsc::UnboundedSender<Vec<Stored>>,
+    began: Instant,
     _tasks: JoinSet<()>,
 }
 
@@ -151,6 +159,7 @@
         Self {
             token,
             append,
+            began: Instant::now(),
             _tasks: tasks,
         }
     }
