--- /dev/null
+++ b/examples/soak/member.rs
@@ -0,0 +1,98 @@
+//! Members as real processes, each behind a tap to the store.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use monsoonnotch_standins::tap::Tap;
+
+/// A member, which may be down.
+pub(crate) struct Member {
+    name: String,
+    /// Where callers reach it.
+    pub(crate) callers: SocketAddr,
+    /// Its way to the store.
+    pub(crate) tap: Tap,
+    settings: PathBuf,
+    child: Option<Child>,
+    log: PathBuf,
+}
+
+fn free_port() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound listener")
+}
+
+impl Member {
+    /// Makes a member; it is not started yet.
+    pub(crate) async fn new(number: usize, store: SocketAddr, dir: &std::path::Path) -> Self {
+        let tap = Tap::start(store).await;
+        let callers = free_port();
+        let name = format!("member-{number}");
+        let text = format!(
+            "[member]\nname = \"{name}\"\ndomain = \"a\"\ncallers = \"{callers}\"\n\
+             readiness = \"{}\"\npeers = \"{}\"\nmetrics = \"{}\"\ncores = 0.5\n\
+             [services]\nstore = \"{}\"\n\
+             [times]\nlease_max = 10000\ngang_wait = 3000\nkeep_ended_s = 120\ngrace_s = 6\n",
+            free_port(),
+            free_port(),
+            free_port(),
+            tap.addr
+        );
+        let settings = dir.join(format!("{name}.toml"));
+        std::fs::write(&settings, text).expect("the folder can be written");
+        let log = dir.join(format!("{name}.log"));
+        Self {
+            name,
+            callers,
+            tap,
+            settings,
+            child: None,
+            log,
+        }
+    }
+
+    /// Starts its process; a former one is reaped first.
+    pub(crate) fn start(&mut self, program: &str) {
+        self.reap();
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log);
+        let log = log.expect("the folder can be written");
+        let child = Command::new(program)
+            .arg("--member")
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdout(log.try_clone().expect("a file can be shared"))
+            .stderr(Stdio::from(log))
+            .spawn();
+        self.child = Some(child.expect("the program starts"));
+    }
+
+    /// Sends a signal by name to its process, if it has one.
+    pub(crate) fn signal(&self, name: &str) {
+        let Some(child) = &self.child else { return };
+        let id = child.id().to_string();
+        // The process may have ended by itself; the next start shows it.
+        let _ = Command::new("kill").arg(format!("-{name}")).arg(id).status();
+    }
+
+    /// Waits until its process has ended; it was told to.
+    fn reap(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    pub(crate) fn name(&self) -> &str {
+        &self.name
+    }
+}
+
+impl Drop for Member {
+    fn drop(&mut self) {
+        self.reap();
+    }
+}
