--- a/crates/monsoonnotch_jobs/src/effect/mod.rs
+++ b/crates/monsoonnotch_jobs/src/effect/mod.rs
@@ -66,8 +66,11 @@
 pub enum Answer {
     /// The job's state.
     State(JobState),
-    /// There is no such job.
-    NoJob,
+    /// There is no such job among the records before an offset of the journal.
+    NoJob {
+        /// The offset of the next record to be read.
+        read_to: u64,
+    },
     /// Jobs that have not begun.
     Pending(u64),
 }
--- a/crates/monsoonnotch_jobs/src/holder/fold.rs
+++ b/crates/monsoonnotch_jobs/src/holder/fold.rs
@@ -38,6 +38,7 @@
     /// Takes in records of the journal, in order.
     pub(super) fn fold(&mut self, records: Vec<(u64, Stored)>) {
         for (offset, stored) in records {
+            self.read_to = self.read_to.max(offset + 1);
             match journal::read(&stored) {
                 Some(Entry::Submitted(id, submission)) => self.submitted(offset, id, *submission),
                 Some(Entry::Cancelled(id)) => self.cancelled(id),
@@ -163,6 +164,7 @@
     /// Begins to decide: the journal has been read up to this holder's first record.
     pub(super) fn caught_up(&mut self, marker: u64) {
         self.marker = Some(marker);
+        self.read_to = self.read_to.max(marker + 1);
         self.reckon_shares();
         let keys: Vec<JobKey> = self.open.iter().copied().collect();
         let open = self.open.len();
--- a/crates/monsoonnotch_jobs/src/holder/mod.rs
+++ b/crates/monsoonnotch_jobs/src/holder/mod.rs
@@ -50,6 +50,8 @@
     token: u64,
     /// Offset of the first record under this token.
     marker: Option<u64>,
+    /// Offset of the next record of the journal to be read.
+    read_to: u64,
     /// When every lease of a former holder has lapsed.
     settle_at: Time,
     /// Before this the list of VMs may lack some that live.
@@ -102,6 +104,7 @@
             unix_ms: 0,
             token,
             marker: None,
+            read_to: 0,
             settle_at,
             jobs: Arena::default(),
             by_id: BTreeMap::new(),
--- a/crates/monsoonnotch_jobs/src/holder/requests.rs
+++ b/crates/monsoonnotch_jobs/src/holder/requests.rs
@@ -20,7 +20,9 @@
     fn state_of(&self, id: JobId, account: &str) -> Answer {
         let job = self.by_id.get(&id).and_then(|&k| self.jobs.get(k));
         let Some(job) = job.filter(|j| j.account.is_empty() || j.account == account) else {
-            return Answer::NoJob;
+            return Answer::NoJob {
+                read_to: self.read_to,
+            };
         };
         let state = match job.stored {
             Some(Outcome::Completed) => JobState::Completed,
--- a/crates/monsoonnotch_jobs/src/journal/mod.rs
+++ b/crates/monsoonnotch_jobs/src/journal/mod.rs
@@ -97,10 +97,15 @@
     Dropped,
 }
 
+/// The key of a submission.
+pub fn submission_key(id: JobId) -> CompactString {
+    format_compact!("{id}")
+}
+
 /// The record of a submission.
 pub fn submitted(id: JobId, submission: &Submission) -> Stored {
     Stored {
-        key: format_compact!("{id}"),
+        key: submission_key(id),
         value: encode(submission),
     }
 }
--- a/crates/monsoonnotch_member/src/calls/mod.rs
+++ b/crates/monsoonnotch_member/src/calls/mod.rs
@@ -10,10 +10,13 @@
 use monsoonnotch_adapter::front::CallIn;
 use monsoonnotch_adapter::front::Reply;
 use monsoonnotch_adapter::front::Verb;
+use monsoonnotch_adapter::store;
 use monsoonnotch_jobs::effect::Answer;
+use monsoonnotch_jobs::effect::JobState;
 use monsoonnotch_jobs::effect::QueryKey;
 use monsoonnotch_jobs::event::Event;
 use monsoonnotch_jobs::event::Query;
+use monsoonnotch_jobs::journal;
 use monsoonnotch_jobs::plan::JobId;
 use monsoonnotch_jobs::plan::parse_job_id;
 use monsoonnotch_jobs::site::SiteConfig;
@@ -23,6 +26,7 @@
 use crate::cx::OWN;
 use crate::cx::lock;
 use crate::links::Frame;
+use crate::term::JOURNAL;
 
 /// When a caller may come again after a refusal, in seconds: the store's
 /// shortest outages and a change of holder last about as long.
@@ -33,9 +37,6 @@
 const ANSWER_MAX: Duration = Duration::from_millis(400);
 /// Pause before a question is asked again.
 const ASK_PAUSE: Duration = Duration::from_millis(100);
-/// Times that the holder is asked for a job it does not know: the journal's
-/// newest records may still be on their way to it.
-const UNKNOWN_MAX: u32 = 3;
 
 /// Answers one call.
 pub(crate) async fn answer(cx: Arc<Cx>, call: CallIn) -> Reply {
@@ -107,15 +108,26 @@
 }
 
 async fn state(cx: &Arc<Cx>, id: JobId, account: CompactString, until: Instant) -> Reply {
-    for _ in 0..UNKNOWN_MAX {
-        let account = account.clone();
-        match ask(cx, Query::State { id, account }, until).await {
-            Some(Answer::State(state)) => return Reply::State(state),
-            Some(Answer::NoJob) => tokio::time::sleep(ASK_PAUSE).await,
-            Some(Answer::Pending(_)) | None => return Reply::NotRun { retry_s: RETRY_S },
-        }
+    match ask(cx, Query::State { id, account }, until).await {
+        Some(Answer::State(state)) => Reply::State(state),
+        Some(Answer::NoJob { read_to }) => match is_stored(cx, id, read_to).await {
+            Some(true) => Reply::State(JobState::Queued),
+            Some(false) => Reply::NoJob,
+            None => Reply::NotRun { retry_s: RETRY_S },
+        },
+        Some(Answer::Pending(_)) | None => Reply::NotRun { retry_s: RETRY_S },
     }
-    Reply::NoJob
+}
+
+/// Whether a job is among the records that the holder has not read yet; `None`
+/// when the store does not say.
+async fn is_stored(cx: &Cx, id: JobId, from: u64) -> Option<bool> {
+    let page = cx.store.read(JOURNAL, from, Duration::ZERO).await;
+    cx.store_answered(page.is_ok());
+    let key = journal::submission_key(id);
+    let records = page.ok()?.records;
+    let mut stored = records.iter().filter_map(|(_, r)| store::decode_keyed(r));
+    Some(stored.any(|s| s.key == key))
 }
 
 /// Cancels a job; what is not known may still come, and is cancelled then.
@@ -124,10 +136,15 @@
     let query = Query::State { id, account };
     let (known, stored) = tokio::join!(
         ask(cx, query, soon),
-        submit::store(cx, monsoonnotch_jobs::journal::cancelled(id), until),
+        submit::store(cx, journal::cancelled(id), until),
     );
     match (known, stored) {
-        (Some(Answer::NoJob), Reply::Stored) => Reply::NoJob,
+        (Some(Answer::NoJob { read_to }), Reply::Stored) => {
+            match is_stored(cx, id, read_to).await {
+                Some(false) => Reply::NoJob,
+                Some(true) | None => Reply::Stored,
+            }
+        }
         (_, stored) => stored,
     }
 }
--- a/examples/soak/member.rs
+++ b/examples/soak/member.rs
@@ -1,5 +1,6 @@
 //! Members as real processes, each behind a tap to the store.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
@@ -21,8 +22,12 @@
     log: PathBuf,
 }
 
+/// A port that is free on a loopback address of this run's own: a member keeps its
+/// ports while it is down, and another run must not be given them.
 fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let addr = Ipv4Addr::new(127, high.max(1), low, 1);
+    let listener = TcpListener::bind((addr, 0)).expect("a free port");
     listener.local_addr().expect("a bound listener")
 }
 
