--- a/crates/monsoonnotch_jobs/src/holder/flush.rs
+++ b/crates/monsoonnotch_jobs/src/holder/flush.rs
@@ -69,6 +69,10 @@
             let record = journal::progressed(job.id, &progress);
             size += record.value.len();
             records.push(record);
+            if progress.outcome.is_some() {
+                // All that a later holder needs of an ended job is in its progress.
+                records.push(journal::submission_dropped(job.id));
+            }
             jobs.push((key, job.id, progress));
         }
         let whole = self.flush.dirty.is_empty();
@@ -136,6 +140,7 @@
     });
     Progress {
         outcome: job.outcome,
+        account: if ended { job.account.clone() } else { CompactString::default() },
         begun: job.begun,
         stages: stages.collect(),
     }
--- a/crates/monsoonnotch_jobs/src/holder/fold.rs
+++ b/crates/monsoonnotch_jobs/src/holder/fold.rs
@@ -116,8 +116,8 @@
     /// Works out anew which jobs their accounts are owed, in the order they were
     /// taken: a former holder's reckoning ended with it.
     fn reckon_shares(&mut self) {
-        let mut line: Vec<(u64, JobKey)> =
-            self.jobs.iter().map(|(k, j)| (j.taken_ms, k)).collect();
+        let known = self.jobs.iter().filter(|(_, j)| j.taken_ms > 0);
+        let mut line: Vec<(u64, JobKey)> = known.map(|(k, j)| (j.taken_ms, k)).collect();
         line.sort_unstable();
         for (taken_ms, key) in line {
             let Some(account) = self.jobs.get(key).map(|j| j.account.clone()) else { continue };
@@ -148,7 +148,9 @@
         if self.marker.is_some() {
             return;
         }
-        let Some(&key) = self.by_id.get(&id) else { return };
+        let Some(&key) = self.by_id.get(&id) else {
+            return self.ended_before(id, progress);
+        };
         let Some(job) = self.jobs.get_mut(key) else { return };
         job.begun |= progress.begun;
         for stage in &progress.stages {
@@ -161,6 +163,34 @@
         }
     }
 
+    /// Takes in a job that has ended and of which only the end is stored.
+    fn ended_before(&mut self, id: JobId, progress: Progress) {
+        if progress.outcome.is_none() {
+            return;
+        }
+        let job = Job {
+            id,
+            queue: CompactString::default(),
+            account: progress.account,
+            pool: CompactString::default(),
+            spec: "".into(),
+            taken_ms: 0,
+            plan: Plan::default(),
+            fresh: false,
+            attempts_before: 0,
+            over: false,
+            cancelled: false,
+            outcome: progress.outcome,
+            stored: progress.outcome,
+            begun: true,
+            ended_at: Some(self.now),
+            stages: BTreeMap::new(),
+            next_occurrence: 0,
+        };
+        let key = self.jobs.insert(job);
+        self.by_id.insert(id, key);
+    }
+
     /// Begins to decide: the journal has been read up to this holder's first record.
     pub(super) fn caught_up(&mut self, marker: u64) {
         self.marker = Some(marker);
--- a/crates/monsoonnotch_jobs/src/journal/mod.rs
+++ b/crates/monsoonnotch_jobs/src/journal/mod.rs
@@ -56,6 +56,9 @@
 pub struct Progress {
     /// How it ended.
     pub outcome: Option<Outcome>,
+    /// Its account, once it has ended: its submission is dropped then.
+    #[serde(default)]
+    pub account: CompactString,
     /// Whether a task of it has started.
     pub begun: bool,
     /// The stages of which a task has ended.
@@ -126,6 +129,14 @@
     }
 }
 
+/// The record that drops a submission, once the job's end is stored.
+pub fn submission_dropped(id: JobId) -> Stored {
+    Stored {
+        key: submission_key(id),
+        value: Vec::new(),
+    }
+}
+
 /// The record by which a holder begins.
 pub fn held(token: u64) -> Stored {
     Stored {
--- a/crates/monsoonnotch_jobs/tests/promises/patterns.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/patterns.rs
@@ -54,3 +54,26 @@
     let running = world.vms.values().flat_map(|v| v.running.keys());
     assert_eq!(running.filter(|t| of_job(t)).count(), 20, "tasks at work");
 }
+
+/// A job that has ended leaves little behind: the next holder reads its end and
+/// the jobs at work, and neither plans nor specs of what is over.
+#[test]
+fn the_return_after_all_was_dark_reads_no_finished_work() {
+    let mut world = World::new(3, site(0, false), fleet(10, 8_000), Faults::default());
+    world.claim();
+    for id in 1..=40 {
+        hand_in(&mut world, id, "quick", vec![step(3, 500, 40)]);
+        run(&mut world, 20);
+    }
+    run(&mut world, 1_000);
+    let ended = (1..=40).filter(|&id| world.outcome(JobId(id)).is_some()).count();
+    assert_eq!(ended, 40, "jobs that have ended");
+    let (records, bytes) = world.newest_size();
+    // An end takes some 80 bytes; a submission of one step takes over 300.
+    assert!(bytes < records * 120, "{bytes} bytes in {records} records");
+    world.kill();
+    world.claim();
+    run(&mut world, 2_000);
+    let starts = world.starts;
+    assert_eq!(starts, 120, "each task ran once");
+}
--- a/crates/monsoonnotch_jobs/tests/promises/world.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/world.rs
@@ -140,9 +140,11 @@
         }
         let unix = self.unix();
         let reports = self.vms.values().filter(|v| v.up).map(|v| v.report.clone());
+        // The store drops a key whose newest record has no value.
+        let kept = newest.into_values().filter(|s| !s.value.is_empty());
         let events = [
             Event::AllVms(reports.collect()),
-            Event::Journal(newest.into_values().map(|s| (0, s)).collect()),
+            Event::Journal(kept.map(|s| (0, s)).collect()),
             Event::LaneUp(LaneKey(0)),
             Event::LaneUp(LaneKey(1)),
             Event::CaughtUp { marker },
@@ -469,6 +471,16 @@
             })
     }
 
+    /// Records that the next holder reads, and their bytes.
+    pub(crate) fn newest_size(&self) -> (usize, usize) {
+        let mut newest = BTreeMap::new();
+        for stored in &self.log {
+            newest.insert(stored.key.clone(), stored.value.len());
+        }
+        newest.retain(|_, len| *len > 0);
+        (newest.len(), newest.values().sum())
+    }
+
     /// The stored outcome of a job.
     pub(crate) fn outcome(&self, id: JobId) -> Option<journal::Outcome> {
         let key = format!("{id}.p");
