--- a/crates/monsoonnotch_jobs/src/effect/mod.rs
+++ b/crates/monsoonnotch_jobs/src/effect/mod.rs
@@ -152,6 +152,8 @@
     pub saved: CompactString,
     /// The approval; empty: none.
     pub ticket: CompactString,
+    /// How long an answer is waited for.
+    pub patience: Duration,
 }
 
 /// A decision worth a line in the log.
--- a/crates/monsoonnotch_jobs/src/holder/approve.rs
+++ b/crates/monsoonnotch_jobs/src/holder/approve.rs
@@ -71,6 +71,8 @@
     fits: u64,
     /// Whether it is known to be approved.
     known: bool,
+    /// Whether runs there take far longer than elsewhere.
+    crawls: bool,
     /// Free processor, in thousandths of a core.
     free: u64,
 }
@@ -155,7 +157,9 @@
         }
         let time_ms = approval.time_ms(named.len());
         let long = time_ms > SHORT_MS;
-        let Some(lane) = self.asks.lane_for(long) else { return };
+        let Some(lane) = self.asks.lane_for(long) else {
+            return;
+        };
         let lost_at = now + Duration::from_millis(time_ms as u64) + ASK_LOST;
         let ids = named.iter().filter_map(|&v| self.vms.get(v));
         let vms: Vec<CompactString> = ids.map(|v| v.report.id.clone()).collect();
@@ -187,8 +191,12 @@
 
     /// VMs to name in a call, best first; none when no call would help.
     fn vms_to_name(&self, key: StageKey, tasks: usize) -> Vec<VmKey> {
-        let Some(job) = self.jobs.get(key.job) else { return Vec::new() };
-        let Some(stage) = self.stage(key) else { return Vec::new() };
+        let Some(job) = self.jobs.get(key.job) else {
+            return Vec::new();
+        };
+        let Some(stage) = self.stage(key) else {
+            return Vec::new();
+        };
         let step = job.step(key.step);
         let learnt = self.learnt.get(&job.queue);
         let share = learnt.map_or(0.5, |l| l.approved).clamp(0.1, 1.0);
@@ -233,10 +241,12 @@
                 vm,
                 fits,
                 known: same,
+                crawls: row.health.crawls(),
                 free: row.free().cpu_milli,
             });
         }
-        rows.sort_by_key(|r| std::cmp::Reverse((r.known && r.fits > 0, r.fits.min(4), r.free)));
+        let best = |r: &Askable| (!r.crawls, r.known && r.fits > 0, r.fits.min(4), r.free);
+        rows.sort_by_key(|r| std::cmp::Reverse(best(r)));
         rows
     }
 
@@ -247,15 +257,23 @@
         allowed: Option<Vec<(CompactString, CompactString)>>,
     ) {
         let now = self.now;
-        let Some(call) = self.asks.take(key) else { return };
+        let Some(call) = self.asks.take(key) else {
+            return;
+        };
         self.changed = true;
-        let Some(queue) = self.jobs.get(call.stage.job).map(|j| j.queue.clone()) else { return };
+        let Some(queue) = self.jobs.get(call.stage.job).map(|j| j.queue.clone()) else {
+            return;
+        };
         let valid = self.approval_of(call.stage).map_or(0, |a| a.valid_ms);
         let until = now + Duration::from_millis(valid) - TICKET_MARGIN;
         let mut tickets = BTreeMap::new();
         for (id, text) in allowed.iter().flatten() {
-            let Some(&vm) = self.vm_ids.get(id) else { continue };
-            let Some(row) = self.vms.get(vm) else { continue };
+            let Some(&vm) = self.vm_ids.get(id) else {
+                continue;
+            };
+            let Some(row) = self.vms.get(vm) else {
+                continue;
+            };
             let ticket = Ticket {
                 text: text.clone(),
                 until,
@@ -264,7 +282,9 @@
             tickets.insert(vm, ticket);
         }
         let count = tickets.len();
-        let Some(stage) = self.stage_mut(call.stage) else { return };
+        let Some(stage) = self.stage_mut(call.stage) else {
+            return;
+        };
         let approvals = &mut stage.approvals;
         approvals.asked = None;
         approvals.answered_at = now;
@@ -278,7 +298,11 @@
         let share = count as f64 / call.named.len().max(1) as f64;
         self.learn_approved(&queue, share);
         let id = self.task_id(call.stage, 0).stage;
-        let note = format!("step={} named={} allowed={count}", id.step, call.named.len());
+        let note = format!(
+            "step={} named={} allowed={count}",
+            id.step,
+            call.named.len()
+        );
         self.note(id.job.0, "approval came", note);
     }
 
@@ -304,8 +328,12 @@
         }
         let mut soon = Vec::new();
         for &key in &self.open {
-            let Some(job) = self.jobs.get(key) else { continue };
-            let Some(approval) = self.queue(&job.queue).and_then(|q| q.approval) else { continue };
+            let Some(job) = self.jobs.get(key) else {
+                continue;
+            };
+            let Some(approval) = self.queue(&job.queue).and_then(|q| q.approval) else {
+                continue;
+            };
             let ratio = self.learnt.get(&job.queue).map_or(1.0, |l| l.ratio);
             for (&(occurrence, step), stage) in &job.stages {
                 let unasked = stage.approvals.answered_at == Time::default();
@@ -313,7 +341,11 @@
                     continue;
                 }
                 if self.ends_soon(job, occurrence, step, &approval, ratio) {
-                    let stage = StageKey { job: key, occurrence, step };
+                    let stage = StageKey {
+                        job: key,
+                        occurrence,
+                        step,
+                    };
                     soon.push((stage, approval));
                 }
             }
@@ -334,7 +366,9 @@
     ) -> bool {
         let ahead = approval.time_ms(NAMED_MAX / 3) + ASK_AHEAD_MS;
         let ends = |d: &u16| {
-            let Some(before) = job.stages.get(&(occurrence, *d)) else { return false };
+            let Some(before) = job.stages.get(&(occurrence, *d)) else {
+                return false;
+            };
             if before.whole() {
                 return true;
             }
--- a/crates/monsoonnotch_jobs/src/holder/flush.rs
+++ b/crates/monsoonnotch_jobs/src/holder/flush.rs
@@ -64,7 +64,9 @@
         while size < APPEND_MAX
             && let Some(key) = self.flush.dirty.pop_first()
         {
-            let Some(job) = self.jobs.get(key) else { continue };
+            let Some(job) = self.jobs.get(key) else {
+                continue;
+            };
             let progress = progress_of(job);
             let record = journal::progressed(job.id, &progress);
             size += record.value.len();
@@ -90,7 +92,9 @@
 
     /// Takes in whether the append was stored.
     pub(super) fn appended(&mut self, stored: bool) {
-        let Some(batch) = self.flush.batch.take() else { return };
+        let Some(batch) = self.flush.batch.take() else {
+            return;
+        };
         if !stored {
             // Certain not to be stored: it goes again with what came since.
             self.flush.dirty.extend(batch.jobs.iter().map(|j| j.0));
@@ -100,7 +104,9 @@
         }
         self.flush.next_at = self.now + self.tuning.flush_pause;
         for (key, id, progress) in batch.jobs {
-            let Some(job) = self.jobs.get_mut(key).filter(|j| j.id == id) else { continue };
+            let Some(job) = self.jobs.get_mut(key).filter(|j| j.id == id) else {
+                continue;
+            };
             if job.stored.is_none() && progress.outcome.is_some() {
                 job.stored = progress.outcome;
             }
@@ -110,7 +116,10 @@
 
     fn note_ends(&mut self, ends: &[(VmKey, u64, u64)]) {
         for &(vm, born_ms, number) in ends {
-            let same = self.vms.get(vm).is_some_and(|v| v.report.born_ms == born_ms);
+            let same = self
+                .vms
+                .get(vm)
+                .is_some_and(|v| v.report.born_ms == born_ms);
             if same {
                 self.ends_stored(vm, number);
             }
@@ -132,7 +141,9 @@
             step,
             whole,
             done: done.map(|(i, _)| i).collect(),
-            failed: failed.map(|(i, t)| (i, t.failed.iter().copied().collect())).collect(),
+            failed: failed
+                .map(|(i, t)| (i, t.failed.iter().copied().collect()))
+                .collect(),
             saved: saved.map(|(i, t)| (i, t.saved.clone())).collect(),
         };
         let some = whole || !progress.done.is_empty() || !progress.failed.is_empty();
@@ -140,7 +151,11 @@
     });
     Progress {
         outcome: job.outcome,
-        account: if ended { job.account.clone() } else { CompactString::default() },
+        account: if ended {
+            job.account.clone()
+        } else {
+            CompactString::default()
+        },
         begun: job.begun,
         stages: stages.collect(),
     }
--- a/crates/monsoonnotch_jobs/src/holder/fold.rs
+++ b/crates/monsoonnotch_jobs/src/holder/fold.rs
@@ -45,7 +45,11 @@
                 Some(Entry::Progressed(id, progress)) => self.restored(id, progress),
                 Some(Entry::Held { token }) if token > self.token => self.step_down(),
                 Some(Entry::Held { .. } | Entry::Dropped) => {}
-                None => self.note(0, "record skipped", format!("offset={offset} not one of ours")),
+                None => self.note(
+                    0,
+                    "record skipped",
+                    format!("offset={offset} not one of ours"),
+                ),
             }
         }
     }
@@ -71,7 +75,11 @@
             taken_ms: submission.taken_ms,
             plan: submission.plan,
             fresh,
-            attempts_before: if fresh { 0 } else { self.token * ATTEMPTS_A_TERM },
+            attempts_before: if fresh {
+                0
+            } else {
+                self.token * ATTEMPTS_A_TERM
+            },
             over,
             cancelled: self.cancelled_first.remove(&id),
             outcome: None,
@@ -120,7 +128,9 @@
         let mut line: Vec<(u64, JobKey)> = known.map(|(k, j)| (j.taken_ms, k)).collect();
         line.sort_unstable();
         for (taken_ms, key) in line {
-            let Some(account) = self.jobs.get(key).map(|j| j.account.clone()) else { continue };
+            let Some(account) = self.jobs.get(key).map(|j| j.account.clone()) else {
+                continue;
+            };
             let over = !self.within_share(&account, taken_ms);
             if let Some(job) = self.jobs.get_mut(key) {
                 job.over = over;
@@ -134,7 +144,9 @@
             self.cancelled_first.insert(id);
             return;
         };
-        let Some(job) = self.jobs.get_mut(key) else { return };
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
         if job.ended() {
             return;
         }
@@ -151,7 +163,9 @@
         let Some(&key) = self.by_id.get(&id) else {
             return self.ended_before(id, progress);
         };
-        let Some(job) = self.jobs.get_mut(key) else { return };
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
         job.begun |= progress.begun;
         for stage in &progress.stages {
             job.restore(stage);
@@ -198,7 +212,11 @@
         self.reckon_shares();
         let keys: Vec<JobKey> = self.open.iter().copied().collect();
         let open = self.open.len();
-        self.note(0, "journal read", format!("marker={marker} jobs={} open={open}", keys.len()));
+        self.note(
+            0,
+            "journal read",
+            format!("marker={marker} jobs={} open={open}", keys.len()),
+        );
         for key in keys {
             self.advance(key);
         }
--- a/crates/monsoonnotch_jobs/src/holder/gang.rs
+++ b/crates/monsoonnotch_jobs/src/holder/gang.rs
@@ -14,9 +14,13 @@
     /// The next attempt begins once none of them is there any more.
     pub(super) fn gang_broken(&mut self, key: StageKey, how: How) {
         let now = self.now;
-        let Some(job) = self.jobs.get_mut(key.job) else { return };
+        let Some(job) = self.jobs.get_mut(key.job) else {
+            return;
+        };
         let spread = job.id.0 % PAUSE_SPREAD;
-        let Some(stage) = job.stages.get_mut(&(key.occurrence, key.step)) else { return };
+        let Some(stage) = job.stages.get_mut(&(key.occurrence, key.step)) else {
+            return;
+        };
         stage.not_before = now + PAUSE + Duration::from_millis(spread);
         // Those that a VM reports as broken end by themselves.
         let runs: Vec<RunKey> = match how {
@@ -30,7 +34,9 @@
 
     /// Whether all tasks of a gang wait, so that it can be started.
     pub(super) fn gang_waits(&self, key: StageKey) -> bool {
-        let Some(stage) = self.stage(key) else { return false };
+        let Some(stage) = self.stage(key) else {
+            return false;
+        };
         stage.runs().next().is_none() && self.now >= stage.not_before
     }
 }
--- a/crates/monsoonnotch_jobs/src/holder/job.rs
+++ b/crates/monsoonnotch_jobs/src/holder/job.rs
@@ -217,9 +217,15 @@
             return;
         };
         let all = 0..u32::try_from(stage.tasks.len()).unwrap_or(0);
-        let done: Vec<u32> = if p.whole { all.collect() } else { p.done.clone() };
+        let done: Vec<u32> = if p.whole {
+            all.collect()
+        } else {
+            p.done.clone()
+        };
         for i in done {
-            let Some(task) = stage.tasks.get_mut(i as usize) else { continue };
+            let Some(task) = stage.tasks.get_mut(i as usize) else {
+                continue;
+            };
             if !task.done {
                 task.done = true;
                 stage.done += 1;
@@ -268,7 +274,9 @@
     /// Opens what is due of a job and puts stages that may start in line.
     pub(super) fn advance(&mut self, key: JobKey) {
         let unix_ms = self.unix_ms;
-        let Some(job) = self.jobs.get_mut(key) else { return };
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
         if job.ended() {
             return;
         }
@@ -284,7 +292,11 @@
         let free = blocked.filter(|((k, i), _)| job.unblocked(*k, *i));
         let free: Vec<(u32, u16)> = free.map(|(&id, _)| id).collect();
         for (occurrence, step) in free {
-            let stage = StageKey { job: key, occurrence, step };
+            let stage = StageKey {
+                job: key,
+                occurrence,
+                step,
+            };
             self.stage_ready(stage);
         }
     }
@@ -292,7 +304,9 @@
     fn stage_ready(&mut self, key: StageKey) {
         let now = self.now;
         let rank = self.rank(key);
-        let Some(stage) = self.stage_mut(key) else { return };
+        let Some(stage) = self.stage_mut(key) else {
+            return;
+        };
         stage.ready = true;
         stage.ready_at = now;
         stage.rank = rank;
@@ -331,7 +345,9 @@
 
     /// Ends a job for good; what runs of it is stopped.
     pub(super) fn end_job(&mut self, key: JobKey, outcome: Outcome) {
-        let Some(job) = self.jobs.get_mut(key) else { return };
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
         if job.outcome.is_some() || job.cancelled {
             return;
         }
@@ -349,13 +365,22 @@
     /// Takes a job's stages out of line and stops what runs of it.
     pub(super) fn withdraw(&mut self, key: JobKey) {
         let now = self.now;
-        let Some(job) = self.jobs.get_mut(key) else { return };
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
         job.ended_at.get_or_insert(now);
         self.open.remove(&key);
         let mut places = Vec::new();
         let mut runs = Vec::new();
         for (&(occurrence, step), stage) in &job.stages {
-            places.push((stage.rank, StageKey { job: key, occurrence, step }));
+            places.push((
+                stage.rank,
+                StageKey {
+                    job: key,
+                    occurrence,
+                    step,
+                },
+            ));
             runs.extend(stage.runs());
         }
         for place in places {
@@ -400,7 +425,9 @@
         let long = |s: &Stage| now > s.ready_at.max(s.noted_at) + WAIT_NOTED;
         let line: Vec<StageKey> = self.ready.iter().map(|(_, k)| *k).collect();
         for key in line {
-            let Some(stage) = self.stage_mut(key).filter(|s| long(s)) else { continue };
+            let Some(stage) = self.stage_mut(key).filter(|s| long(s)) else {
+                continue;
+            };
             stage.noted_at = now;
             let (blocked, waiting) = (stage.blocked, stage.waiting.len());
             let (rank, tickets) = (stage.rank, stage.approvals.tickets.len());
--- a/crates/monsoonnotch_jobs/src/holder/looks.rs
+++ b/crates/monsoonnotch_jobs/src/holder/looks.rs
@@ -6,14 +6,16 @@
 
 use super::*;
 use crate::effect::LookKey;
+use crate::event::LookError;
 use crate::vm::EndRow;
 use crate::vm::How;
 use crate::vm::Look;
 use crate::vm::RunningRow;
-use crate::event::LookError;
 
 /// Pause before the next look at a VM that did not answer, at first.
 const RETRY: Duration = Duration::from_millis(150);
+/// Weight of a look at a VM without runs in its slowness.
+const FORGET_WEIGHT: f64 = 0.2;
 /// Longest such pause.
 const RETRY_MAX: Duration = Duration::from_millis(1_000);
 /// Time after which a look of another kind than the waiting one is given up.
@@ -73,7 +75,9 @@
             return;
         }
         let (now, lease, wait) = (self.now, self.tuning.lease, self.tuning.look_wait);
-        let Some(vm) = self.vms.get_mut(key) else { return };
+        let Some(vm) = self.vms.get_mut(key) else {
+            return;
+        };
         let first = !vm.answered || vm.looks.silent > 0;
         let stored = vm.ends_stored >= vm.ends_seen;
         let beside = !vm.looks.sent.is_empty();
@@ -99,8 +103,12 @@
 
     /// Takes in the answer to a look.
     pub(super) fn looked(&mut self, key: LookKey, answer: Result<Look, LookError>) {
-        let Some(vm) = self.vms.get_mut(key.vm) else { return };
-        let Some(sent) = vm.looks.sent.remove(&key.seq) else { return };
+        let Some(vm) = self.vms.get_mut(key.vm) else {
+            return;
+        };
+        let Some(sent) = vm.looks.sent.remove(&key.seq) else {
+            return;
+        };
         match answer {
             Ok(look) => self.look_came(key.vm, sent, look),
             Err(LookError::Fenced) => self.step_down(),
@@ -112,7 +120,9 @@
     /// The VM's address belongs to another incarnation now.
     pub(super) fn other_incarnation(&mut self, key: VmKey) {
         let now = self.now;
-        let Some(vm) = self.vms.get_mut(key) else { return };
+        let Some(vm) = self.vms.get_mut(key) else {
+            return;
+        };
         vm.answered = false;
         vm.looks.silent += 1;
         vm.looks.at = Some(now + RETRY_MAX);
@@ -123,7 +133,9 @@
 
     fn look_silent(&mut self, key: VmKey) {
         let now = self.now;
-        let Some(vm) = self.vms.get_mut(key) else { return };
+        let Some(vm) = self.vms.get_mut(key) else {
+            return;
+        };
         vm.looks.silent += 1;
         let pause = RETRY.times(u64::from(vm.looks.silent)).min(RETRY_MAX);
         vm.looks.at = Some(now + pause);
@@ -135,7 +147,9 @@
 
     fn look_came(&mut self, key: VmKey, sent: Time, look: Look) {
         let now = self.now;
-        let Some(vm) = self.vms.get_mut(key) else { return };
+        let Some(vm) = self.vms.get_mut(key) else {
+            return;
+        };
         if let Some(born) = look.born_ms {
             if born < vm.report.born_ms {
                 return self.look_soon(key);
@@ -151,9 +165,17 @@
         let silent = std::mem::take(&mut vm.looks.silent);
         let first = !std::mem::replace(&mut vm.answered, true);
         vm.clock = Some((now, look.clock_ms));
+        if look.running.is_empty() {
+            // Without runs nothing else would ever clear it.
+            vm.health.learn_slowness(1.0, FORGET_WEIGHT);
+        }
         let id = vm.report.id.clone();
         if silent > 0 || first {
-            self.note(0, "vm answers", format!("vm={id} silent={silent} first={first}"));
+            self.note(
+                0,
+                "vm answers",
+                format!("vm={id} silent={silent} first={first}"),
+            );
             self.changed = true;
         }
         self.take_ends(key, &look.ended);
@@ -164,7 +186,9 @@
     /// Plans the next look: at once, or when the ends taken in are stored.
     fn look_again(&mut self, key: VmKey) {
         let (now, pause) = (self.now, self.tuning.look_pause);
-        let Some(vm) = self.vms.get_mut(key) else { return };
+        let Some(vm) = self.vms.get_mut(key) else {
+            return;
+        };
         if !vm.looks.sent.is_empty() {
             return;
         }
@@ -178,7 +202,9 @@
 
     /// Looks again at VMs whose ends have just been stored.
     pub(super) fn ends_stored(&mut self, key: VmKey, number: u64) {
-        let Some(vm) = self.vms.get_mut(key) else { return };
+        let Some(vm) = self.vms.get_mut(key) else {
+            return;
+        };
         vm.ends_stored = vm.ends_stored.max(number);
         let go_on = vm.looks.held_back && vm.ends_stored >= vm.ends_seen;
         if go_on {
@@ -191,7 +217,9 @@
 
     fn take_ends(&mut self, key: VmKey, ends: &[EndRow]) {
         for end in ends {
-            let Some(vm) = self.vms.get_mut(key) else { return };
+            let Some(vm) = self.vms.get_mut(key) else {
+                return;
+            };
             if end.number <= vm.ends_seen {
                 continue;
             }
@@ -281,7 +309,9 @@
     }
 
     fn run_ended(&mut self, vm: VmKey, end: &EndRow) {
-        let Some(&job) = self.by_id.get(&end.task.stage.job) else { return };
+        let Some(&job) = self.by_id.get(&end.task.stage.job) else {
+            return;
+        };
         let stage = StageKey {
             job,
             occurrence: end.task.stage.occurrence,
--- a/crates/monsoonnotch_jobs/src/holder/make_room.rs
+++ b/crates/monsoonnotch_jobs/src/holder/make_room.rs
@@ -9,8 +9,12 @@
         let leaving = self.vms.iter().filter(|(_, v)| v.report.draining);
         for (_, vm) in leaving {
             for key in &vm.runs {
-                let Some(run) = self.runs.get(key) else { continue };
-                let Some(job) = self.jobs.get(run.stage.job) else { continue };
+                let Some(run) = self.runs.get(key) else {
+                    continue;
+                };
+                let Some(job) = self.jobs.get(run.stage.job) else {
+                    continue;
+                };
                 let running = matches!(run.state, runs::State::Running { .. });
                 if running && job.step(run.stage.step).lasting {
                     moved.push(*key);
--- a/crates/monsoonnotch_jobs/src/holder/place.rs
+++ b/crates/monsoonnotch_jobs/src/holder/place.rs
@@ -58,7 +58,9 @@
         let settled = self.settled();
         self.unseen = self.unseen_room();
         for (rank, key) in line {
-            let Some(job) = self.jobs.get(key.job) else { continue };
+            let Some(job) = self.jobs.get(key.job) else {
+                continue;
+            };
             // A former holder may have started it where no look has reached yet.
             if !job.fresh && !settled {
                 self.blocked(key, Blocked::Unsettled);
@@ -84,7 +86,10 @@
     fn place_stage(&mut self, rank: Rank, key: StageKey, room: &mut PoolRoom) {
         let approval = self.approval_of(key);
         let candidates = self.candidates(key, approval.is_some());
-        let gang = self.jobs.get(key.job).is_some_and(|j| j.step(key.step).gang);
+        let gang = self
+            .jobs
+            .get(key.job)
+            .is_some_and(|j| j.step(key.step).gang);
         let (placed, all) = match gang {
             true => self.place_gang(rank, key, candidates, room),
             false => self.place_tasks(rank, key, candidates, room),
@@ -104,7 +109,9 @@
         let now = self.now;
         let Some(stage) = self.stage(key) else { return };
         let new = stage.runs().filter_map(|r| self.runs.get(&r));
-        let new = new.filter(|r| r.sent == now).filter_map(|r| self.vms.get(r.vm));
+        let new = new
+            .filter(|r| r.sent == now)
+            .filter_map(|r| self.vms.get(r.vm));
         let vms: Vec<&str> = new.map(|v| v.report.id.as_str()).collect();
         let note = format!(
             "step={} occurrence={} tasks={placed} waiting={} class={} ready_ms={} vms={}",
@@ -121,7 +128,9 @@
 
     /// Whether a VM may ever run a step, and may now be given work.
     pub(super) fn suits(&self, vm: VmKey, job: &Job, step: &Step) -> bool {
-        let Some(row) = self.vms.get(vm) else { return false };
+        let Some(row) = self.vms.get(vm) else {
+            return false;
+        };
         let label = |l: &CompactString| row.report.labels.contains(l);
         row.usable(self.now)
             && row.report.pool == job.pool
@@ -143,8 +152,12 @@
     }
 
     fn candidates(&self, key: StageKey, approved: bool) -> Vec<Candidate> {
-        let Some(job) = self.jobs.get(key.job) else { return Vec::new() };
-        let Some(stage) = self.stage(key) else { return Vec::new() };
+        let Some(job) = self.jobs.get(key.job) else {
+            return Vec::new();
+        };
+        let Some(stage) = self.stage(key) else {
+            return Vec::new();
+        };
         let step = job.step(key.step);
         let here = self.tasks_by_vm(stage);
         let mut found = Vec::new();
@@ -152,7 +165,13 @@
         let mut consider = |vm: VmKey, ticket: CompactString| {
             let Some(row) = self.vms.get(vm) else { return };
             let free = row.free();
-            if !self.suits(vm, job, step) || !free.fits(&Resources { slots: 0, connections: 0, ..need }) {
+            if !self.suits(vm, job, step)
+                || !free.fits(&Resources {
+                    slots: 0,
+                    connections: 0,
+                    ..need
+                })
+            {
                 return;
             }
             found.push(Candidate {
@@ -192,7 +211,9 @@
         mut candidates: Vec<Candidate>,
         room: &mut PoolRoom,
     ) -> (usize, bool) {
-        let Some(stage) = self.stage(key) else { return (0, true) };
+        let Some(stage) = self.stage(key) else {
+            return (0, true);
+        };
         if self.now < stage.not_before {
             return (0, true);
         }
@@ -223,7 +244,13 @@
             let (vm, ticket) = (c.vm, c.ticket.clone());
             c.free.take(&need);
             c.here += 1;
-            if c.here >= c.most || !c.free.fits(&Resources { slots: 0, connections: 0, ..need }) {
+            if c.here >= c.most
+                || !c.free.fits(&Resources {
+                    slots: 0,
+                    connections: 0,
+                    ..need
+                })
+            {
                 candidates.swap_remove(at);
             }
             room.free = room.free.saturating_sub(need.cpu_milli);
@@ -276,7 +303,13 @@
             chosen.push((c.vm, c.ticket.clone()));
             c.free.take(&need);
             c.here += 1;
-            if c.here >= c.most || !c.free.fits(&Resources { slots: 0, connections: 0, ..need }) {
+            if c.here >= c.most
+                || !c.free.fits(&Resources {
+                    slots: 0,
+                    connections: 0,
+                    ..need
+                })
+            {
                 candidates.swap_remove(at);
             }
         }
@@ -324,7 +357,9 @@
 
 /// The rack among a VM's labels, by its form; empty where there is none.
 pub(super) fn rack_of(labels: &[CompactString]) -> CompactString {
-    let rack = labels.iter().find(|l| l.contains('-') || l.starts_with('r'));
+    let rack = labels
+        .iter()
+        .find(|l| l.contains('-') || l.starts_with('r'));
     rack.cloned().unwrap_or_default()
 }
 
@@ -343,7 +378,9 @@
     if step.target_ms > 0 && vm.filling > 0 {
         against += 4;
     }
-    if vm.health.slowness > SLOW {
+    if vm.health.crawls() {
+        against += 16;
+    } else if vm.health.slowness > SLOW {
         against += 2;
     }
     if vm.health.bad > 0 {
--- a/crates/monsoonnotch_jobs/src/holder/runs.rs
+++ b/crates/monsoonnotch_jobs/src/holder/runs.rs
@@ -15,13 +15,26 @@
 const STOP_RETRY_MAX: Duration = Duration::from_millis(2_000);
 /// Times that a start is sent before a look and a stop are to tell: a VM that
 /// leaves some orders unanswered mostly answers the next.
-const TRIES: u32 = 3;
+const TRIES: u32 = 4;
+/// How long the answer to each of them is waited for. A VM answers in 2 ms; a
+/// holder short of processor takes longer to see it.
+const PATIENCE: [Duration; 3] = [
+    Duration::from_millis(120),
+    Duration::from_millis(250),
+    Duration::from_millis(400),
+];
 /// Pause of a stage after a VM refused a start of it for want of room.
 const ROOM_PAUSE: Duration = Duration::from_millis(120);
 /// Runs to learn slowness from must take at least this long.
 const LEARN_MIN: Duration = Duration::from_millis(50);
 /// Weight of the newest run in a VM's slowness.
 const SLOWNESS_WEIGHT: f64 = 0.3;
+/// Weight of one look at a run at work, of which there are several.
+const PROGRESS_WEIGHT: f64 = 0.15;
+/// Time after which a run's progress says something of its VM.
+const PROGRESS_AFTER: Duration = Duration::from_millis(250);
+/// Largest slowness learnt from one run.
+const SLOWNESS_MAX: f64 = 8.0;
 
 /// Names a run; never used again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -150,12 +163,17 @@
     /// run says so, and one that had it refuses.
     fn send_start(&mut self, key: RunKey) {
         let now = self.now;
-        let Some(run) = self.runs.get_mut(&key) else { return };
+        let Some(run) = self.runs.get_mut(&key) else {
+            return;
+        };
+        let patience = PATIENCE[(run.tries as usize).min(PATIENCE.len() - 1)];
         run.tries += 1;
         let (stage, index, vm) = (run.stage, run.index, run.vm);
         let (attempt, ticket) = (run.attempt, run.ticket.clone());
         let task = self.task_id(stage, index);
-        let Some(job) = self.jobs.get(stage.job) else { return };
+        let Some(job) = self.jobs.get(stage.job) else {
+            return;
+        };
         let spec = Arc::clone(&job.spec);
         let saved = job.stages[&(stage.occurrence, stage.step)].tasks[index as usize]
             .saved
@@ -172,6 +190,7 @@
             expires_ms,
             saved,
             ticket,
+            patience,
         };
         self.fx.push(Effect::Start {
             run: key,
@@ -183,11 +202,15 @@
     /// Takes in the answer to a start.
     pub(super) fn start_answered(&mut self, key: RunKey, answer: StartAnswer) {
         let now = self.now;
-        let Some(run) = self.runs.get_mut(&key) else { return };
+        let Some(run) = self.runs.get_mut(&key) else {
+            return;
+        };
         let (vm, stage, index) = (run.vm, run.stage, run.index);
         let starting = matches!(run.state, State::Starting | State::Unsure);
         let wanted = self.is_wanted(stage, index);
-        let Some(run) = self.runs.get_mut(&key) else { return };
+        let Some(run) = self.runs.get_mut(&key) else {
+            return;
+        };
         match answer {
             StartAnswer::Running if starting => run.state = State::Running { since: now },
             StartAnswer::Running => {}
@@ -195,12 +218,13 @@
             StartAnswer::OtherIncarnation => self.other_incarnation(vm),
             StartAnswer::Unknown if starting && !wanted => self.stop_run(key, "not wanted"),
             StartAnswer::Unknown if starting && run.tries < TRIES => self.send_start(key),
-            StartAnswer::Unknown if starting => {
+            // A run there was not lower: this one, sent before, may have ended well.
+            StartAnswer::Old | StartAnswer::Unknown if starting => {
                 run.state = State::Unsure;
                 run.sent = now;
                 self.look_now(vm);
             }
-            StartAnswer::Unknown => {}
+            StartAnswer::Old | StartAnswer::Unknown => {}
             refused => self.start_refused(key, stage, index, vm, refused),
         }
     }
@@ -255,14 +279,38 @@
     /// A run is listed by its VM.
     pub(super) fn run_confirmed(&mut self, key: RunKey, row: &RunningRow) {
         let now = self.now;
-        let Some(run) = self.runs.get_mut(&key) else { return };
+        let Some(run) = self.runs.get_mut(&key) else {
+            return;
+        };
         if matches!(run.state, State::Starting | State::Unsure) {
             run.state = State::Running { since: now };
         }
-        let (stage, index) = (run.stage, run.index);
+        let (stage, index, vm) = (run.stage, run.index, run.vm);
+        let ran = now.since(run.sent);
         if !row.saved.is_empty() {
             self.keep_saved(stage, index, row.saved.clone());
         }
+        if ran >= PROGRESS_AFTER && row.percent < 100 {
+            self.learn_progress(stage, vm, ran, row.percent);
+        }
+    }
+
+    /// Learns from a run at work how slow its VM is: one that crawls would say so
+    /// by its end only much later.
+    fn learn_progress(&mut self, key: StageKey, vm: VmKey, ran: Duration, percent: u64) {
+        let Some(job) = self.jobs.get(key.job) else {
+            return;
+        };
+        let step = job.step(key.step);
+        if step.lasting || step.fills || step.estimate_ms == 0 {
+            return;
+        }
+        let usual = self.learnt.get(&job.queue).map_or(1.0, |l| l.ratio);
+        let done_ms = step.estimate_ms as f64 * usual * percent.max(1) as f64 / 100.0;
+        let seen = (ran.as_millis() as f64 / done_ms.max(1.0)).min(SLOWNESS_MAX);
+        if let Some(vm) = self.vms.get_mut(vm) {
+            vm.health.learn_slowness(seen, PROGRESS_WEIGHT);
+        }
     }
 
     /// Takes over a run that a former holder started.
@@ -280,7 +328,9 @@
 
     /// Stops a run that no task of ours has.
     pub(super) fn stop_unknown(&mut self, vm: VmKey, row: &RunningRow) {
-        let Some(to) = self.vms.get(vm).map(vms::Vm::target) else { return };
+        let Some(to) = self.vms.get(vm).map(vms::Vm::target) else {
+            return;
+        };
         // Nothing waits for the answer: while it is listed it is stopped again.
         let run = RunKey(0);
         self.fx.push(Effect::Stop {
@@ -293,7 +343,9 @@
 
     /// A look that was sent at `sent` does not list a run.
     pub(super) fn run_not_seen(&mut self, key: RunKey, sent: Time) {
-        let Some(run) = self.runs.get(&key) else { return };
+        let Some(run) = self.runs.get(&key) else {
+            return;
+        };
         match run.state {
             State::Starting => {}
             State::Unsure if sent > run.sent => self.stop_run(key, "start unanswered"),
@@ -311,9 +363,16 @@
     /// Stops a run, or keeps it from starting.
     pub(super) fn stop_run(&mut self, key: RunKey, why: &'static str) {
         let now = self.now;
-        let Some(run) = self.runs.get_mut(&key) else { return };
+        let Some(run) = self.runs.get_mut(&key) else {
+            return;
+        };
         let mut sent = 0;
-        if let State::Ending { voided, asked, times } = run.state {
+        if let State::Ending {
+            voided,
+            asked,
+            times,
+        } = run.state
+        {
             if voided.is_some() || now < stop_again_at(asked, times) {
                 return;
             }
@@ -347,8 +406,12 @@
         if answer == StopAnswer::Fenced {
             return self.step_down();
         }
-        let Some(run) = self.runs.get_mut(&key) else { return };
-        let State::Ending { voided, .. } = &mut run.state else { return };
+        let Some(run) = self.runs.get_mut(&key) else {
+            return;
+        };
+        let State::Ending { voided, .. } = &mut run.state else {
+            return;
+        };
         match answer {
             StopAnswer::Void => {
                 *voided = Some(now);
@@ -369,9 +432,11 @@
         let mut again = Vec::new();
         for (&key, run) in &self.runs {
             let due = match run.state {
-                State::Ending { voided, asked, times } => {
-                    voided.is_none() && now >= stop_again_at(asked, times)
-                }
+                State::Ending {
+                    voided,
+                    asked,
+                    times,
+                } => voided.is_none() && now >= stop_again_at(asked, times),
                 State::Unsure => now >= run.sent + STOP_RETRY,
                 State::Starting | State::Running { .. } => false,
             };
@@ -388,7 +453,9 @@
 
     /// A run is certain to be over without an end that says how.
     pub(super) fn run_gone(&mut self, key: RunKey, why: &'static str) {
-        let Some(run) = self.runs.get(&key) else { return };
+        let Some(run) = self.runs.get(&key) else {
+            return;
+        };
         let (stage, index, attempt) = (run.stage, run.index, run.attempt);
         let vm = self.vms.get(run.vm).map(|v| v.report.id.clone());
         self.forget_run(key);
@@ -406,7 +473,9 @@
     /// former incarnation, or was started by the new one. The next look tells.
     pub(super) fn doubt_run(&mut self, key: RunKey) {
         let now = self.now;
-        let Some(run) = self.runs.get_mut(&key) else { return };
+        let Some(run) = self.runs.get_mut(&key) else {
+            return;
+        };
         if let State::Running { since } = &mut run.state {
             *since = now;
         }
@@ -414,7 +483,9 @@
 
     /// Takes a run out of all accounts.
     pub(super) fn forget_run(&mut self, key: RunKey) {
-        let Some(run) = self.runs.remove(&key) else { return };
+        let Some(run) = self.runs.remove(&key) else {
+            return;
+        };
         self.account(&run, key, false);
         if let Some(stage) = self.stage_mut(run.stage) {
             let task = &mut stage.tasks[run.index as usize];
@@ -428,9 +499,13 @@
     }
 
     pub(super) fn keep_saved(&mut self, key: StageKey, index: u32, saved: CompactString) {
-        let Some(job) = self.jobs.get_mut(key.job) else { return };
+        let Some(job) = self.jobs.get_mut(key.job) else {
+            return;
+        };
         let gang = job.step(key.step).gang;
-        let Some(stage) = job.stages.get_mut(&(key.occurrence, key.step)) else { return };
+        let Some(stage) = job.stages.get_mut(&(key.occurrence, key.step)) else {
+            return;
+        };
         if gang {
             // One member's progress is good for all, and all must go on from the same.
             stage.tasks.iter_mut().for_each(|t| t.saved = saved.clone());
@@ -449,14 +524,22 @@
                 stage.took_ms.push(took);
             }
         }
-        let Some(job) = self.jobs.get_mut(key.job) else { return };
+        let Some(job) = self.jobs.get_mut(key.job) else {
+            return;
+        };
         let (gang, lasting) = (job.step(key.step).gang, job.step(key.step).lasting);
         if lasting {
             return self.task_again(key, index, true, How::Done);
         }
-        let Some(stage) = job.stages.get_mut(&(key.occurrence, key.step)) else { return };
+        let Some(stage) = job.stages.get_mut(&(key.occurrence, key.step)) else {
+            return;
+        };
         let count = u32::try_from(stage.tasks.len()).unwrap_or(0);
-        let ended: Vec<u32> = if gang { (0..count).collect() } else { vec![index] };
+        let ended: Vec<u32> = if gang {
+            (0..count).collect()
+        } else {
+            vec![index]
+        };
         let mut others = Vec::new();
         for i in ended {
             let task = &mut stage.tasks[i as usize];
@@ -489,7 +572,9 @@
 
     fn learn_run(&mut self, key: StageKey, vm: VmKey, sent: Time) {
         let took = self.now.since(sent);
-        let Some(job) = self.jobs.get(key.job) else { return };
+        let Some(job) = self.jobs.get(key.job) else {
+            return;
+        };
         let step = job.step(key.step);
         if took < LEARN_MIN || step.estimate_ms == 0 || step.lasting {
             return;
@@ -499,30 +584,37 @@
         let usual = self.learnt.get(&queue).map_or(1.0, |l| l.ratio);
         self.learn_time(&queue, ratio);
         if let Some(vm) = self.vms.get_mut(vm) {
-            let slowness = &mut vm.health.slowness;
             let seen = ratio / usual.max(0.05);
-            match *slowness {
-                0.0 => *slowness = seen,
-                _ => *slowness += SLOWNESS_WEIGHT * (seen - *slowness),
-            }
+            vm.health
+                .learn_slowness(seen.min(SLOWNESS_MAX), SLOWNESS_WEIGHT);
         }
     }
 
     /// A task failed, by its own fault or its VM's.
     pub(super) fn task_failed(&mut self, key: StageKey, index: u32, vm: VmKey, attempt: u64) {
         self.judge(vm, false);
-        let Some(job) = self.jobs.get_mut(key.job) else { return };
+        let Some(job) = self.jobs.get_mut(key.job) else {
+            return;
+        };
         let id = job.id.0;
         let step = job.step(key.step);
         let (gang, lasting) = (step.gang, step.lasting);
         let queue = job.queue.clone();
-        let Some(stage) = job.stages.get_mut(&(key.occurrence, key.step)) else { return };
-        let Some(task) = stage.tasks.get_mut(index as usize) else { return };
+        let Some(stage) = job.stages.get_mut(&(key.occurrence, key.step)) else {
+            return;
+        };
+        let Some(task) = stage.tasks.get_mut(index as usize) else {
+            return;
+        };
         if !task.failed.insert(attempt) {
             return;
         }
         stage.gang_failed.insert(attempt);
-        let fails = if gang { stage.gang_failed.len() } else { task.failed.len() };
+        let fails = if gang {
+            stage.gang_failed.len()
+        } else {
+            task.failed.len()
+        };
         let done = task.done;
         let most = self.queue(&queue).map_or(u32::MAX, |q| q.attempts_max);
         let note = format!("step={} index={index} fails={fails} most={most}", key.step);
@@ -539,12 +631,19 @@
 
     /// A task without a run waits for its next.
     pub(super) fn task_again(&mut self, key: StageKey, index: u32, ours: bool, how: How) {
-        let gang = self.jobs.get(key.job).is_some_and(|j| j.step(key.step).gang);
+        let gang = self
+            .jobs
+            .get(key.job)
+            .is_some_and(|j| j.step(key.step).gang);
         if gang && ours {
             self.gang_broken(key, how);
         }
-        let Some(stage) = self.stage_mut(key) else { return };
-        let Some(task) = stage.tasks.get(index as usize) else { return };
+        let Some(stage) = self.stage_mut(key) else {
+            return;
+        };
+        let Some(task) = stage.tasks.get(index as usize) else {
+            return;
+        };
         if task.run.is_none() && !task.done {
             stage.waiting.insert(index);
         }
--- a/crates/monsoonnotch_jobs/src/holder/vms.rs
+++ b/crates/monsoonnotch_jobs/src/holder/vms.rs
@@ -8,6 +8,9 @@
 const CLOCK_SLACK: Duration = Duration::from_millis(60);
 /// Failures of starts or runs in a row after which a VM is put aside.
 const ASIDE_AFTER: u32 = 3;
+/// Slowness above which a VM gets new work only where no other has room: above
+/// what estimates that are off by half can show.
+const CRAWLS: f64 = 2.2;
 /// How long a VM is put aside at first; doubled each time up to eight times.
 const ASIDE_FOR: Duration = Duration::from_millis(2_500);
 
@@ -64,6 +67,21 @@
     pub(super) slowness: f64,
 }
 
+impl Health {
+    /// Takes in how slow a run was, as a multiple of the usual time.
+    pub(super) fn learn_slowness(&mut self, seen: f64, weight: f64) {
+        if self.slowness == 0.0 {
+            self.slowness = 1.0;
+        }
+        self.slowness += weight * (seen - self.slowness);
+    }
+
+    /// Whether runs there take more than twice their time.
+    pub(super) fn crawls(&self) -> bool {
+        self.slowness > CRAWLS
+    }
+}
+
 impl Vm {
     fn new(report: VmReport) -> Self {
         Self {
@@ -109,7 +127,10 @@
 
     /// Room that is free.
     pub(super) fn free(&self) -> Resources {
-        self.report.capacity.minus(&self.used).minus(&self.strays.room)
+        self.report
+            .capacity
+            .minus(&self.used)
+            .minus(&self.strays.room)
     }
 
     /// Whether something new may be started there.
@@ -147,8 +168,12 @@
     }
 
     fn vm_unlisted(&mut self, id: &str) {
-        let Some(&key) = self.vm_ids.get(id) else { return };
-        let Some(vm) = self.vms.get_mut(key) else { return };
+        let Some(&key) = self.vm_ids.get(id) else {
+            return;
+        };
+        let Some(vm) = self.vms.get_mut(key) else {
+            return;
+        };
         if !vm.listed {
             return;
         }
@@ -160,7 +185,9 @@
         let Some(&key) = self.vm_ids.get(&report.id) else {
             return self.vm_new(report);
         };
-        let Some(vm) = self.vms.get_mut(key) else { return };
+        let Some(vm) = self.vms.get_mut(key) else {
+            return;
+        };
         if report.born_ms < vm.report.born_ms {
             return;
         }
@@ -176,7 +203,11 @@
                 let r = &self.vms.get(key).expect("looked up above").report;
                 (r.id.clone(), r.draining)
             };
-            self.note(0, "vm changed", format!("vm={id} draining={draining} reborn={reborn}"));
+            self.note(
+                0,
+                "vm changed",
+                format!("vm={id} draining={draining} reborn={reborn}"),
+            );
             self.changed = true;
         }
         self.look_soon(key);
@@ -194,7 +225,9 @@
 
     /// A new incarnation: its numbers begin anew, and what runs there is in doubt.
     pub(super) fn vm_reborn(&mut self, key: VmKey) {
-        let Some(vm) = self.vms.get_mut(key) else { return };
+        let Some(vm) = self.vms.get_mut(key) else {
+            return;
+        };
         vm.answered = false;
         vm.clock = None;
         vm.lease_until_ms = 0;
@@ -203,9 +236,15 @@
         vm.health = Health::default();
         vm.looks.forget();
         self.set_strays(key, Strays::default());
-        let Some(vm) = self.vms.get_mut(key) else { return };
+        let Some(vm) = self.vms.get_mut(key) else {
+            return;
+        };
         let (id, runs) = (vm.report.id.clone(), vm.runs.clone());
-        self.note(0, "vm reborn", format!("vm={id} runs_in_doubt={}", runs.len()));
+        self.note(
+            0,
+            "vm reborn",
+            format!("vm={id} runs_in_doubt={}", runs.len()),
+        );
         for run in runs {
             self.doubt_run(run);
         }
@@ -214,7 +253,9 @@
 
     /// Puts what a look showed in place of what an earlier one did.
     pub(super) fn set_strays(&mut self, key: VmKey, strays: Strays) {
-        let Some(vm) = self.vms.get_mut(key) else { return };
+        let Some(vm) = self.vms.get_mut(key) else {
+            return;
+        };
         let old = std::mem::replace(&mut vm.strays, strays);
         if !old.needs.is_empty() {
             self.changed = true;
@@ -231,7 +272,9 @@
     /// Counts a bad end against a VM, or clears it by a good one.
     pub(super) fn judge(&mut self, key: VmKey, good: bool) {
         let now = self.now;
-        let Some(vm) = self.vms.get_mut(key) else { return };
+        let Some(vm) = self.vms.get_mut(key) else {
+            return;
+        };
         let health = &mut vm.health;
         if good {
             health.bad = 0;
@@ -245,7 +288,10 @@
         let times = 1 << health.asides.min(3);
         health.aside_until = now + ASIDE_FOR.times(times);
         health.asides += 1;
-        let note = format!("vm={} bad_in_a_row={} times={times}", vm.report.id, health.bad);
+        let note = format!(
+            "vm={} bad_in_a_row={} times={times}",
+            vm.report.id, health.bad
+        );
         self.note(0, "vm put aside", note);
     }
 
--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -2,6 +2,7 @@
 //!
 //! `MONSOONNOTCH_SEED` plays one day again.
 
+mod directed;
 mod patterns;
 mod random;
 mod vm;
--- a/crates/monsoonnotch_jobs/tests/promises/patterns.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/patterns.rs
@@ -66,7 +66,9 @@
         run(&mut world, 20);
     }
     run(&mut world, 1_000);
-    let ended = (1..=40).filter(|&id| world.outcome(JobId(id)).is_some()).count();
+    let ended = (1..=40)
+        .filter(|&id| world.outcome(JobId(id)).is_some())
+        .count();
     assert_eq!(ended, 40, "jobs that have ended");
     let (records, bytes) = world.newest_size();
     // An end takes some 80 bytes; a submission of one step takes over 300.
--- a/crates/monsoonnotch_jobs/tests/promises/random.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/random.rs
@@ -78,7 +78,12 @@
     site
 }
 
-pub(crate) fn submission(world: &World, queue: &str, account: &str, steps: Vec<Step>) -> Submission {
+pub(crate) fn submission(
+    world: &World,
+    queue: &str,
+    account: &str,
+    steps: Vec<Step>,
+) -> Submission {
     Submission {
         queue: queue.into(),
         account: account.into(),
@@ -165,7 +170,11 @@
         let ended = world.outcome(*id).is_some() || world.cancelled.contains(id);
         assert!(ended, "job {id} did not end: {job:?}");
     }
-    assert!(world.starts > 50, "hardly anything ran: {} starts", world.starts);
+    assert!(
+        world.starts > 50,
+        "hardly anything ran: {} starts",
+        world.starts
+    );
 }
 
 fn bring_back(world: &mut World, down: &mut Vec<(u64, String)>) {
--- a/crates/monsoonnotch_jobs/tests/promises/vm.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/vm.rs
@@ -86,7 +86,9 @@
     }
 
     fn end(&mut self, task: TaskId, how: How) {
-        let Some(work) = self.running.remove(&task) else { return };
+        let Some(work) = self.running.remove(&task) else {
+            return;
+        };
         self.past.insert(task, work.attempt);
         self.ended.push(EndRow {
             number: self.next_end,
@@ -140,7 +142,11 @@
         self.token = token;
         let past = self.past.entry(task).or_default();
         *past = (*past).max(attempt);
-        if self.running.get(&task).is_some_and(|w| w.attempt <= attempt) {
+        if self
+            .running
+            .get(&task)
+            .is_some_and(|w| w.attempt <= attempt)
+        {
             self.end(task, How::Stopped);
         }
         StopAnswer::Void
--- a/crates/monsoonnotch_jobs/tests/promises/world.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/world.rs
@@ -39,7 +39,7 @@
 /// What may go wrong, each as a chance for one message.
 #[derive(Debug, Default, Clone, Copy)]
 pub(crate) struct Faults {
-    /// An order gets no answer and is carried out seconds later.
+    /// An order gets no answer; it is carried out at once or seconds later.
     pub(crate) late: f64,
     /// An answer is lost.
     pub(crate) lost: f64,
@@ -198,13 +198,17 @@
     }
 
     pub(crate) fn crash(&mut self, id: &str) {
-        let Some(vm) = self.vms.get_mut(id) else { return };
+        let Some(vm) = self.vms.get_mut(id) else {
+            return;
+        };
         vm.crash();
     }
 
     pub(crate) fn rebirth(&mut self, id: &str) {
         let (now, unix) = (self.now, self.unix());
-        let Some(vm) = self.vms.get_mut(id) else { return };
+        let Some(vm) = self.vms.get_mut(id) else {
+            return;
+        };
         vm.reborn(now);
         vm.report.born_ms = unix;
         let report = vm.report.clone();
@@ -241,10 +245,14 @@
     /// Looks that wait at a VM are answered when something ends there.
     fn wake_looks(&mut self, id: &str) {
         let now = self.now;
-        let waiting: Vec<(u64, u64)> = self.queue.iter().filter_map(|(k, msg)| match msg {
-            Msg::LookOver(_, _, vm, _) if vm == id && k.0 > now => Some(*k),
-            _ => None,
-        }).collect();
+        let waiting: Vec<(u64, u64)> = self
+            .queue
+            .iter()
+            .filter_map(|(k, msg)| match msg {
+                Msg::LookOver(_, _, vm, _) if vm == id && k.0 > now => Some(*k),
+                _ => None,
+            })
+            .collect();
         for key in waiting {
             if let Some(msg) = self.queue.remove(&key) {
                 self.post(0, msg);
@@ -264,7 +272,9 @@
         if member.asleep_until > 0 && !newest {
             member.holder = None;
         }
-        let Some(holder) = &mut member.holder else { return };
+        let Some(holder) = &mut member.holder else {
+            return;
+        };
         for effect in holder.decide(now, unix) {
             self.perform(m, effect);
         }
@@ -272,35 +282,71 @@
 
     fn perform(&mut self, m: usize, effect: Effect) {
         let late = self.rng.random_bool(self.faults.late);
-        let after = if late { self.rng.random_range(2_000..8_000) } else { 1 };
+        let after = match late && self.rng.random_bool(0.7) {
+            true => self.rng.random_range(2_000..8_000),
+            false => 1,
+        };
         match effect {
             Effect::Start { run, to, order } => {
                 let msg = Msg::Start(m, run, order, self.way(&to.id, late));
                 self.post(after, msg);
-                self.timeout(late, m, Event::Started { run, answer: StartAnswer::Unknown });
+                self.timeout(
+                    late,
+                    m,
+                    Event::Started {
+                        run,
+                        answer: StartAnswer::Unknown,
+                    },
+                );
             }
-            Effect::Stop { run, to, task, attempt } => {
+            Effect::Stop {
+                run,
+                to,
+                task,
+                attempt,
+            } => {
                 let msg = Msg::Stop(m, run, task, attempt, self.way(&to.id, late));
                 self.post(after, msg);
-                self.timeout(late, m, Event::Stopped { run, answer: StopAnswer::Unknown });
+                self.timeout(
+                    late,
+                    m,
+                    Event::Stopped {
+                        run,
+                        answer: StopAnswer::Unknown,
+                    },
+                );
             }
-            Effect::Look { key, to, seen, lease_until_ms, wait } => {
+            Effect::Look {
+                key,
+                to,
+                seen,
+                lease_until_ms,
+                wait,
+            } => {
                 let id = to.id.to_string();
                 let wait = wait.as_millis();
                 self.post(1, Msg::Look(m, key, id, seen, lease_until_ms, wait));
             }
-            Effect::Approve { key, stage, vms, .. } => {
+            Effect::Approve {
+                key, stage, vms, ..
+            } => {
                 // Two of three VMs may run a stage; which does not change.
                 let number = |v: &str| v[1..].parse::<u64>().expect("a VM's number");
                 let allowed = vms.iter().filter(|v| (stage.job.0 + number(v)) % 3 != 0);
                 let allowed = allowed.map(|v| (v.clone(), "ticket".into())).collect();
-                let event = Event::Approved { key, allowed: Some(allowed) };
+                let event = Event::Approved {
+                    key,
+                    allowed: Some(allowed),
+                };
                 self.post(20, Msg::Event(m, event));
             }
             Effect::Append(records) => self.append(m, records),
             Effect::StepDown => self.members[m].holder = None,
             Effect::Note(note) => {
-                println!("{} m{m} {:016x} {} {}", self.now, note.job, note.what, note.why);
+                println!(
+                    "{} m{m} {:016x} {} {}",
+                    self.now, note.job, note.what, note.why
+                );
             }
             Effect::Reply { .. } => {}
         }
@@ -365,13 +411,25 @@
             }
             Msg::Look(m, key, id, seen, until, wait) => {
                 let token = self.members[m].token;
-                let silent = Event::Looked { key, answer: Err(LookError::Silent) };
+                let silent = Event::Looked {
+                    key,
+                    answer: Err(LookError::Silent),
+                };
                 let lost = self.rng.random_bool(self.faults.lost);
                 let Some(vm) = self.vms.get_mut(&id).filter(|v| v.up) else {
                     return self.post(700, Msg::Event(m, silent));
                 };
                 if let Err(e) = vm.hold(token, seen, until) {
-                    return self.post(1, Msg::Event(m, Event::Looked { key, answer: Err(e) }));
+                    return self.post(
+                        1,
+                        Msg::Event(
+                            m,
+                            Event::Looked {
+                                key,
+                                answer: Err(e),
+                            },
+                        ),
+                    );
                 }
                 let wait = if vm.ended.is_empty() { wait } else { 0 };
                 let born = vm.report.born_ms;
@@ -381,7 +439,10 @@
                 self.post(wait, Msg::LookOver(m, key, id, born));
             }
             Msg::LookOver(m, key, id, born) => {
-                let vm = self.vms.get(&id).filter(|v| v.up && v.report.born_ms == born);
+                let vm = self
+                    .vms
+                    .get(&id)
+                    .filter(|v| v.up && v.report.born_ms == born);
                 let answer = vm.map(|v| v.look(now)).ok_or(LookError::Silent);
                 self.post(1, Msg::Event(m, Event::Looked { key, answer }));
             }
@@ -398,7 +459,11 @@
         let work = Work {
             attempt: order.attempt,
             room: step.room(),
-            ends_ms: if step.lasting { u64::MAX } else { now + took.max(1) },
+            ends_ms: if step.lasting {
+                u64::MAX
+            } else {
+                now + took.max(1)
+            },
             how: if fails { How::Failed } else { How::Done },
         };
         let Some(vm) = self.end_of(way) else {
@@ -421,8 +486,14 @@
         let vm = &self.vms[id];
         let used = vm.used();
         let capacity = vm.report.capacity;
-        assert!(capacity.fits(&used), "over capacity: {used:?} of {capacity:?}; {at}");
-        let places = self.vms.values().filter(|v| v.up && v.running.contains_key(&task));
+        assert!(
+            capacity.fits(&used),
+            "over capacity: {used:?} of {capacity:?}; {at}"
+        );
+        let places = self
+            .vms
+            .values()
+            .filter(|v| v.up && v.running.contains_key(&task));
         assert_eq!(places.count(), 1, "runs twice: {at}");
         let submission = &self.jobs[&task.stage.job];
         let step = &submission.plan.steps[usize::from(task.stage.step)];
@@ -440,7 +511,11 @@
             };
             let count = (0..before.count).filter(well).count();
             // One good end of a gang stands for all of it.
-            let enough = if before.gang { 1 } else { before.count as usize };
+            let enough = if before.gang {
+                1
+            } else {
+                before.count as usize
+            };
             assert!(count >= enough, "before its turn: {at}");
         }
         self.check_limit(&submission.account.clone(), &at);
@@ -454,7 +529,10 @@
         let running = self.vms.values().filter(|v| v.up).flat_map(|v| &v.running);
         let own = running.filter(|(t, _)| self.jobs[&t.stage.job].account == account);
         let used: u64 = own.map(|(_, w)| w.room.cpu_milli).sum();
-        assert!(limit == 0 || used <= limit, "over the limit: {used} of {limit}; {at}");
+        assert!(
+            limit == 0 || used <= limit,
+            "over the limit: {used} of {limit}; {at}"
+        );
     }
 
     /// Whether the journal says that a task ended well.
--- a/crates/monsoonnotch_member/src/args/mod.rs
+++ b/crates/monsoonnotch_member/src/args/mod.rs
@@ -60,7 +60,9 @@
 
 fn run(settings: Settings) -> ExitCode {
     logs::set_up(settings.tuning.log_lines_per_s);
-    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let rt = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
     let ended = rt.and_then(|rt| rt.block_on(process::run(settings)));
     match ended {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/monsoonnotch_member/src/calls/submit.rs
+++ b/crates/monsoonnotch_member/src/calls/submit.rs
@@ -144,7 +144,9 @@
         key: record.key,
         value: ByteBuf::from(record.value),
     };
-    let sent = lock(&cx.host).as_ref().is_some_and(|tx| tx.try_send(frame).is_ok());
+    let sent = lock(&cx.host)
+        .as_ref()
+        .is_some_and(|tx| tx.try_send(frame).is_ok());
     let fate = match sent {
         true => tokio::time::timeout(RELAY_MAX, rx).await,
         false => {
@@ -182,7 +184,10 @@
         }
         let records: Vec<Stored> = waiting.iter().map(|p| p.record.clone()).collect();
         let began = Instant::now();
-        let appended = cx.store.append(JOURNAL, &records, None, None, APPEND_TIMES[level]).await;
+        let appended = cx
+            .store
+            .append(JOURNAL, &records, None, None, APPEND_TIMES[level])
+            .await;
         cx.store_answered(appended.is_ok());
         level = match &appended {
             Ok(_) if began.elapsed() <= QUICK => 0,
--- a/crates/monsoonnotch_member/src/cell/mod.rs
+++ b/crates/monsoonnotch_member/src/cell/mod.rs
@@ -39,7 +39,7 @@
 /// Time by which weak members wait longer than others: a restart of a process.
 const WEAK_WAIT: Duration = Duration::from_millis(1_500);
 /// Failure of the store here after which a holder hands the jobs to another.
-pub(crate) const HAND_OVER: Duration = Duration::from_millis(900);
+pub(crate) const HAND_OVER: Duration = Duration::from_millis(400);
 
 /// What is known of the topic of claims.
 #[derive(Debug, Clone, Copy, Default)]
@@ -72,12 +72,7 @@
     }
 }
 
-async fn tail(
-    cx: &Arc<Cx>,
-    heard: &Heard,
-    mut from: u64,
-    seen: &watch::Sender<Option<Seen>>,
-) {
+async fn tail(cx: &Arc<Cx>, heard: &Heard, mut from: u64, seen: &watch::Sender<Option<Seen>>) {
     loop {
         match cx.store.read(TOPIC, from, cx.store_wait(WAIT)).await {
             Ok(page) => {
@@ -177,7 +172,9 @@
     let silent_ms = heard.silent_for().as_millis() as u64;
     let refused = heard.refused();
     let records = [record];
-    let append = cx.store.append(TOPIC, &records, None, Some(at.next), APPEND_TIMES[1]);
+    let append = cx
+        .store
+        .append(TOPIC, &records, None, Some(at.next), APPEND_TIMES[1]);
     let claimed = append.await;
     log::info!(event = "claim tried", silent_ms = silent_ms, refused = refused, at = at.next, outcome = format!("{claimed:?}"); "tried to claim the jobs");
     match claimed {
--- a/crates/monsoonnotch_member/src/cx/mod.rs
+++ b/crates/monsoonnotch_member/src/cx/mod.rs
@@ -218,7 +218,9 @@
     /// Sends a frame to the link of a guest; false when there is none.
     pub(crate) fn to_guest(&self, lane: LaneKey, frame: Frame) -> bool {
         let guests = lock(&self.guests);
-        guests.get(&lane.0).is_some_and(|tx| tx.try_send(frame).is_ok())
+        guests
+            .get(&lane.0)
+            .is_some_and(|tx| tx.try_send(frame).is_ok())
     }
 }
 
--- a/crates/monsoonnotch_member/src/links/host.rs
+++ b/crates/monsoonnotch_member/src/links/host.rs
@@ -82,8 +82,14 @@
 async fn serve(cx: &Arc<Cx>, stream: TcpStream, link: u64, guests: &Guests) -> Option<()> {
     stream.set_nodelay(true).ok()?;
     let handshake = tokio_tungstenite::accept_async(stream);
-    let mut socket = tokio::time::timeout(HANDSHAKE, handshake).await.ok()?.ok()?;
-    let hello = tokio::time::timeout(HANDSHAKE, socket.next()).await.ok()??.ok()?;
+    let mut socket = tokio::time::timeout(HANDSHAKE, handshake)
+        .await
+        .ok()?
+        .ok()?;
+    let hello = tokio::time::timeout(HANDSHAKE, socket.next())
+        .await
+        .ok()??
+        .ok()?;
     let Some(Frame::Hello { token, cores, name }) = frame_of(&hello) else {
         return None;
     };
@@ -154,7 +160,9 @@
             let value = value.into_vec();
             tokio::spawn(async move { store_for(&cx, link, seq, Stored { key, value }).await });
         }
-        _ => log::warn!(event = "odd frame", link = link; "a member sent a frame that is not for a holder"),
+        _ => {
+            log::warn!(event = "odd frame", link = link; "a member sent a frame that is not for a holder")
+        }
     }
 }
 
--- a/crates/monsoonnotch_member/src/logs/mod.rs
+++ b/crates/monsoonnotch_member/src/logs/mod.rs
@@ -41,7 +41,11 @@
 }
 
 impl Append for Bounded {
-    fn append(&self, record: &Record<'_>, diags: &[Box<dyn Diagnostic>]) -> Result<(), logforth::Error> {
+    fn append(
+        &self,
+        record: &Record<'_>,
+        diags: &[Box<dyn Diagnostic>],
+    ) -> Result<(), logforth::Error> {
         let Some(left_out) = self.admit(record.level()) else {
             return Ok(());
         };
--- a/crates/monsoonnotch_member/src/perform/mod.rs
+++ b/crates/monsoonnotch_member/src/perform/mod.rs
@@ -91,7 +91,9 @@
             lease_until_ms,
             wait,
         } => {
-            let look = cx.workers.look(&to, token, seen, lease_until_ms, wait.into());
+            let look = cx
+                .workers
+                .look(&to, token, seen, lease_until_ms, wait.into());
             let answer = look.await;
             Some(Event::Looked { key, answer })
         }
--- a/crates/monsoonnotch_member/src/process/mod.rs
+++ b/crates/monsoonnotch_member/src/process/mod.rs
@@ -53,7 +53,9 @@
     serve_metrics(member.metrics);
     let (fx, fx_rx) = mpsc::unbounded_channel();
     let tuning = cx.settings.holder_tuning();
-    control::start(control_rx, cx.clock, tuning, move |out| fx.send(out).is_ok());
+    control::start(control_rx, cx.clock, tuning, move |out| {
+        fx.send(out).is_ok()
+    });
     let (for_term, term_rx) = mpsc::unbounded_channel();
     let guests = Arc::new(Guests::default());
     let heard = Arc::new(Heard::default());
@@ -64,7 +66,9 @@
     tokio::spawn(cell::run(Arc::clone(&cx), heard));
     tokio::spawn(site::follow(Arc::clone(&cx)));
     let ready = Arc::clone(&cx);
-    tokio::spawn(front::serve_ready(member.readiness, move || is_ready(&ready)));
+    tokio::spawn(front::serve_ready(member.readiness, move || {
+        is_ready(&ready)
+    }));
     let answers = Arc::clone(&cx);
     let stop = cx.stopping.subscribe();
     let answer = move |call| calls::answer(Arc::clone(&answers), call);
--- a/crates/monsoonnotch_member/src/settings/mod.rs
+++ b/crates/monsoonnotch_member/src/settings/mod.rs
@@ -148,10 +148,16 @@
         let wrong = |bad: bool, what| if bad { Err(Error::Value(what)) } else { Ok(()) };
         wrong(t.lease_max == 0, "times.lease_max must be above zero")?;
         wrong(t.grace_s <= 0.0, "times.grace_s must be above zero")?;
-        wrong(tuned.lease_ms < 1_000, "tuning.lease_ms must be 1000 or more")?;
+        wrong(
+            tuned.lease_ms < 1_000,
+            "tuning.lease_ms must be 1000 or more",
+        )?;
         wrong(tuned.beat_ms == 0, "tuning.beat_ms must be above zero")?;
         let slow = tuned.suspect_ms < 2 * tuned.beat_ms;
-        wrong(slow, "tuning.suspect_ms must be at least twice tuning.beat_ms")
+        wrong(
+            slow,
+            "tuning.suspect_ms must be at least twice tuning.beat_ms",
+        )
     }
 
     /// The holder's tuning under these settings.
--- a/crates/monsoonnotch_member/src/site/mod.rs
+++ b/crates/monsoonnotch_member/src/site/mod.rs
@@ -42,7 +42,10 @@
             Ok(page) => {
                 cx.store_answered(true);
                 from = page.next;
-                let records = page.records.iter().filter_map(|(_, r)| store::decode_keyed(r));
+                let records = page
+                    .records
+                    .iter()
+                    .filter_map(|(_, r)| store::decode_keyed(r));
                 records.for_each(|s| taken(cx, &s));
             }
             Err(Error::Trimmed(_)) => return,
--- a/crates/monsoonnotch_member/src/term/mod.rs
+++ b/crates/monsoonnotch_member/src/term/mod.rs
@@ -78,7 +78,9 @@
         if let Some(old) = term.take() {
             old.end(&cx);
         }
-        term = token.filter(|t| !over(&cx, *t)).map(|t| Term::begin(&cx, t));
+        term = token
+            .filter(|t| !over(&cx, *t))
+            .map(|t| Term::begin(&cx, t));
     }
 }
 
@@ -97,7 +99,8 @@
             }
         }
         ForTerm::Over(token) if current == Some(token) => {
-            cx.given_up.store(token, std::sync::atomic::Ordering::Relaxed);
+            cx.given_up
+                .store(token, std::sync::atomic::Ordering::Relaxed);
             if let Some(old) = term.take() {
                 old.end(cx);
             }
@@ -129,7 +132,9 @@
 /// or the other is far stronger.
 fn hand_over(cx: &Cx, guests: &Guests, term: Option<&Term>) {
     let Some(term) = term else { return };
-    let Some((best, cores)) = guests.best() else { return };
+    let Some((best, cores)) = guests.best() else {
+        return;
+    };
     let lost = cx.store_lost_for() > cell::HAND_OVER;
     let weaker = cx.settings.member.cores * STRONGER <= cores;
     let weaker = weaker && term.began.elapsed() > WEAK_TERM;
@@ -172,7 +177,9 @@
 
 /// Begins a term and keeps the reducer supplied until the term ends.
 async fn supply(cx: Arc<Cx>, token: u64, rx: mpsc::UnboundedReceiver<Vec<Stored>>) {
-    let Some(marker) = writer::fence(&cx, token).await else { return };
+    let Some(marker) = writer::fence(&cx, token).await else {
+        return;
+    };
     let (jobs, vms) = tokio::join!(newest(&cx, JOURNAL), newest(&cx, VMS));
     let site = loop {
         let site = cx.site.borrow().clone();
--- a/crates/monsoonnotch_member/src/term/writer.rs
+++ b/crates/monsoonnotch_member/src/term/writer.rs
@@ -24,11 +24,7 @@
 }
 
 /// Appends what the reducer wants stored, until the term ends.
-pub(super) async fn run(
-    cx: &Cx,
-    token: u64,
-    mut rx: mpsc::UnboundedReceiver<Vec<Stored>>,
-) {
+pub(super) async fn run(cx: &Cx, token: u64, mut rx: mpsc::UnboundedReceiver<Vec<Stored>>) {
     let mut seq = 1;
     while let Some(records) = rx.recv().await {
         if append(cx, token, seq, &records).await.is_none() {
@@ -49,7 +45,10 @@
     let mut times = APPEND_TIMES.iter().copied().cycle();
     loop {
         let timeout = times.next().unwrap_or(APPEND_TIMES[0]);
-        let appended = cx.store.append(JOURNAL, records, Some(fence), None, timeout).await;
+        let appended = cx
+            .store
+            .append(JOURNAL, records, Some(fence), None, timeout)
+            .await;
         match appended {
             Ok(offset) => {
                 cx.store_answered(true);
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -38,17 +38,32 @@
         let v = rng.random_range(0..site.vms.len());
         let ms = rng.random_range(300..4_000);
         let (what, undo) = match rng.random_range(0..11) {
-            0 => (members[m].with(|m| m.signal("KILL"), "kill"), Undo::Start(m)),
+            0 => (
+                members[m].with(|m| m.signal("KILL"), "kill"),
+                Undo::Start(m),
+            ),
             1 => (members[m].with(|m| m.signal("STOP"), "pause"), Undo::Go(m)),
-            2 => (members[m].with(|m| m.signal("TERM"), "stop"), Undo::Start(m)),
+            2 => (
+                members[m].with(|m| m.signal("TERM"), "stop"),
+                Undo::Start(m),
+            ),
             3 => (members[m].path(Fault::Dark), Undo::Path(m)),
             4 => (members[m].path(Fault::Silent), Undo::Path(m)),
             5 => (members[m].path(Fault::SilentAnswer), Undo::Path(m)),
             6 => {
                 let faults = [
-                    Faults { down: true, ..Faults::default() },
-                    Faults { lost: 0.3, ..Faults::default() },
-                    Faults { slow_ms: 150, ..Faults::default() },
+                    Faults {
+                        down: true,
+                        ..Faults::default()
+                    },
+                    Faults {
+                        lost: 0.3,
+                        ..Faults::default()
+                    },
+                    Faults {
+                        slow_ms: 150,
+                        ..Faults::default()
+                    },
                 ];
                 let faults = faults[rng.random_range(0..3)];
                 site.store.set(faults);
@@ -75,7 +90,8 @@
             }
         };
         self.told.push(format!("{what} for {ms} ms"));
-        self.open.push((Instant::now() + Duration::from_millis(ms), undo));
+        self.open
+            .push((Instant::now() + Duration::from_millis(ms), undo));
     }
 
     /// Undoes what is over, or everything.
--- a/examples/soak/load.rs
+++ b/examples/soak/load.rs
@@ -51,7 +51,11 @@
     let path = format!("/jobs/{id:016x}");
     let sent = call(addr, method, &path, &headers, body);
     let answer = tokio::time::timeout(Duration::from_millis(PATIENCE_MS), sent).await;
-    answer.ok().flatten().filter(|a| a.whole).map(|a| (a.status, a.body))
+    answer
+        .ok()
+        .flatten()
+        .filter(|a| a.whole)
+        .map(|a| (a.status, a.body))
 }
 
 /// Hands in one job, again and again until it is accepted or given up.
@@ -83,8 +87,14 @@
     let mut rng = StdRng::seed_from_u64(seed);
     while tokio::time::Instant::now() < stop {
         let id: u64 = rng.random();
-        let steps: Vec<u32> = (0..rng.random_range(1..4)).map(|_| rng.random_range(1..5)).collect();
-        let body = job_body(&steps, rng.random_range(200..3_000), rng.random_range(30..900));
+        let steps: Vec<u32> = (0..rng.random_range(1..4))
+            .map(|_| rng.random_range(1..5))
+            .collect();
+        let body = job_body(
+            &steps,
+            rng.random_range(200..3_000),
+            rng.random_range(30..900),
+        );
         let handed = hand_in(&addrs, id, &body, &mut rng).await;
         jobs.lock().expect("no holder panics").insert(id, handed);
         if handed == Handed::Accepted {
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -47,9 +47,15 @@
     opts.optopt("", "members", "number of members", "M");
     opts.optopt("", "vms", "number of VMs", "V");
     let given: Vec<String> = std::env::args().skip(1).collect();
-    let matches = opts.parse(&given).map_err(|e| eprintln!("soak: {e}")).ok()?;
+    let matches = opts
+        .parse(&given)
+        .map_err(|e| eprintln!("soak: {e}"))
+        .ok()?;
     let number = |name: &str, default: u64| match matches.opt_str(name) {
-        Some(text) => text.parse().map_err(|_| eprintln!("soak: --{name} takes a number")).ok(),
+        Some(text) => text
+            .parse()
+            .map_err(|_| eprintln!("soak: --{name} takes a number"))
+            .ok(),
         None => Some(default),
     };
     Some(Args {
@@ -87,7 +93,12 @@
         true => drop(std::fs::remove_dir_all(&dir)),
         false => println!("logs: {}", dir.display()),
     }
-    println!("soak: seed={} seconds={} violations={}", args.seed, args.seconds, violations.len());
+    println!(
+        "soak: seed={} seconds={} violations={}",
+        args.seed,
+        args.seconds,
+        violations.len()
+    );
     ExitCode::from(u8::from(!violations.is_empty()))
 }
 
--- a/examples/soak/member.rs
+++ b/examples/soak/member.rs
@@ -63,7 +63,10 @@
     /// Starts its process; a former one is reaped first.
     pub(crate) fn start(&mut self, program: &str) {
         self.reap();
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log);
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log);
         let log = log.expect("the folder can be written");
         let child = Command::new(program)
             .arg("--member")
@@ -80,7 +83,10 @@
         let Some(child) = &self.child else { return };
         let id = child.id().to_string();
         // The process may have ended by itself; the next start shows it.
-        let _ = Command::new("kill").arg(format!("-{name}")).arg(id).status();
+        let _ = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(id)
+            .status();
     }
 
     /// Waits until its process has ended; it was told to.
