--- a/crates/monsoonnotch_jobs/src/holder/looks.rs
+++ b/crates/monsoonnotch_jobs/src/holder/looks.rs
@@ -85,7 +85,10 @@
             true => Duration::default(),
             false => wait,
         };
+        // A VM that does not answer is asked for no longer lease: it might grant it
+        // unheard, and what runs there could never be given up.
         let until = vm.clock_at(now).map(|c| c + lease.as_millis());
+        let until = until.filter(|_| vm.looks.silent == 0);
         vm.lease_until_ms = vm.lease_until_ms.max(until.unwrap_or(0));
         vm.looks.next += 1;
         let seq = vm.looks.next;
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use monsoonnotch_adapter_standins::member::Member;
 use monsoonnotch_adapter_standins::site::Site;
 use monsoonnotch_adapter_standins::store::Faults;
 use monsoonnotch_standins::tap::Fault;
@@ -9,8 +10,6 @@
 use rand::rngs::StdRng;
 use tokio::time::Instant;
 
-use crate::member::Member;
-
 /// Something that ends by being undone.
 #[derive(Debug, Clone, Copy)]
 enum Undo {
@@ -38,18 +37,12 @@
         let v = rng.random_range(0..site.vms.len());
         let ms = rng.random_range(300..4_000);
         let (what, undo) = match rng.random_range(0..11) {
-            0 => (
-                members[m].with(|m| m.signal("KILL"), "kill"),
-                Undo::Start(m),
-            ),
-            1 => (members[m].with(|m| m.signal("STOP"), "pause"), Undo::Go(m)),
-            2 => (
-                members[m].with(|m| m.signal("TERM"), "stop"),
-                Undo::Start(m),
-            ),
-            3 => (members[m].path(Fault::Dark), Undo::Path(m)),
-            4 => (members[m].path(Fault::Silent), Undo::Path(m)),
-            5 => (members[m].path(Fault::SilentAnswer), Undo::Path(m)),
+            0 => (signal(&members[m], "KILL", "kill"), Undo::Start(m)),
+            1 => (signal(&members[m], "STOP", "pause"), Undo::Go(m)),
+            2 => (signal(&members[m], "TERM", "stop"), Undo::Start(m)),
+            3 => (path(&members[m], Fault::Dark), Undo::Path(m)),
+            4 => (path(&members[m], Fault::Silent), Undo::Path(m)),
+            5 => (path(&members[m], Fault::SilentAnswer), Undo::Path(m)),
             6 => {
                 let faults = [
                     Faults {
@@ -113,17 +106,15 @@
     }
 }
 
-impl Member {
-    fn with(&self, f: impl Fn(&Self), what: &str) -> String {
-        f(self);
-        format!("{what} {}", self.name())
-    }
+fn signal(m: &Member, name: &str, what: &str) -> String {
+    m.signal(name);
+    format!("{what} {}", m.name())
+}
 
-    /// Puts a fault on the way to the store; open connections go silent.
-    fn path(&self, fault: Fault) -> String {
-        let what = format!("{} to the store: {fault:?}", self.name());
-        self.tap.set(fault);
-        self.tap.silence_open();
-        what
-    }
+/// Puts a fault on the way to the store; open connections go silent.
+fn path(m: &Member, fault: Fault) -> String {
+    let what = format!("{} to the store: {fault:?}", m.name());
+    m.tap.set(fault);
+    m.tap.silence_open();
+    what
 }
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -5,7 +5,6 @@
 
 mod faults;
 mod load;
-mod member;
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -15,6 +14,7 @@
 use std::time::Duration;
 
 use getopts::Options;
+use monsoonnotch_adapter_standins::member::Member;
 use monsoonnotch_adapter_standins::site::Site;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -25,7 +25,6 @@
 use crate::load::Handed;
 use crate::load::Jobs;
 use crate::load::Tally;
-use crate::member::Member;
 
 /// Callers beside each other.
 const CALLERS: u64 = 6;
