A slow store gets one appender: members leave appends to the holder

Ruled out: the holder, which stood still no longer than usual. The change: a member whose append took over 120 ms leaves its appends to the holder for 5 s, and hands on what it tried in vain; the holder's batch takes up to 512 records.

--- a/crates/monsoonnotch_member/src/calls/submit.rs
+++ b/crates/monsoonnotch_member/src/calls/submit.rs
@@ -45,10 +45,14 @@
 /// An append that took no longer than this shows a store that is well again.
 const QUICK: Duration = Duration::from_millis(120);
 /// Records of a batch, at most, and their bytes; the store takes 2 MB at once.
-const BATCH_MAX: usize = 128;
+const BATCH_MAX: usize = 512;
 const BATCH_BYTES: usize = 1 << 20;
-/// Longest wait for the holder to store a record: two of its appends.
-const RELAY_MAX: Duration = Duration::from_millis(800);
+/// Longest wait for the holder to store a record: a little beyond what it takes.
+const RELAY_MAX: Duration = Duration::from_millis(2_000);
+/// How long a member leaves appends to the holder once the store was slow. A slow
+/// store takes 14 appends a second from all members together, so each of some
+/// forty may try one of its own only every few seconds.
+const SLOW_FOR: Duration = Duration::from_secs(5);
 /// Silence of the store after which nothing new is tried: what is handed in
 /// then is refused at once, and true it is that it has not run.
 const DARK: Duration = Duration::from_millis(500);
@@ -104,13 +108,18 @@
 
 /// Stores a record here, or through the holder; the reply says whether it may have been.
 pub(super) async fn store(cx: &Arc<Cx>, record: Stored, until: Instant) -> Reply {
-    let stored = match is_dark(cx) {
+    let stored = match is_dark(cx) || cx.store_is_slow() {
         true => Reply::NotRun { retry_s: RETRY_S },
         false => store_here(cx, record.clone(), until).await,
     };
     match stored {
-        // The store may refuse this member alone.
-        Reply::NotRun { .. } => relay(cx, record).await.unwrap_or(stored),
+        // The store may refuse this member alone, or be slow: one append of the
+        // holder then carries what many members would bring to a halt.
+        Reply::NotRun { .. } => match relay(cx, record.clone()).await {
+            Some(stored) => stored,
+            None if cx.store_is_slow() && !is_dark(cx) => store_here(cx, record, until).await,
+            None => stored,
+        },
         _ => stored,
     }
 }
@@ -189,8 +198,12 @@
             .append(JOURNAL, &records, None, None, APPEND_TIMES[level])
             .await;
         cx.store_answered(appended.is_ok());
+        let slow = began.elapsed() > QUICK;
+        if slow && cx.own_token().is_none() {
+            cx.store_was_slow(SLOW_FOR);
+        }
         level = match &appended {
-            Ok(_) if began.elapsed() <= QUICK => 0,
+            Ok(_) if !slow => 0,
             Err(Error::Unknown) => (level + 1).min(APPEND_TIMES.len() - 1),
             _ => level,
         };
@@ -200,12 +213,31 @@
             Ok(_) => tried.into_iter().for_each(|p| p.answer(Reply::Stored)),
             Err(e) => {
                 waiting = sort_out(tried, e == Error::Unknown, is_dark(&cx));
+                if slow && lock(&cx.host).is_some() {
+                    std::mem::take(&mut waiting)
+                        .into_iter()
+                        .for_each(|p| hand_on(&cx, p));
+                }
                 tokio::time::sleep(PAUSE).await;
             }
         }
     }
 }
 
+/// Has the holder store a record that this member tried in vain.
+fn hand_on(cx: &Arc<Cx>, pending: Pending) {
+    let cx = Arc::clone(cx);
+    tokio::spawn(async move {
+        let reply = match relay(&cx, pending.record.clone()).await {
+            Some(Reply::Stored) => Reply::Stored,
+            _ if pending.may_have_run => Reply::MayHaveRun,
+            Some(reply) => reply,
+            None => Reply::NotRun { retry_s: RETRY_S },
+        };
+        pending.answer(reply);
+    });
+}
+
 /// Whether the store answers.
 async fn probe(cx: &Cx) -> bool {
     let probed = tokio::time::timeout(PROBE_MAX, cx.store.newest(CLAIMS)).await;
--- a/crates/monsoonnotch_member/src/cx/mod.rs
+++ b/crates/monsoonnotch_member/src/cx/mod.rs
@@ -55,6 +55,8 @@
 pub(crate) struct StoreHealth {
     failing_since: Option<Instant>,
     last_failure: Option<Instant>,
+    /// Until when the store is taken to be slow.
+    slow_until: Option<Instant>,
 }
 
 /// What the tasks of a member share.
@@ -158,6 +160,20 @@
         since.map_or(Duration::ZERO, |s| s.elapsed())
     }
 
+    /// Notes that the store was slow; it is taken to be so for a while.
+    pub(crate) fn store_was_slow(&self, span: Duration) {
+        let was = lock(&self.health).slow_until.replace(Instant::now() + span);
+        if was.is_none_or(|until| until < Instant::now()) {
+            log::warn!(event = "store slow"; "the store is slow; the holder appends for this member");
+        }
+    }
+
+    /// Whether the store is taken to be slow.
+    pub(crate) fn store_is_slow(&self) -> bool {
+        let until = lock(&self.health).slow_until;
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
     /// How long a read may wait: not at all while the store does not answer, so
     /// that its return shows at once.
     pub(crate) fn store_wait(&self, wait: Duration) -> Duration {
--- a/crates/monsoonnotch_member/src/links/host.rs
+++ b/crates/monsoonnotch_member/src/links/host.rs
@@ -35,7 +35,7 @@
 const SILENT_BEATS: u32 = 8;
 
 /// Longest time spent on a record for a guest, which waits a little longer.
-const STORE_FOR: Duration = Duration::from_millis(700);
+const STORE_FOR: Duration = Duration::from_millis(1_800);
 
 /// What the holder knows of its guests.
 #[derive(Debug, Default)]
