--- a/crates/monsoonnotch_member/src/settings/mod.rs
+++ b/crates/monsoonnotch_member/src/settings/mod.rs
@@ -90,7 +90,7 @@
     pub remote_factor: f64,
 }
 
-/// What may be tuned; docs/SETTINGS.md says where the defaults come from.
+/// What may be tuned; docs/SETTINGS-MEMBER.md says where the defaults come from.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(default)]
 pub struct Tuned {
