--- a/crates/monsoonnotch_jobs/src/tuning/mod.rs
+++ b/crates/monsoonnotch_jobs/src/tuning/mod.rs
@@ -8,8 +8,6 @@
     /// Lease asked for with each look at a VM. Longer than a restart of all
     /// members with takeover (about 2 s), short enough to replace lost work.
     pub lease: Duration,
-    /// Longest lease a VM grants, from the platform's bounds.
-    pub lease_max: Duration,
     /// Time within which a start counts on the VM's clock. Shorter than the
     /// 2 s after which delayed orders arrive.
     pub start_valid: Duration,
@@ -19,41 +17,28 @@
     pub look_pause: Duration,
     /// Pause between appends of progress, so that ends share one.
     pub flush_pause: Duration,
-    /// Time after which a gang gives up on missing members, from the bounds.
-    pub gang_wait: Duration,
     /// How long the state of an ended job is kept, from the bounds.
     pub keep_ended: Duration,
     /// How far a VM's clock may run slow, in thousandths; from the platform's page.
     pub drift_milli: u64,
-    /// Time that a task takes to go on from saved progress, from the bounds.
-    pub restore: Duration,
-    /// Slow-down of a task away from its data, from the bounds.
-    pub remote_factor: f64,
     /// Whether an approval service exists.
     pub approvals: bool,
     /// Processor share of the fleet kept free for the first priority, in thousandths.
     pub urgent_reserve_milli: u64,
-    /// Shortest notice before a stop of a VM that a task can be moved in.
-    pub drain_notice: Duration,
 }
 
 impl Default for Tuning {
     fn default() -> Self {
         Self {
             lease: Duration::from_millis(4_000),
-            lease_max: Duration::from_millis(10_000),
             start_valid: Duration::from_millis(1_500),
             look_wait: Duration::from_millis(1_300),
             look_pause: Duration::from_millis(200),
             flush_pause: Duration::from_millis(15),
-            gang_wait: Duration::from_millis(3_000),
             keep_ended: Duration::from_secs(120),
             drift_milli: 20,
-            restore: Duration::from_millis(100),
-            remote_factor: 1.5,
             approvals: true,
             urgent_reserve_milli: 60,
-            drain_notice: Duration::from_millis(1_000),
         }
     }
 }
--- a/crates/monsoonnotch_member/src/settings/mod.rs
+++ b/crates/monsoonnotch_member/src/settings/mod.rs
@@ -76,18 +76,10 @@
 pub struct Times {
     /// Longest lease of a VM.
     pub lease_max: u64,
-    /// Time after which a gang gives up on missing members.
-    pub gang_wait: u64,
     /// How long an ended job can be asked for, in seconds.
     pub keep_ended_s: u64,
     /// Time from SIGTERM to SIGKILL, in seconds.
     pub grace_s: f64,
-    /// Time that a task takes to go on from saved progress.
-    #[serde(default)]
-    pub restore: u64,
-    /// Slow-down of a task away from its data.
-    #[serde(default)]
-    pub remote_factor: f64,
 }
 
 /// What may be tuned; docs/SETTINGS-MEMBER.md says where the defaults come from.
@@ -166,12 +158,8 @@
         let lease = ms(self.tuning.lease_ms.min(self.times.lease_max));
         Tuning {
             lease,
-            lease_max: ms(self.times.lease_max),
             look_wait: ms(lease.as_millis() / 3),
-            gang_wait: ms(self.times.gang_wait),
             keep_ended: time::Duration::from_secs(self.times.keep_ended_s),
-            restore: ms(self.times.restore),
-            remote_factor: self.times.remote_factor.max(1.0),
             approvals: !self.services.approval.is_empty(),
             urgent_reserve_milli: self.tuning.urgent_reserve_milli,
             ..Tuning::default()
--- a/crates/monsoonnotch_member/tests/settings.rs
+++ b/crates/monsoonnotch_member/tests/settings.rs
@@ -19,7 +19,6 @@
 
 [times]
 lease_max = 10000
-gang_wait = 3000
 keep_ended_s = 120
 grace_s = 6
 "#;
