One follower of topics, one registry of questions, one step of placement

Cause: reading the whole change again. Claims and configuration followed their topics in two copies of the same loops; callers' questions and records given to the holder had a registry each; single tasks and gangs chose a VM and took its room in two copies; a list of times was kept of which only the longest was read; an event nobody sends, sizes nobody asks for and three wrappers of one call stood there. Ruled out: the command lines' and signals' shared lines (two types of settings, three lines); one HTTP client and store calls that note the store's health themselves, which would change what a trimmed or conditional answer counts as: left to the issue. The change: member/follow, Questions, take_best; the dead pieces go. No behaviour is meant to change; no test was touched. Conclusion: fewer places to change; nothing else.

--- a/crates/monsoonnotch_jobs/src/event/mod.rs
+++ b/crates/monsoonnotch_jobs/src/event/mod.rs
@@ -18,8 +18,6 @@
 /// Something that happened.
 #[derive(Debug)]
 pub enum Event {
-    /// Time has passed.
-    Tick,
     /// A configuration came into force.
     Config(Arc<Published>),
     /// Records of the journal, in order.
--- a/crates/monsoonnotch_jobs/src/holder/job.rs
+++ b/crates/monsoonnotch_jobs/src/holder/job.rs
@@ -104,8 +104,8 @@
     pub(super) not_before: Time,
     /// When the last of its runs was sent.
     pub(super) started_at: Time,
-    /// Times of its runs that ended well, in milliseconds.
-    pub(super) took_ms: Vec<u64>,
+    /// Longest time of its runs that ended well, in milliseconds.
+    pub(super) slowest_ms: u64,
     /// What keeps its waiting tasks from starting, as last seen.
     pub(super) blocked: Blocked,
     /// When that was last noted.
--- a/crates/monsoonnotch_jobs/src/holder/mod.rs
+++ b/crates/monsoonnotch_jobs/src/holder/mod.rs
@@ -140,7 +140,6 @@
         self.now = now;
         self.unix_ms = unix_ms;
         match event {
-            Event::Tick => {}
             Event::Config(site) => {
                 self.site = site;
                 self.changed = true;
@@ -213,14 +212,4 @@
     fn note(&mut self, job: u64, what: &'static str, why: String) {
         self.fx.push(Effect::Note(Note { job, what, why }));
     }
-
-    /// Sizes of the tables, for gauges: jobs open, runs, VMs, stages that wait.
-    pub fn sizes(&self) -> [usize; 4] {
-        [
-            self.open.len(),
-            self.runs.len(),
-            self.vms.len(),
-            self.ready.len(),
-        ]
-    }
 }
--- a/crates/monsoonnotch_jobs/src/holder/place.rs
+++ b/crates/monsoonnotch_jobs/src/holder/place.rs
@@ -134,11 +134,7 @@
         let label = |l: &CompactString| row.report.labels.contains(l);
         row.usable(self.now)
             && row.report.pool == job.pool
-            && row.report.capacity.fits(&Resources {
-                slots: 0,
-                connections: 0,
-                ..step.need
-            })
+            && row.report.capacity.fits(&step.need)
             && step.label.as_ref().is_none_or(label)
     }
 
@@ -165,13 +161,7 @@
         let mut consider = |vm: VmKey, ticket: CompactString| {
             let Some(row) = self.vms.get(vm) else { return };
             let free = row.free();
-            if !self.suits(vm, job, step)
-                || !free.fits(&Resources {
-                    slots: 0,
-                    connections: 0,
-                    ..need
-                })
-            {
+            if !self.suits(vm, job, step) || !free.fits(&need) {
                 return;
             }
             found.push(Candidate {
@@ -236,23 +226,10 @@
                 self.blocked(key, Blocked::Reserve);
                 return (placed, true);
             }
-            let Some(at) = choose(&candidates, &need) else {
+            let Some((vm, ticket)) = take_best(&mut candidates, &need) else {
                 self.blocked(key, Blocked::Room);
                 break;
             };
-            let c = &mut candidates[at];
-            let (vm, ticket) = (c.vm, c.ticket.clone());
-            c.free.take(&need);
-            c.here += 1;
-            if c.here >= c.most
-                || !c.free.fits(&Resources {
-                    slots: 0,
-                    connections: 0,
-                    ..need
-                })
-            {
-                candidates.swap_remove(at);
-            }
             room.free = room.free.saturating_sub(need.cpu_milli);
             self.start(key, index, vm, attempt, ticket);
             placed += 1;
@@ -295,23 +272,11 @@
         }
         let mut chosen = Vec::new();
         for _ in &waiting {
-            let Some(at) = choose(&candidates, &need) else {
+            let Some(best) = take_best(&mut candidates, &need) else {
                 self.blocked(key, Blocked::Room);
                 return (0, false);
             };
-            let c = &mut candidates[at];
-            chosen.push((c.vm, c.ticket.clone()));
-            c.free.take(&need);
-            c.here += 1;
-            if c.here >= c.most
-                || !c.free.fits(&Resources {
-                    slots: 0,
-                    connections: 0,
-                    ..need
-                })
-            {
-                candidates.swap_remove(at);
-            }
+            chosen.push(best);
         }
         room.free = room.free.saturating_sub(need.times(count).cpu_milli);
         for (index, (vm, ticket)) in waiting.iter().zip(chosen) {
@@ -389,6 +354,19 @@
     against
 }
 
+/// Takes room for one task from the best candidate, which leaves once it is full.
+fn take_best(candidates: &mut Vec<Candidate>, need: &Resources) -> Option<(VmKey, CompactString)> {
+    let at = choose(candidates, need)?;
+    let c = &mut candidates[at];
+    let best = (c.vm, c.ticket.clone());
+    c.free.take(need);
+    c.here += 1;
+    if c.here >= c.most || !c.free.fits(need) {
+        candidates.swap_remove(at);
+    }
+    Some(best)
+}
+
 /// The candidate to take next: preferred first, then the fullest that fits.
 fn choose(candidates: &[Candidate], need: &Resources) -> Option<usize> {
     let fitting = candidates.iter().enumerate();
--- a/crates/monsoonnotch_jobs/src/holder/runs.rs
+++ b/crates/monsoonnotch_jobs/src/holder/runs.rs
@@ -521,7 +521,7 @@
             self.learn_run(key, vm, sent);
             let took = self.now.since(sent).as_millis();
             if let Some(stage) = self.stage_mut(key) {
-                stage.took_ms.push(took);
+                stage.slowest_ms = stage.slowest_ms.max(took);
             }
         }
         let Some(job) = self.jobs.get_mut(key.job) else {
@@ -562,7 +562,7 @@
                 key.step,
                 key.occurrence,
                 self.now.since(stage.ready_at).as_millis(),
-                stage.took_ms.iter().max().copied().unwrap_or(0)
+                stage.slowest_ms
             );
             let id = self.task_id(key, 0).stage.job.0;
             self.note(id, "step done", note);
--- a/crates/monsoonnotch_member/src/calls/mod.rs
+++ b/crates/monsoonnotch_member/src/calls/mod.rs
@@ -19,7 +19,6 @@
 use monsoonnotch_jobs::journal;
 use monsoonnotch_jobs::plan::JobId;
 use monsoonnotch_jobs::plan::parse_job_id;
-use monsoonnotch_jobs::site::Published;
 use tokio::time::Instant;
 
 use crate::cx::Cx;
@@ -68,7 +67,7 @@
     let Some((name, queue)) = site.queue(&call.host, &call.path) else {
         return Reply::NoQueue;
     };
-    let account = match account_of(&site, &call.key) {
+    let account = match site.keys.get(&call.key).cloned() {
         Some(account) => account,
         None if queue.open => CompactString::default(),
         None => return Reply::NoKey,
@@ -88,17 +87,13 @@
         Verb::Submit(None) => Reply::Invalid,
         Verb::Submit(Some(plan)) => {
             let job = submit::submission(name, queue, account, *plan);
-            submit::store(cx, submit::record(id, &job), until).await
+            submit::store(cx, journal::submitted(id, &job), until).await
         }
         Verb::Ask => state(cx, id, account, until).await,
         Verb::Cancel => cancel(cx, id, account, until).await,
     }
 }
 
-fn account_of(site: &Published, key: &str) -> Option<CompactString> {
-    site.keys.get(key).cloned()
-}
-
 async fn pending(cx: &Arc<Cx>, queue: CompactString, until: Instant) -> Reply {
     let query = Query::Pending { queue };
     match ask(cx, query, until).await {
@@ -152,7 +147,7 @@
 /// Asks the holder until it answers; `None` when it does not in time.
 async fn ask(cx: &Arc<Cx>, query: Query, until: Instant) -> Option<Answer> {
     loop {
-        let (seq, rx) = cx.question();
+        let (seq, rx) = cx.queries.ask();
         let asked = send(cx, seq, query.clone());
         if asked {
             let wait = (Instant::now() + ANSWER_MAX).min(until);
@@ -160,7 +155,7 @@
                 return Some(answer);
             }
         }
-        cx.forget_question(seq);
+        cx.queries.forget(seq);
         if Instant::now() + ASK_PAUSE >= until {
             return None;
         }
--- a/crates/monsoonnotch_member/src/calls/submit.rs
+++ b/crates/monsoonnotch_member/src/calls/submit.rs
@@ -12,10 +12,8 @@
 use monsoonnotch_adapter::front::Reply;
 use monsoonnotch_adapter::store::APPEND_TIMES;
 use monsoonnotch_adapter::store::Error;
-use monsoonnotch_jobs::journal;
 use monsoonnotch_jobs::journal::Stored;
 use monsoonnotch_jobs::journal::Submission;
-use monsoonnotch_jobs::plan::JobId;
 use monsoonnotch_jobs::plan::Plan;
 use monsoonnotch_jobs::site::Queue;
 use serde_bytes::ByteBuf;
@@ -101,11 +99,6 @@
     }
 }
 
-/// The record of a submission.
-pub(super) fn record(id: JobId, submission: &Submission) -> Stored {
-    journal::submitted(id, submission)
-}
-
 /// Stores a record here, or through the holder; the reply says whether it may have been.
 pub(super) async fn store(cx: &Arc<Cx>, record: Stored, until: Instant) -> Reply {
     let stored = match is_dark(cx) || cx.store_is_slow() {
@@ -147,7 +140,7 @@
 
 /// Has the holder store a record; `None` when there is none to ask.
 async fn relay(cx: &Arc<Cx>, record: Stored) -> Option<Reply> {
-    let (seq, rx) = cx.fate();
+    let (seq, rx) = cx.fates.ask();
     let frame = Frame::Store {
         seq,
         key: record.key,
@@ -159,11 +152,11 @@
     let fate = match sent {
         true => tokio::time::timeout(RELAY_MAX, rx).await,
         false => {
-            cx.forget_fate(seq);
+            cx.fates.forget(seq);
             return None;
         }
     };
-    cx.forget_fate(seq);
+    cx.fates.forget(seq);
     Some(match fate {
         Ok(Ok(Fate::Stored)) => Reply::Stored,
         Ok(Ok(Fate::NotStored)) => Reply::NotRun { retry_s: RETRY_S },
--- a/crates/monsoonnotch_member/src/cell/mod.rs
+++ b/crates/monsoonnotch_member/src/cell/mod.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use monsoonnotch_adapter::store;
 use monsoonnotch_adapter::store::APPEND_TIMES;
 use monsoonnotch_adapter::store::Error;
 use monsoonnotch_core::record::decode;
@@ -20,6 +19,8 @@
 use crate::cx::Claim;
 use crate::cx::Cx;
 use crate::cx::Held;
+use crate::follow;
+use crate::follow::PAUSE;
 use crate::links::Heard;
 
 /// The topic of claims.
@@ -28,8 +29,6 @@
 const KEY: &str = "jobs";
 /// How long a read waits for the next claim.
 const WAIT: Duration = Duration::from_millis(2_000);
-/// Pause after a read that failed.
-const PAUSE: Duration = Duration::from_millis(150);
 /// Pause between looks at whether to claim.
 const TICK: Duration = Duration::from_millis(40);
 /// Dials refused in a row after which the holder's process is taken to be gone.
@@ -41,13 +40,6 @@
 /// Failure of the store here after which a holder hands the jobs to another.
 pub(crate) const HAND_OVER: Duration = Duration::from_millis(400);
 
-/// What is known of the topic of claims.
-#[derive(Debug, Clone, Copy, Default)]
-struct Seen {
-    /// Where the topic ends.
-    next: u64,
-}
-
 /// Follows claims, and claims when the holder is silent.
 pub(crate) async fn run(cx: Arc<Cx>, heard: Arc<Heard>) {
     let (seen, rx) = watch::channel(None);
@@ -56,42 +48,12 @@
     follower.abort();
 }
 
-async fn follow(cx: Arc<Cx>, heard: Arc<Heard>, seen: watch::Sender<Option<Seen>>) {
-    loop {
-        let newest = cx.store.newest(TOPIC).await;
-        cx.store_answered(newest.is_ok());
-        let Ok(newest) = newest else {
-            tokio::time::sleep(PAUSE).await;
-            continue;
-        };
-        for (offset, stored) in &newest.records {
-            take(&cx, &heard, *offset, stored);
-        }
-        seen.send_replace(Some(Seen { next: newest.next }));
-        tail(&cx, &heard, newest.next, &seen).await;
-    }
-}
-
-async fn tail(cx: &Arc<Cx>, heard: &Heard, mut from: u64, seen: &watch::Sender<Option<Seen>>) {
-    loop {
-        match cx.store.read(TOPIC, from, cx.store_wait(WAIT)).await {
-            Ok(page) => {
-                cx.store_answered(true);
-                from = page.next;
-                for (offset, record) in &page.records {
-                    if let Some(stored) = store::decode_keyed(record) {
-                        take(cx, heard, *offset, &stored);
-                    }
-                }
-                seen.send_replace(Some(Seen { next: from }));
-            }
-            Err(Error::Trimmed(_)) => return,
-            Err(_) => {
-                cx.store_answered(false);
-                tokio::time::sleep(PAUSE).await;
-            }
-        }
-    }
+async fn follow(cx: Arc<Cx>, heard: Arc<Heard>, seen: watch::Sender<Option<u64>>) {
+    let take = |offset, stored: &Stored| take(&cx, &heard, offset, stored);
+    let read_to = |next| {
+        seen.send_replace(Some(next));
+    };
+    follow::run(&cx, TOPIC, WAIT, take, read_to).await;
 }
 
 /// Takes in a claim.
@@ -111,7 +73,7 @@
     }
 }
 
-async fn watch_holder(cx: &Arc<Cx>, heard: &Heard, seen: watch::Receiver<Option<Seen>>) {
+async fn watch_holder(cx: &Arc<Cx>, heard: &Heard, seen: watch::Receiver<Option<u64>>) {
     let mut asked = heard.asked.subscribe();
     let mut last = Instant::now();
     let mut wait = patience(cx);
@@ -159,7 +121,7 @@
     }
 }
 
-async fn claim(cx: &Arc<Cx>, heard: &Heard, at: Seen) {
+async fn claim(cx: &Arc<Cx>, heard: &Heard, at: u64) {
     let claim = Claim {
         name: cx.settings.member.name.clone(),
         addr: cx.settings.member.peers.to_string().into(),
@@ -174,9 +136,9 @@
     let records = [record];
     let append = cx
         .store
-        .append(TOPIC, &records, None, Some(at.next), APPEND_TIMES[1]);
+        .append(TOPIC, &records, None, Some(at), APPEND_TIMES[1]);
     let claimed = append.await;
-    log::info!(event = "claim tried", silent_ms = silent_ms, refused = refused, at = at.next, outcome = format!("{claimed:?}"); "tried to claim the jobs");
+    log::info!(event = "claim tried", silent_ms = silent_ms, refused = refused, at = at, outcome = format!("{claimed:?}"); "tried to claim the jobs");
     match claimed {
         Ok(offset) => {
             cx.store_answered(true);
--- a/crates/monsoonnotch_member/src/cx/mod.rs
+++ b/crates/monsoonnotch_member/src/cx/mod.rs
@@ -81,10 +81,10 @@
     pub(crate) host: Mutex<Option<mpsc::Sender<Frame>>>,
     /// Where records go that callers hand in.
     pub(crate) submit: mpsc::UnboundedSender<Pending>,
-    waiting: Mutex<BTreeMap<u64, oneshot::Sender<Answer>>>,
+    /// Callers' questions to the holder.
+    pub(crate) queries: Questions<Answer>,
     /// Records that the holder stores for this member.
-    fates: Mutex<BTreeMap<u64, oneshot::Sender<Fate>>>,
-    next_seq: AtomicU64,
+    pub(crate) fates: Questions<Fate>,
     /// Calls that have no answer yet.
     pub(crate) open_calls: AtomicU64,
     /// The highest token that this process held and gave up.
@@ -114,9 +114,8 @@
             guests: Mutex::default(),
             host: Mutex::default(),
             submit,
-            waiting: Mutex::default(),
-            fates: Mutex::default(),
-            next_seq: AtomicU64::new(1),
+            queries: Questions::default(),
+            fates: Questions::default(),
             open_calls: AtomicU64::new(0),
             given_up: AtomicU64::new(0),
         }
@@ -189,54 +188,51 @@
         last.map_or(Duration::MAX, |l| l.elapsed())
     }
 
-    /// Registers a question; its answer comes on the channel.
-    pub(crate) fn question(&self) -> (u64, oneshot::Receiver<Answer>) {
-        let seq = self.next_seq.fetch_add(1, Ordering::Relaxed);
-        let (tx, rx) = oneshot::channel();
-        lock(&self.waiting).insert(seq, tx);
-        (seq, rx)
+    /// Sends a frame to the link of a guest; false when there is none.
+    pub(crate) fn to_guest(&self, lane: LaneKey, frame: Frame) -> bool {
+        let guests = lock(&self.guests);
+        guests
+            .get(&lane.0)
+            .is_some_and(|tx| tx.try_send(frame).is_ok())
     }
+}
 
-    /// Hands an answer to whoever asked.
-    pub(crate) fn answered(&self, seq: u64, answer: Answer) {
-        if let Some(tx) = lock(&self.waiting).remove(&seq) {
-            // Whoever asked may have given up.
-            let _ = tx.send(answer);
-        }
-    }
+/// Questions that have no answer yet, by number.
+#[derive(Debug)]
+pub(crate) struct Questions<T> {
+    open: Mutex<BTreeMap<u64, oneshot::Sender<T>>>,
+    next: AtomicU64,
+}
 
-    /// Forgets a question that nobody waits for.
-    pub(crate) fn forget_question(&self, seq: u64) {
-        lock(&self.waiting).remove(&seq);
+impl<T> Default for Questions<T> {
+    fn default() -> Self {
+        Self {
+            open: Mutex::default(),
+            next: AtomicU64::new(1),
+        }
     }
+}
 
-    /// Registers a record that the holder is asked to store.
-    pub(crate) fn fate(&self) -> (u64, oneshot::Receiver<Fate>) {
-        let seq = self.next_seq.fetch_add(1, Ordering::Relaxed);
+impl<T> Questions<T> {
+    /// Registers a question; its answer comes on the channel.
+    pub(crate) fn ask(&self) -> (u64, oneshot::Receiver<T>) {
+        let seq = self.next.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = oneshot::channel();
-        lock(&self.fates).insert(seq, tx);
+        lock(&self.open).insert(seq, tx);
         (seq, rx)
     }
 
-    /// Hands the fate of a record to whoever waits for it.
-    pub(crate) fn fate_known(&self, seq: u64, fate: Fate) {
-        if let Some(tx) = lock(&self.fates).remove(&seq) {
-            // Whoever waited may have given up.
-            let _ = tx.send(fate);
+    /// Hands an answer to whoever asked.
+    pub(crate) fn answer(&self, seq: u64, answer: T) {
+        if let Some(tx) = lock(&self.open).remove(&seq) {
+            // Whoever asked may have given up.
+            let _ = tx.send(answer);
         }
     }
 
-    /// Forgets a record that nobody waits for.
-    pub(crate) fn forget_fate(&self, seq: u64) {
-        lock(&self.fates).remove(&seq);
-    }
-
-    /// Sends a frame to the link of a guest; false when there is none.
-    pub(crate) fn to_guest(&self, lane: LaneKey, frame: Frame) -> bool {
-        let guests = lock(&self.guests);
-        guests
-            .get(&lane.0)
-            .is_some_and(|tx| tx.try_send(frame).is_ok())
+    /// Forgets a question that nobody waits for.
+    pub(crate) fn forget(&self, seq: u64) {
+        lock(&self.open).remove(&seq);
     }
 }
 
--- a/crates/monsoonnotch_member/src/lib.rs
+++ b/crates/monsoonnotch_member/src/lib.rs
@@ -9,6 +9,7 @@
 mod cell;
 mod control;
 mod cx;
+mod follow;
 mod links;
 mod logs;
 mod perform;
--- a/crates/monsoonnotch_member/src/links/guest.rs
+++ b/crates/monsoonnotch_member/src/links/guest.rs
@@ -64,17 +64,13 @@
         lock(&self.state).refused
     }
 
-    /// Begins anew: there is another holder, or the process had stood still.
+    /// Begins anew: the holder was heard, is another, or this process had stood still.
     pub(crate) fn reset(&self) {
         let mut state = lock(&self.state);
         state.at = Instant::now();
         state.refused = 0;
     }
 
-    fn heard(&self) {
-        self.reset();
-    }
-
     fn refusal(&self) {
         lock(&self.state).refused += 1;
     }
@@ -176,15 +172,15 @@
 fn take(cx: &Arc<Cx>, held: &Held, heard: &Heard, tx: &mpsc::Sender<Frame>, frame: Frame) {
     match frame {
         Frame::HostBeat { token } if token == held.token => {
-            heard.heard();
+            heard.reset();
             let mut host = lock(&cx.host);
             if host.is_none() {
                 log::info!(event = "holder linked", holder = held.claim.name.as_str(), token = token; "linked to the holder");
                 *host = Some(tx.clone());
             }
         }
-        Frame::Answer { seq, answer } => cx.answered(seq, answer),
-        Frame::StoreFate { seq, fate } => cx.fate_known(seq, fate),
+        Frame::Answer { seq, answer } => cx.queries.answer(seq, answer),
+        Frame::StoreFate { seq, fate } => cx.fates.answer(seq, fate),
         Frame::Approve { ask, stage, vms } => {
             let (cx, tx) = (Arc::clone(cx), tx.clone());
             tokio::spawn(async move {
--- a/crates/monsoonnotch_member/src/perform/mod.rs
+++ b/crates/monsoonnotch_member/src/perform/mod.rs
@@ -122,7 +122,7 @@
 
 fn reply(cx: &Cx, key: QueryKey, answer: Answer) {
     if key.link == OWN {
-        return cx.answered(key.seq, answer);
+        return cx.queries.answer(key.seq, answer);
     }
     let lane = monsoonnotch_jobs::effect::LaneKey(key.link);
     let frame = Frame::Answer {
--- a/crates/monsoonnotch_member/src/site/mod.rs
+++ b/crates/monsoonnotch_member/src/site/mod.rs
@@ -4,8 +4,6 @@
 use std::time::Duration;
 
 use monsoonnotch_adapter::lists;
-use monsoonnotch_adapter::store;
-use monsoonnotch_adapter::store::Error;
 use monsoonnotch_adapter::store::OPERATORS;
 use monsoonnotch_jobs::event::Event;
 use monsoonnotch_jobs::journal::Stored;
@@ -13,48 +11,17 @@
 
 use crate::cx::Cx;
 use crate::cx::lock;
+use crate::follow;
 use crate::links::Frame;
 
 /// How long a read waits for a change. A connection that went silent costs this
 /// and the exchange's timeout, which is less than a change may take.
 const WAIT: Duration = Duration::from_millis(1_000);
-/// Pause after a read that failed.
-const PAUSE: Duration = Duration::from_millis(150);
 
 /// Follows the configuration for ever.
 pub(crate) async fn follow(cx: Arc<Cx>) {
-    loop {
-        let newest = cx.store.newest(OPERATORS).await;
-        cx.store_answered(newest.is_ok());
-        let Ok(newest) = newest else {
-            tokio::time::sleep(PAUSE).await;
-            continue;
-        };
-        newest.records.iter().for_each(|(_, s)| taken(&cx, s));
-        tail(&cx, newest.next).await;
-    }
-}
-
-/// Reads changes until the records that come next are gone.
-async fn tail(cx: &Arc<Cx>, mut from: u64) {
-    loop {
-        match cx.store.read(OPERATORS, from, cx.store_wait(WAIT)).await {
-            Ok(page) => {
-                cx.store_answered(true);
-                from = page.next;
-                let records = page
-                    .records
-                    .iter()
-                    .filter_map(|(_, r)| store::decode_keyed(r));
-                records.for_each(|s| taken(cx, &s));
-            }
-            Err(Error::Trimmed(_)) => return,
-            Err(_) => {
-                cx.store_answered(false);
-                tokio::time::sleep(PAUSE).await;
-            }
-        }
-    }
+    let take = |_, stored: &Stored| taken(&cx, stored);
+    follow::run(&cx, OPERATORS, WAIT, take, |_| {}).await;
 }
 
 fn taken(cx: &Arc<Cx>, stored: &Stored) {
