Members that the store refuses learn of the next holder from the others

Ruled out: the hand-over itself (0.4 s) and the new holder's reading (0.1 s). The change: a link whose token is superseded is closed with the newer claim, by either end; a member that the store does not answer asks other members, whose addresses the holder tells (eight at random, every 2 s). The new test of tests/members.rs fails on the tree before and passes now.

--- a/crates/monsoonnotch_member/src/cell/mod.rs
+++ b/crates/monsoonnotch_member/src/cell/mod.rs
@@ -64,13 +64,19 @@
         return;
     };
     let token = offset + 1;
-    let newer = cx.held.borrow().as_ref().is_none_or(|h| h.token < token);
-    if newer {
-        let own = claim.boot == cx.boot;
-        log::info!(event = "claim seen", token = token, holder = claim.name.as_str(), own = own; "another claim holds");
-        heard.reset();
-        cx.held.send_replace(Some(Held { token, claim }));
+    learn(cx, heard, Held { token, claim }, "the store");
+}
+
+/// Takes in who holds the jobs, whoever says so; only a newer claim counts.
+pub(crate) fn learn(cx: &Cx, heard: &Heard, held: Held, from: &'static str) {
+    let newer = |h: &Held| h.token < held.token;
+    if !cx.held.borrow().as_ref().is_none_or(newer) {
+        return;
     }
+    let own = held.claim.boot == cx.boot;
+    log::info!(event = "claim seen", token = held.token, holder = held.claim.name.as_str(), own = own, from = from; "another claim holds");
+    heard.reset();
+    cx.held.send_replace(Some(held));
 }
 
 async fn watch_holder(cx: &Arc<Cx>, heard: &Heard, seen: watch::Receiver<Option<u64>>) {
--- a/crates/monsoonnotch_member/src/cx/mod.rs
+++ b/crates/monsoonnotch_member/src/cx/mod.rs
@@ -1,6 +1,7 @@
 //! What the tasks of a member share.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -44,7 +45,7 @@
 }
 
 /// The newest claim and the token that it gives.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Held {
     pub(crate) token: u64,
     pub(crate) claim: Claim,
@@ -79,6 +80,8 @@
     pub(crate) guests: Mutex<BTreeMap<u64, mpsc::Sender<Frame>>>,
     /// The link to the holder, while another member is.
     pub(crate) host: Mutex<Option<mpsc::Sender<Frame>>>,
+    /// Where some other members can be reached, as holders have told.
+    pub(crate) peers: Mutex<BTreeSet<CompactString>>,
     /// Where records go that callers hand in.
     pub(crate) submit: mpsc::UnboundedSender<Pending>,
     /// Callers' questions to the holder.
@@ -113,6 +116,7 @@
             config_bytes: Mutex::default(),
             guests: Mutex::default(),
             host: Mutex::default(),
+            peers: Mutex::default(),
             submit,
             queries: Questions::default(),
             fates: Questions::default(),
--- a/crates/monsoonnotch_member/src/links/guest.rs
+++ b/crates/monsoonnotch_member/src/links/guest.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use compact_str::CompactString;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use monsoonnotch_adapter::approval;
@@ -16,6 +17,7 @@
 use super::WAITING_MAX;
 use super::frame_of;
 use super::message;
+use crate::cell;
 use crate::cx::Cx;
 use crate::cx::Held;
 use crate::cx::lock;
@@ -88,16 +90,57 @@
             }
             continue;
         };
+        let socket = tokio::select! {
+            socket = join(&cx, &held, &heard) => socket,
+            _ = rx.changed() => continue,
+        };
+        if let Some(socket) = socket {
+            carry(&cx, &held, &heard, &mut rx, socket).await;
+            *lock(&cx.host) = None;
+        }
+        if rx.borrow().as_ref() != Some(&held) {
+            continue;
+        }
         tokio::select! {
-            () = carry(&cx, &held, &heard) => tokio::time::sleep(DIAL_PAUSE).await,
+            () = ask_around(&cx, &held, &heard) => tokio::time::sleep(DIAL_PAUSE).await,
             _ = rx.changed() => {}
         }
-        *lock(&cx.host) = None;
     }
 }
 
-/// Dials the holder and carries frames until the link ends.
-async fn carry(cx: &Arc<Cx>, held: &Held, heard: &Heard) {
+/// Asks one of the members heard of for a newer claim than `held`, whose holder
+/// does not answer. A member that the store answers learns of it there.
+async fn ask_around(cx: &Cx, held: &Held, heard: &Heard) {
+    if cx.store_lost_for().is_zero() {
+        return;
+    }
+    let peers: Vec<CompactString> = lock(&cx.peers).iter().cloned().collect();
+    if peers.is_empty() {
+        return;
+    }
+    let addr = &peers[rand::random_range(0..peers.len())];
+    let asked = async {
+        let mut socket = dial(addr).await.ok()?;
+        let hello = message(&hello(cx, held));
+        socket.send(hello).await.ok()?;
+        frame_of(&socket.next().await?.ok()?)
+    };
+    if let Ok(Some(Frame::Newer(newer))) = tokio::time::timeout(DIAL, asked).await {
+        cell::learn(cx, heard, newer, "a member");
+    }
+}
+
+fn hello(cx: &Cx, held: &Held) -> Frame {
+    Frame::Hello {
+        token: held.token,
+        name: cx.settings.member.name.clone(),
+        addr: cx.settings.member.peers.to_string().into(),
+        cores: cx.settings.member.cores,
+    }
+}
+
+/// Dials the holder and says hello.
+async fn join(cx: &Cx, held: &Held, heard: &Heard) -> Option<Socket> {
     let dialled = tokio::time::timeout(DIAL, dial(&held.claim.addr)).await;
     let mut socket = match dialled {
         Ok(Ok(socket)) => socket,
@@ -105,18 +148,22 @@
             if refused {
                 heard.refusal();
             }
-            return;
+            return None;
         }
-        Err(_) => return,
-    };
-    let hello = Frame::Hello {
-        token: held.token,
-        name: cx.settings.member.name.clone(),
-        cores: cx.settings.member.cores,
+        Err(_) => return None,
     };
-    if socket.send(message(&hello)).await.is_err() {
-        return;
-    }
+    let said = socket.send(message(&hello(cx, held))).await;
+    said.is_ok().then_some(socket)
+}
+
+/// Carries frames until the link ends, or another member holds the jobs.
+async fn carry(
+    cx: &Arc<Cx>,
+    held: &Held,
+    heard: &Heard,
+    newest: &mut watch::Receiver<Option<Held>>,
+    mut socket: Socket,
+) {
     let (tx, mut out) = mpsc::channel(WAITING_MAX);
     let mut beats = tokio::time::interval(Duration::from_millis(cx.settings.tuning.beat_ms));
     let suspect = Duration::from_millis(cx.settings.tuning.suspect_ms);
@@ -141,13 +188,20 @@
                 }
                 _ => false,
             },
+            _ = newest.changed() => {
+                let newer = newest.borrow().clone();
+                if let Some(newer) = newer {
+                    // The link ends now, whether this arrives or not.
+                    let _ = socket.send(message(&Frame::Newer(newer))).await;
+                }
+                false
+            }
         };
         if !going {
             break;
         }
     }
     log::warn!(event = "holder link lost", holder = held.claim.name.as_str(), token = held.token; "the link to the holder ended");
-    *lock(&cx.host) = None;
 }
 
 type Socket = tokio_tungstenite::WebSocketStream<TcpStream>;
@@ -191,6 +245,8 @@
             });
         }
         Frame::Config { value } => crate::site::take(cx, &value, "the holder"),
+        Frame::Newer(newer) => cell::learn(cx, heard, newer, "the former holder"),
+        Frame::Peers { addrs } => *lock(&cx.peers) = addrs.into_iter().collect(),
         Frame::Claim => {
             heard.asked.send_replace(true);
         }
--- a/crates/monsoonnotch_member/src/links/host.rs
+++ b/crates/monsoonnotch_member/src/links/host.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use compact_str::CompactString;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use monsoonnotch_adapter::front::Reply;
@@ -16,16 +17,19 @@
 use monsoonnotch_jobs::effect::QueryKey;
 use monsoonnotch_jobs::event::Event;
 use monsoonnotch_jobs::journal::Stored;
+use rand::seq::IndexedRandom;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
 use super::Fate;
 use super::Frame;
+use super::Heard;
 use super::WAITING_MAX;
 use super::frame_of;
 use super::message;
 use crate::calls::submit;
+use crate::cell;
 use crate::cx::Cx;
 use crate::cx::lock;
 
@@ -34,6 +38,10 @@
 /// Silence of a guest, in heartbeats, after which its link is closed.
 const SILENT_BEATS: u32 = 8;
 
+/// Pause between two tellings of other members' addresses to a guest.
+const PEERS_EVERY: Duration = Duration::from_secs(2);
+/// Addresses told at once: enough that the store answers one of them.
+const PEERS_TOLD: usize = 8;
 /// Longest time spent on a record for a guest, which waits a little longer.
 const STORE_FOR: Duration = Duration::from_millis(1_800);
 
@@ -43,10 +51,12 @@
     rows: Mutex<BTreeMap<u64, Row>>,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct Row {
     cores: f64,
     store: bool,
+    /// Where other members reach it.
+    addr: CompactString,
 }
 
 impl Guests {
@@ -57,10 +67,24 @@
         let best = well.max_by(|(_, a), (_, b)| a.cores.total_cmp(&b.cores));
         best.map(|(&link, r)| (link, r.cores))
     }
+
+    /// Where some of the others can be reached, drawn at random.
+    fn others(&self, link: u64) -> Vec<CompactString> {
+        let rows = lock(&self.rows);
+        let others = rows.iter().filter(|&(&l, _)| l != link);
+        let others: Vec<&CompactString> = others.map(|(_, r)| &r.addr).collect();
+        let some = others.sample(&mut rand::rng(), PEERS_TOLD);
+        some.map(|&addr| addr.clone()).collect()
+    }
 }
 
 /// Accepts links for ever.
-pub(crate) async fn accept(cx: Arc<Cx>, listener: TcpListener, guests: Arc<Guests>) {
+pub(crate) async fn accept(
+    cx: Arc<Cx>,
+    listener: TcpListener,
+    guests: Arc<Guests>,
+    heard: Arc<Heard>,
+) {
     let next = AtomicU64::new(1);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -68,10 +92,10 @@
             continue;
         };
         let link = next.fetch_add(1, Ordering::Relaxed);
-        let (cx, guests) = (Arc::clone(&cx), Arc::clone(&guests));
+        let (cx, guests, heard) = (Arc::clone(&cx), Arc::clone(&guests), Arc::clone(&heard));
         tokio::spawn(async move {
             // Links come and go; the guest's end says why in its log.
-            serve(&cx, stream, link, &guests).await;
+            serve(&cx, stream, link, &guests, &heard).await;
             lock(&guests.rows).remove(&link);
             lock(&cx.guests).remove(&link);
         });
@@ -79,7 +103,13 @@
 }
 
 /// Serves one guest until either side ends; `None` always.
-async fn serve(cx: &Arc<Cx>, stream: TcpStream, link: u64, guests: &Guests) -> Option<()> {
+async fn serve(
+    cx: &Arc<Cx>,
+    stream: TcpStream,
+    link: u64,
+    guests: &Guests,
+    heard: &Heard,
+) -> Option<()> {
     stream.set_nodelay(true).ok()?;
     let handshake = tokio_tungstenite::accept_async(stream);
     let mut socket = tokio::time::timeout(HANDSHAKE, handshake)
@@ -90,21 +120,36 @@
         .await
         .ok()??
         .ok()?;
-    let Some(Frame::Hello { token, cores, name }) = frame_of(&hello) else {
+    let Some(Frame::Hello {
+        token,
+        cores,
+        name,
+        addr,
+    }) = frame_of(&hello)
+    else {
         return None;
     };
     if cx.own_token() != Some(token) {
+        socket.send(message(&newer_than(cx, token)?)).await.ok()?;
         return None;
     }
     log::info!(event = "guest came", name = name.as_str(), token = token; "a member has joined");
     let (tx, mut rx) = mpsc::channel(WAITING_MAX);
     lock(&cx.guests).insert(link, tx);
-    lock(&guests.rows).insert(link, Row { cores, store: true });
+    lock(&guests.rows).insert(
+        link,
+        Row {
+            cores,
+            store: true,
+            addr,
+        },
+    );
     let lane = LaneKey(link);
     cx.control.event(token, Event::LaneUp(lane));
     let beat = Duration::from_millis(cx.settings.tuning.beat_ms);
     let mut beats = tokio::time::interval(beat);
-    let mut heard = Instant::now();
+    let mut peers = tokio::time::interval(PEERS_EVERY);
+    let mut last = Instant::now();
     let mut held = cx.held.subscribe();
     loop {
         let sent = tokio::select! {
@@ -113,22 +158,35 @@
                 None => false,
             },
             _ = beats.tick() => {
-                let alive = heard.elapsed() < beat * SILENT_BEATS;
+                let alive = last.elapsed() < beat * SILENT_BEATS;
                 alive && socket.send(message(&Frame::HostBeat { token })).await.is_ok()
             }
             msg = socket.next() => {
-                heard = Instant::now();
+                last = Instant::now();
                 match msg {
                     Some(Ok(msg)) => {
-                        if let Some(frame) = frame_of(&msg) {
-                            take(cx, token, link, guests, frame);
+                        match frame_of(&msg) {
+                            Some(Frame::Newer(newer)) => cell::learn(cx, heard, newer, "a member"),
+                            Some(frame) => take(cx, token, link, guests, frame),
+                            None => {}
                         }
                         true
                     }
                     _ => false,
                 }
             }
-            _ = held.changed() => cx.own_token() == Some(token),
+            _ = peers.tick() => {
+                let addrs = guests.others(link);
+                socket.send(message(&Frame::Peers { addrs })).await.is_ok()
+            }
+            _ = held.changed() => match newer_than(cx, token) {
+                Some(newer) => {
+                    // The link ends now, whether this arrives or not.
+                    let _ = socket.send(message(&newer)).await;
+                    false
+                }
+                None => cx.own_token() == Some(token),
+            },
         };
         if !sent {
             break;
@@ -139,6 +197,12 @@
     None
 }
 
+/// What a member is told that takes an older claim for the newest.
+fn newer_than(cx: &Cx, token: u64) -> Option<Frame> {
+    let held = cx.held.borrow().clone();
+    held.filter(|h| h.token > token).map(Frame::Newer)
+}
+
 fn take(cx: &Arc<Cx>, token: u64, link: u64, guests: &Guests, frame: Frame) {
     match frame {
         Frame::GuestBeat { store, config } => {
--- a/crates/monsoonnotch_member/src/links/mod.rs
+++ b/crates/monsoonnotch_member/src/links/mod.rs
@@ -14,6 +14,8 @@
 use serde_bytes::ByteBuf;
 use tokio_tungstenite::tungstenite::Message;
 
+use crate::cx::Held;
+
 pub(crate) use self::guest::Heard;
 pub(crate) use self::guest::keep;
 pub(crate) use self::host::Guests;
@@ -31,6 +33,8 @@
         token: u64,
         /// Its name.
         name: CompactString,
+        /// Where other members reach it.
+        addr: CompactString,
         /// Processor that it may use, in cores.
         cores: f64,
     },
@@ -46,6 +50,14 @@
         /// Its token.
         token: u64,
     },
+    /// A newer claim than the one that the link is under: the store may refuse
+    /// the other end, which learns of it in no other way.
+    Newer(Held),
+    /// Where some other members can be reached.
+    Peers {
+        /// Their addresses, as `ip:port`.
+        addrs: Vec<CompactString>,
+    },
     /// A caller's question.
     Ask {
         /// Number of the question.
--- a/crates/monsoonnotch_member/src/process/mod.rs
+++ b/crates/monsoonnotch_member/src/process/mod.rs
@@ -61,7 +61,12 @@
     let heard = Arc::new(Heard::default());
     tokio::spawn(perform::run(Arc::clone(&cx), fx_rx, for_term));
     tokio::spawn(term::run(Arc::clone(&cx), Arc::clone(&guests), term_rx));
-    tokio::spawn(links::accept(Arc::clone(&cx), peers, guests));
+    tokio::spawn(links::accept(
+        Arc::clone(&cx),
+        peers,
+        guests,
+        Arc::clone(&heard),
+    ));
     tokio::spawn(links::keep(Arc::clone(&cx), Arc::clone(&heard)));
     tokio::spawn(cell::run(Arc::clone(&cx), heard));
     tokio::spawn(site::follow(Arc::clone(&cx)));
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -12,15 +12,20 @@
 use monsoonnotch_adapter_standins::store::Faults;
 use monsoonnotch_standins::caller::call;
 use monsoonnotch_standins::caller::eventually;
+use monsoonnotch_standins::tap::Fault;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_monsoonnotch");
 
 async fn start(name: &str, vms: usize) -> (Site, Vec<Member>, PathBuf) {
+    start_some(name, 2, vms).await
+}
+
+async fn start_some(name: &str, count: usize, vms: usize) -> (Site, Vec<Member>, PathBuf) {
     let dir = std::env::temp_dir().join(format!("members-{name}-{}", std::process::id()));
     std::fs::create_dir_all(&dir).expect("a temporary folder");
     let site = Site::start(vms).await;
     let mut members = Vec::new();
-    for number in 0..2 {
+    for number in 0..count {
         let mut member = Member::new(number, site.store.addr(), &dir).await;
         member.start(PROGRAM);
         members.push(member);
@@ -83,6 +88,37 @@
     drop(std::fs::remove_dir_all(dir));
 }
 
+/// The store refuses the holder and one more member; the third takes over, and
+/// the one that cannot read of it in the store learns of it from the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_member_that_the_store_refuses_finds_the_next_holder() {
+    let (_site, members, dir) = start_some("finds", 3, 2).await;
+    let id = "00000000000000e1";
+    hand_in(members[0].callers, id, &job_body(&[1], 500, 10)).await;
+    completes(members[0].callers, id).await;
+    let holds = |m: &Member| !m.lines(&["term begins"]).is_empty();
+    let holder = members.iter().position(holds);
+    let holder = holder.expect("one member holds the jobs");
+    let (refused, next) = ((holder + 1) % 3, (holder + 2) % 3);
+    for cut in [refused, holder] {
+        members[cut].tap.set(Fault::Dark);
+        members[cut].tap.silence_open();
+    }
+    let taken = || async { holds(&members[next]) };
+    eventually("the third member takes over", taken).await;
+    let told = || async {
+        send(members[refused].callers, "GET", id, "key-a", "")
+            .await
+            .0
+            == 200
+    };
+    eventually("the refused member answers", told).await;
+    let id = "00000000000000e2";
+    hand_in(members[refused].callers, id, &job_body(&[1], 500, 10)).await;
+    completes(members[refused].callers, id).await;
+    drop(std::fs::remove_dir_all(dir));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refused_request_leads_to_the_store_that_was_away() {
     let (site, members, dir) = start("refused", 2).await;
