--- a/crates/monsoonnotch_jobs/src/event/mod.rs
+++ b/crates/monsoonnotch_jobs/src/event/mod.rs
@@ -22,6 +22,9 @@
     Config(Arc<Published>),
     /// Records of the journal, in order.
     Journal(Vec<(u64, Stored)>),
+    /// Records that are stored, as told by the member that stored them: the journal
+    /// brings them again, at times much later.
+    HandedIn(Vec<(u64, Stored)>),
     /// The journal has been read up to the holder's own first record.
     CaughtUp {
         /// The offset of that record.
--- a/crates/monsoonnotch_jobs/src/holder/fold.rs
+++ b/crates/monsoonnotch_jobs/src/holder/fold.rs
@@ -7,6 +7,7 @@
 use crate::journal::Progress;
 use crate::journal::Stored;
 use crate::journal::Submission;
+use crate::plan::parse_job_id;
 
 /// Seconds of an account's share that it may send at once.
 const BURST_S: f64 = 2.0;
@@ -36,9 +37,20 @@
 
 impl Holder {
     /// Takes in records of the journal, in order.
+    pub(super) fn read_on(&mut self, records: Vec<(u64, Stored)>) {
+        if let Some((last, _)) = records.last() {
+            self.read_to = self.read_to.max(last + 1);
+        }
+        self.fold(records);
+    }
+
+    /// Takes in stored records; each may come more than once.
     pub(super) fn fold(&mut self, records: Vec<(u64, Stored)>) {
         for (offset, stored) in records {
-            self.read_to = self.read_to.max(offset + 1);
+            let known = |id: JobId| self.by_id.contains_key(&id);
+            if parse_job_id(&stored.key).is_some_and(known) {
+                continue;
+            }
             match journal::read(&stored) {
                 Some(Entry::Submitted(id, submission)) => self.submitted(offset, id, *submission),
                 Some(Entry::Cancelled(id)) => self.cancelled(id),
--- a/crates/monsoonnotch_jobs/src/holder/mod.rs
+++ b/crates/monsoonnotch_jobs/src/holder/mod.rs
@@ -147,7 +147,10 @@
                 self.site = site;
                 self.changed = true;
             }
-            Event::Journal(records) => self.fold(records),
+            Event::Journal(records) => self.read_on(records),
+            // Before the journal was read, what is handed in may not be the newest.
+            Event::HandedIn(records) if self.marker.is_some() => self.fold(records),
+            Event::HandedIn(_) => {}
             Event::CaughtUp { marker } => self.caught_up(marker),
             Event::Vms(entries) => self.vms_changed(entries),
             Event::AllVms(reports) => self.vms_listed(reports),
--- a/crates/monsoonnotch_jobs/tests/promises/directed.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/directed.rs
@@ -11,6 +11,7 @@
 use monsoonnotch_jobs::holder::Holder;
 use monsoonnotch_jobs::holder::RunKey;
 use monsoonnotch_jobs::journal;
+use monsoonnotch_jobs::journal::Stored;
 use monsoonnotch_jobs::plan::JobId;
 use monsoonnotch_jobs::plan::Step;
 use monsoonnotch_jobs::plan::TaskId;
@@ -72,8 +73,8 @@
     (holder, waiting)
 }
 
-/// Hands in a job of one task and returns the run that is started for it.
-fn start_one(holder: &mut Holder) -> (RunKey, TaskId) {
+/// The record of a job of one task.
+fn one_task() -> Stored {
     let submission = journal::Submission {
         queue: "quick".into(),
         account: "ann".into(),
@@ -89,8 +90,12 @@
             ..Default::default()
         },
     };
-    let record = journal::submitted(JobId(5), &submission);
-    let fx = tell(holder, 10, Event::Journal(vec![(1, record)]));
+    journal::submitted(JobId(5), &submission)
+}
+
+/// Hands in a job of one task and returns the run that is started for it.
+fn start_one(holder: &mut Holder) -> (RunKey, TaskId) {
+    let fx = tell(holder, 10, Event::Journal(vec![(1, one_task())]));
     let started = fx.iter().find_map(|e| match e {
         Effect::Start { run, order, .. } => Some((*run, order.task)),
         _ => None,
@@ -139,6 +144,40 @@
     assert!(!fx.iter().any(noted), "a VM that answered is no silent one");
 }
 
+/// The journal is silent for a second; the member that stored a job tells of it.
+#[test]
+fn a_job_starts_when_its_member_tells_of_it_and_once() {
+    let (mut holder, _) = holder_of(1);
+    let told = Event::HandedIn(vec![(1, one_task())]);
+    assert_eq!(starts(&tell(&mut holder, 10, told)).len(), 1);
+    let read = Event::Journal(vec![(1, one_task())]);
+    assert_eq!(starts(&tell(&mut holder, 1_010, read)), Vec::new());
+}
+
+/// What is told before the journal was read is left to the journal, which knows
+/// whether a former holder may have started it.
+#[test]
+fn a_job_told_of_before_the_journal_was_read_waits_for_it() {
+    let tuning = Tuning::default();
+    let mut holder = Holder::new(2, tuning, Arc::new(site(0, false)), at(9_000), at(0));
+    tell(&mut holder, 0, Event::AllVms(fleet(2, 8_000)));
+    let told = Event::HandedIn(vec![(1, one_task())]);
+    tell(&mut holder, 1, told);
+    tell(&mut holder, 2, Event::Journal(vec![(1, one_task())]));
+    let fx = tell(&mut holder, 3, Event::CaughtUp { marker: 4 });
+    let answered = *looks(&fx).first().expect("each VM is looked at");
+    let answer = Ok(look(Vec::new()));
+    let fx = tell(
+        &mut holder,
+        4,
+        Event::Looked {
+            key: answered,
+            answer,
+        },
+    );
+    assert_eq!(starts(&fx), Vec::new(), "one VM has not answered");
+}
+
 /// A start is answered by nobody, though its run ends well; the same start goes
 /// out again and is refused as old before any look shows the end.
 #[test]
--- a/crates/monsoonnotch_member/src/calls/submit.rs
+++ b/crates/monsoonnotch_member/src/calls/submit.rs
@@ -12,6 +12,7 @@
 use monsoonnotch_adapter::front::Reply;
 use monsoonnotch_adapter::store::APPEND_TIMES;
 use monsoonnotch_adapter::store::Error;
+use monsoonnotch_jobs::event::Event;
 use monsoonnotch_jobs::journal::Stored;
 use monsoonnotch_jobs::journal::Submission;
 use monsoonnotch_jobs::plan::Plan;
@@ -203,7 +204,7 @@
         failed = appended.is_err();
         let tried = std::mem::take(&mut waiting);
         match appended {
-            Ok(_) => tried.into_iter().for_each(|p| p.answer(Reply::Stored)),
+            Ok(offset) => stored(&cx, offset, tried),
             Err(e) => {
                 waiting = sort_out(tried, e == Error::Unknown, is_dark(&cx));
                 if slow && lock(&cx.host).is_some() {
@@ -217,6 +218,31 @@
     }
 }
 
+/// Tells the holder and the callers of records that were stored from an offset on.
+fn stored(cx: &Cx, offset: u64, tried: Vec<Pending>) {
+    for (offset, pending) in (offset..).zip(tried) {
+        tell_holder(cx, offset, pending.record.clone());
+        pending.answer(Reply::Stored);
+    }
+}
+
+/// Tells the holder of a stored record. When it cannot be told, the journal does.
+fn tell_holder(cx: &Cx, offset: u64, record: Stored) {
+    if let Some(token) = cx.own_token() {
+        cx.control
+            .event(token, Event::HandedIn(vec![(offset, record)]));
+        return;
+    }
+    let frame = Frame::HandedIn {
+        offset,
+        key: record.key,
+        value: ByteBuf::from(record.value),
+    };
+    if let Some(tx) = lock(&cx.host).as_ref() {
+        let _ = tx.try_send(frame);
+    }
+}
+
 /// Has the holder store a record that this member tried in vain.
 fn hand_on(cx: &Arc<Cx>, pending: Pending) {
     let cx = Arc::clone(cx);
--- a/crates/monsoonnotch_member/src/links/host.rs
+++ b/crates/monsoonnotch_member/src/links/host.rs
@@ -219,6 +219,11 @@
             let key = AskKey(ask);
             cx.control.event(token, Event::Approved { key, allowed });
         }
+        Frame::HandedIn { offset, key, value } => {
+            let value = value.into_vec();
+            let records = vec![(offset, Stored { key, value })];
+            cx.control.event(token, Event::HandedIn(records));
+        }
         Frame::Store { seq, key, value } => {
             let cx = Arc::clone(cx);
             let value = value.into_vec();
--- a/crates/monsoonnotch_member/src/links/mod.rs
+++ b/crates/monsoonnotch_member/src/links/mod.rs
@@ -88,6 +88,16 @@
         /// VMs with their tickets.
         allowed: Option<Vec<(CompactString, CompactString)>>,
     },
+    /// A record that this member has stored, so that the holder need not wait for
+    /// the journal.
+    HandedIn {
+        /// Its offset in the journal.
+        offset: u64,
+        /// The key.
+        key: CompactString,
+        /// The value.
+        value: ByteBuf,
+    },
     /// Store a record for a member whom the store refuses.
     Store {
         /// Number of the question.
