--- a/crates/monsoonnotch_jobs/src/holder/approve.rs
+++ b/crates/monsoonnotch_jobs/src/holder/approve.rs
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Whether any lane is free.
+    fn any_free(&self) -> bool {
+        self.lanes.values().any(Option::is_none)
+    }
+
     /// A free lane for a call; long ones take at most half of them.
     fn lane_for(&self, long: bool) -> Option<LaneKey> {
         let is_long = |k: &AskKey| self.calls.get(k).is_some_and(|c| c.long);
@@ -150,6 +155,10 @@
         if approvals.asked.is_some() || (!first && now < approvals.answered_at + pause) {
             return;
         }
+        // Choosing VMs looks at the whole fleet: not for a call that cannot go out.
+        if !self.asks.any_free() {
+            return;
+        }
         let tasks = stage.waiting.len().max(1);
         let named = self.vms_to_name(key, tasks);
         if named.is_empty() {
--- a/crates/monsoonnotch_jobs/src/holder/flush.rs
+++ b/crates/monsoonnotch_jobs/src/holder/flush.rs
@@ -3,6 +3,8 @@
 use super::job::Job;
 use super::*;
 use crate::journal;
+use crate::journal::Placed;
+use crate::journal::Placements;
 use crate::journal::Progress;
 use crate::journal::StageProgress;
 use crate::journal::Stored;
@@ -10,6 +12,11 @@
 /// Bytes of one append, at most; well under what the store takes at once.
 const APPEND_MAX: usize = 512 * 1024;
 
+/// Pause between two changes of the stored fleet.
+const FLEET_PAUSE: Duration = Duration::from_millis(200);
+/// Time of an append above which it is noted: some twenty times the usual.
+const SLOW_APPEND: Duration = Duration::from_millis(100);
+
 /// What is to be stored, and what is being stored.
 #[derive(Debug, Default)]
 pub(super) struct Flush {
@@ -17,15 +24,24 @@
     /// VMs of which ends were taken in.
     ends: BTreeSet<VmKey>,
     dropped: Vec<Stored>,
+    /// Jobs whose places have changed, with the runs that wait for them to be stored.
+    planned: BTreeMap<JobKey, Vec<RunKey>>,
     batch: Option<Batch>,
     next_at: Time,
+    /// The VMs on which something may run, as stored.
+    fleet: Vec<CompactString>,
+    next_fleet: Time,
 }
 
 /// What the append that is on its way covers.
 #[derive(Debug)]
 struct Batch {
     jobs: Vec<(JobKey, JobId, Progress)>,
+    planned: BTreeMap<JobKey, Vec<RunKey>>,
     ends: Vec<(VmKey, u64, u64)>,
+    /// The VMs on which something may run, if they are stored anew.
+    fleet: Option<Vec<CompactString>>,
+    sent: Time,
 }
 
 impl Flush {
@@ -33,6 +49,11 @@
         self.dirty.insert(key);
     }
 
+    /// A place of a job is to be stored; `run` waits for that.
+    pub(super) fn place(&mut self, key: JobKey, run: Option<RunKey>) {
+        self.planned.entry(key).or_default().extend(run);
+    }
+
     pub(super) fn ends_came(&mut self, vm: VmKey) {
         self.ends.insert(vm);
     }
@@ -55,12 +76,27 @@
             Some((vm, row.report.born_ms, row.ends_seen))
         };
         let ends: Vec<(VmKey, u64, u64)> = ends.into_iter().filter_map(seen).collect();
-        if self.flush.dirty.is_empty() && self.flush.dropped.is_empty() {
+        let fleet = self.changed_fleet();
+        let idle = self.flush.dirty.is_empty() && self.flush.planned.is_empty();
+        if idle && self.flush.dropped.is_empty() && fleet.is_none() {
             return self.note_ends(&ends);
         }
         let mut records = std::mem::take(&mut self.flush.dropped);
+        records.extend(fleet.as_deref().map(journal::fleet));
         let mut jobs = Vec::new();
         let mut size = 0;
+        let mut planned = BTreeMap::new();
+        while size < APPEND_MAX
+            && let Some((key, runs)) = self.flush.planned.pop_first()
+        {
+            let Some(job) = self.jobs.get(key) else {
+                continue;
+            };
+            let record = journal::placed(job.id, &self.placements_of(job));
+            size += record.value.len();
+            records.push(record);
+            planned.insert(key, runs);
+        }
         while size < APPEND_MAX
             && let Some(key) = self.flush.dirty.pop_first()
         {
@@ -71,9 +107,9 @@
             let record = journal::progressed(job.id, &progress);
             size += record.value.len();
             records.push(record);
-            if progress.outcome.is_some() {
+            if progress.outcome.is_some() && job.runs().next().is_none() {
                 // All that a later holder needs of an ended job is in its progress.
-                records.push(journal::submission_dropped(job.id));
+                records.extend(journal::work_dropped(job.id));
             }
             jobs.push((key, job.id, progress));
         }
@@ -86,10 +122,31 @@
                 Vec::new()
             }
         };
-        self.flush.batch = Some(Batch { jobs, ends });
+        self.flush.batch = Some(Batch {
+            jobs,
+            planned,
+            ends,
+            fleet,
+            sent: self.now,
+        });
         self.fx.push(Effect::Append(records));
     }
 
+    /// The VMs on which something may run, where they are not what is stored.
+    fn changed_fleet(&mut self) -> Option<Vec<CompactString>> {
+        if self.now < self.flush.next_fleet {
+            return None;
+        }
+        let fleet = self.fleet();
+        if fleet == self.flush.fleet {
+            self.flush.next_fleet = self.now + SCAN_PAUSE;
+            return None;
+        }
+        self.flush.next_fleet = self.now + FLEET_PAUSE;
+        self.expel_others(&fleet);
+        Some(fleet)
+    }
+
     /// Takes in whether the append was stored.
     pub(super) fn appended(&mut self, stored: bool) {
         let Some(batch) = self.flush.batch.take() else {
@@ -99,10 +156,19 @@
             // Certain not to be stored: it goes again with what came since.
             self.flush.dirty.extend(batch.jobs.iter().map(|j| j.0));
             self.flush.ends.extend(batch.ends.iter().map(|e| e.0));
+            for (key, runs) in batch.planned {
+                self.flush.planned.entry(key).or_default().extend(runs);
+            }
             self.flush.next_at = self.now + SCAN_PAUSE;
             return;
         }
         self.flush.next_at = self.now + self.tuning.flush_pause;
+        let took = self.now.since(batch.sent);
+        if took > SLOW_APPEND {
+            let (jobs, starts) = (batch.jobs.len(), batch.planned.len());
+            let note = format!("ms={} jobs={jobs} starting={starts}", took.as_millis());
+            self.note(0, "append slow", note);
+        }
         for (key, id, progress) in batch.jobs {
             let Some(job) = self.jobs.get_mut(key).filter(|j| j.id == id) else {
                 continue;
@@ -111,9 +177,35 @@
                 job.stored = progress.outcome;
             }
         }
+        if let Some(fleet) = batch.fleet {
+            self.enroll(&fleet);
+            self.flush.fleet = fleet;
+        }
+        for run in batch.planned.into_values().flatten() {
+            self.send_planned(run);
+        }
         self.note_ends(&batch.ends);
     }
 
+    /// Where the tasks of a job are, or are about to be sent.
+    fn placements_of(&self, job: &Job) -> Placements {
+        let mut vms: BTreeMap<VmKey, Vec<(u32, u16, u32, u64)>> = BTreeMap::new();
+        for (&(occurrence, step), stage) in &job.stages {
+            let runs = stage.runs().filter_map(|r| self.runs.get(&r));
+            for run in runs {
+                let row = (occurrence, step, run.index, run.attempt);
+                vms.entry(run.vm).or_default().push(row);
+            }
+        }
+        let placed = |(vm, runs)| {
+            let vm = self.vms.get(vm)?.report.id.clone();
+            Some(Placed { vm, runs })
+        };
+        Placements {
+            vms: vms.into_iter().filter_map(placed).collect(),
+        }
+    }
+
     fn note_ends(&mut self, ends: &[(VmKey, u64, u64)]) {
         for &(vm, born_ms, number) in ends {
             let same = self
--- a/crates/monsoonnotch_jobs/src/holder/fold.rs
+++ b/crates/monsoonnotch_jobs/src/holder/fold.rs
@@ -55,6 +55,8 @@
                 Some(Entry::Submitted(id, submission)) => self.submitted(offset, id, *submission),
                 Some(Entry::Cancelled(id)) => self.cancelled(id),
                 Some(Entry::Progressed(id, progress)) => self.restored(id, progress),
+                Some(Entry::Placed(id, placements)) => self.placed_before(id, &placements),
+                Some(Entry::Fleet(ids)) => self.fleet_before(&ids),
                 Some(Entry::Held { token }) if token > self.token => self.step_down(),
                 Some(Entry::Held { .. } | Entry::Dropped) => {}
                 None => self.note(
--- /dev/null
+++ b/crates/monsoonnotch_jobs/src/holder/former.rs
@@ -0,0 +1,134 @@
+//! What a former holder has started, as far as the journal says.
+//!
+//! A stored place is a run until its VM shows that it is none or every lease has
+//! lapsed. The first place of a task is stored while its start is on its way, so a
+//! task without one may have been started just before the former holder ended, or
+//! while the store was away: it is in doubt until all VMs have answered or every
+//! lease has lapsed. Every further place is stored before the start goes out, so
+//! that the stored one is the only one that counts.
+
+use super::job::Job;
+use super::job::Stage;
+use super::*;
+use crate::journal::Placements;
+
+impl Holder {
+    /// Takes in where a former holder sent a job's tasks.
+    pub(super) fn placed_before(&mut self, id: JobId, placements: &Placements) {
+        if self.marker.is_some() {
+            return;
+        }
+        let Some(&job) = self.by_id.get(&id) else {
+            return;
+        };
+        for placed in &placements.vms {
+            let vm = self.vm_of_id(&placed.vm);
+            for &(occurrence, step, index, attempt) in &placed.runs {
+                let stage = StageKey {
+                    job,
+                    occurrence,
+                    step,
+                };
+                self.run_of_former(stage, index, vm, attempt);
+            }
+        }
+    }
+
+    fn run_of_former(&mut self, key: StageKey, index: u32, vm: VmKey, attempt: u64) {
+        let Some(job) = self.jobs.get_mut(key.job) else {
+            return;
+        };
+        if usize::from(key.step) >= job.plan.steps.len() {
+            return;
+        }
+        job.open_occurrence(key.occurrence);
+        job.begun = true;
+        let task = self.stage(key).and_then(|s| s.tasks.get(index as usize));
+        if task.is_some_and(|t| !t.done && t.run.is_none()) {
+            self.add_run(key, index, vm, attempt, runs::State::Former);
+        }
+    }
+
+    /// Takes in on which VMs a former holder may have started something.
+    pub(super) fn fleet_before(&mut self, ids: &[CompactString]) {
+        if self.marker.is_some() {
+            return;
+        }
+        for id in ids {
+            let key = self.vm_of_id(id);
+            if let Some(vm) = self.vms.get_mut(key) {
+                vm.enrolled = true;
+                vm.former = true;
+            }
+        }
+    }
+
+    /// Whether nothing of a former holder can run unseen.
+    pub(super) fn settled(&self) -> bool {
+        let unseen = |vm: &vms::Vm| vm.former && !vm.answered;
+        self.now >= self.settle_at || !self.vms.iter().any(|(_, vm)| unseen(vm))
+    }
+
+    /// Whether a waiting task of a stage runs nowhere for certain.
+    pub(super) fn is_clear(&self, job: &Job, stage: &Stage, index: u32, settled: bool) -> bool {
+        let placed = stage.tasks.get(index as usize).is_some_and(|t| t.placed);
+        settled || job.fresh || placed
+    }
+
+    /// The most that each account can have running on VMs that have not answered.
+    pub(super) fn unseen_needs(&self) -> BTreeMap<CompactString, Resources> {
+        let mut unseen: BTreeMap<CompactString, Resources> = BTreeMap::new();
+        if self.settled() {
+            return unseen;
+        }
+        for (_, key) in &self.ready {
+            let Some((job, stage)) = self.jobs.get(key.job).zip(self.stage(*key)) else {
+                continue;
+            };
+            let doubtful = stage.waiting.iter();
+            let doubtful = doubtful.filter(|&&i| !self.is_clear(job, stage, i, false));
+            let need = job.step(key.step).need.times(doubtful.count() as u64);
+            unseen.entry(job.account.clone()).or_default().add(&need);
+        }
+        unseen
+    }
+
+    /// VMs on which something may run: those that run something or hold a lease, as
+    /// far as this holder or the former one knows.
+    pub(super) fn fleet(&self) -> Vec<CompactString> {
+        let drift = self.tuning.drift_milli;
+        let leased = |vm: &vms::Vm| vm.clock.is_some() && self.now <= vm.lapsed_at(drift);
+        let unseen = |vm: &vms::Vm| vm.former && !vm.answered && self.now < self.settle_at;
+        let may_run = |vm: &&vms::Vm| leased(vm) || unseen(vm) || !vm.runs.is_empty();
+        let rows = self.vms.iter().map(|(_, vm)| vm);
+        rows.filter(may_run)
+            .map(|vm| vm.report.id.clone())
+            .collect()
+    }
+
+    /// The VMs on which something may run are stored: those can be used.
+    pub(super) fn enroll(&mut self, ids: &[CompactString]) {
+        for id in ids {
+            if let Some(vm) = self.vm_ids.get(id).and_then(|&k| self.vms.get_mut(k)) {
+                vm.enrolled = true;
+            }
+        }
+        self.changed = true;
+    }
+
+    /// The VMs on which something may run are about to be stored: no others are used
+    /// from now on, as a successor would not wait for them.
+    pub(super) fn expel_others(&mut self, ids: &[CompactString]) {
+        let kept: BTreeSet<VmKey> = ids
+            .iter()
+            .filter_map(|id| self.vm_ids.get(id))
+            .copied()
+            .collect();
+        let all: Vec<VmKey> = self.vms.iter().map(|(k, _)| k).collect();
+        for key in all.into_iter().filter(|k| !kept.contains(k)) {
+            if let Some(vm) = self.vms.get_mut(key) {
+                vm.enrolled = false;
+            }
+        }
+    }
+}
--- a/crates/monsoonnotch_jobs/src/holder/job.rs
+++ b/crates/monsoonnotch_jobs/src/holder/job.rs
@@ -138,6 +138,8 @@
     /// Attempts that failed: an end may be listed again, and late.
     pub(super) failed: BTreeSet<u64>,
     pub(super) attempt: u64,
+    /// Whether it was sent to a VM before.
+    pub(super) placed: bool,
     pub(super) saved: CompactString,
 }
 
@@ -196,6 +198,11 @@
         self.next_occurrence = self.next_occurrence.max(occurrence + 1);
     }
 
+    /// Runs of the job that may be there.
+    pub(super) fn runs(&self) -> impl Iterator<Item = RunKey> {
+        self.stages.values().flat_map(Stage::runs)
+    }
+
     /// Whether the steps before a stage have all ended well.
     pub(super) fn unblocked(&self, occurrence: u32, step: u16) -> bool {
         let whole = |d: &u16| self.stages.get(&(occurrence, *d)).is_some_and(Stage::whole);
--- a/crates/monsoonnotch_jobs/src/holder/looks.rs
+++ b/crates/monsoonnotch_jobs/src/holder/looks.rs
@@ -174,6 +174,10 @@
         let Some(vm) = self.vms.get_mut(key) else {
             return;
         };
+        // Of a VM that the list does not name no address may be known.
+        if vm.report.addr.is_empty() {
+            return;
+        }
         let first = !vm.answered || vm.looks.silent > 0;
         let stored = vm.ends_stored >= vm.ends_seen;
         let beside = !vm.looks.sent.is_empty();
@@ -391,14 +395,9 @@
             self.run_confirmed(run, row);
             return Some(run);
         }
-        let (ended, before) = match self.jobs.get(stage.job) {
-            Some(job) => (job.ended(), job.attempts_before),
-            None => (true, 0),
-        };
-        // Only what a former holder started is taken over; a run of this holder
-        // that it does not know any more is one that it gave up.
-        let former = row.attempt <= before && task.attempt <= before;
-        if task.done || ended || held.is_some() || !former {
+        let ended = self.jobs.get(stage.job).is_none_or(super::job::Job::ended);
+        // Only a first run may have no stored place; any other was given up.
+        if task.done || ended || task.placed {
             self.stop_unknown(vm, row);
             return None;
         }
--- a/crates/monsoonnotch_jobs/src/holder/mod.rs
+++ b/crates/monsoonnotch_jobs/src/holder/mod.rs
@@ -9,6 +9,7 @@
 mod approve;
 mod flush;
 mod fold;
+mod former;
 mod gang;
 mod job;
 mod looks;
@@ -54,8 +55,6 @@
     read_to: u64,
     /// When every lease of a former holder has lapsed.
     settle_at: Time,
-    /// Before this the list of VMs may lack some that live.
-    list_sure_at: Time,
     jobs: Arena<JobKey, job::Job>,
     by_id: BTreeMap<JobId, JobKey>,
     /// Jobs whose cancelling came before them.
@@ -66,8 +65,8 @@
     vm_ids: BTreeMap<CompactString, VmKey>,
     runs: BTreeMap<RunKey, runs::Run>,
     next_run: u64,
-    /// What may run for any account where no look has reached yet.
-    unseen: Resources,
+    /// What may run of each account where no look has reached.
+    unseen: BTreeMap<CompactString, Resources>,
     usage: BTreeMap<CompactString, Resources>,
     rates: BTreeMap<CompactString, fold::Rate>,
     ready: BTreeSet<(job::Rank, StageKey)>,
@@ -89,25 +88,17 @@
 impl Holder {
     /// A holder with a token that the store has just given.
     ///
-    /// `settle_at` is when every lease that a former holder renewed has lapsed,
-    /// `list_sure_at` when the list of VMs lacks none that lives.
-    pub fn new(
-        token: u64,
-        tuning: Tuning,
-        site: Arc<Published>,
-        settle_at: Time,
-        list_sure_at: Time,
-    ) -> Self {
+    /// `settle_at` is when every lease that a former holder renewed has lapsed.
+    pub fn new(token: u64, tuning: Tuning, site: Arc<Published>, settle_at: Time) -> Self {
         Self {
             tuning,
             site,
-            list_sure_at,
+            settle_at,
             now: Time::default(),
             unix_ms: 0,
             token,
             marker: None,
             read_to: 0,
-            settle_at,
             jobs: Arena::default(),
             by_id: BTreeMap::new(),
             cancelled_first: BTreeSet::new(),
@@ -116,7 +107,7 @@
             vm_ids: BTreeMap::new(),
             runs: BTreeMap::new(),
             next_run: 0,
-            unseen: Resources::default(),
+            unseen: BTreeMap::new(),
             usage: BTreeMap::new(),
             rates: BTreeMap::new(),
             ready: BTreeSet::new(),
--- a/crates/monsoonnotch_jobs/src/holder/place.rs
+++ b/crates/monsoonnotch_jobs/src/holder/place.rs
@@ -54,21 +54,21 @@
     /// Starts what can be started, first in line first.
     pub(super) fn place_all(&mut self) {
         let mut room = self.pool_rooms();
-        let line: Vec<(Rank, StageKey)> = self.ready.iter().copied().collect();
         let settled = self.settled();
-        self.unseen = self.unseen_room();
+        self.unseen = self.unseen_needs();
+        let line: Vec<(Rank, StageKey)> = self.ready.iter().copied().collect();
         for (rank, key) in line {
             let Some(job) = self.jobs.get(key.job) else {
                 continue;
             };
-            // A former holder may have started it where no look has reached yet.
-            if !job.fresh && !settled {
+            let pool = job.pool.clone();
+            let waiting = self.clear_tasks(key, settled);
+            if waiting.is_empty() {
                 self.blocked(key, Blocked::Unsettled);
                 continue;
             }
-            let pool = job.pool.clone();
             let mut left = room.get(&pool).copied().unwrap_or_default();
-            self.place_stage(rank, key, &mut left);
+            self.place_stage(rank, key, &waiting, &mut left);
             room.insert(pool, left);
         }
     }
@@ -83,7 +83,23 @@
         rooms
     }
 
-    fn place_stage(&mut self, rank: Rank, key: StageKey, room: &mut PoolRoom) {
+    /// Waiting tasks of a stage that run nowhere for certain; of a gang all or none.
+    fn clear_tasks(&self, key: StageKey, settled: bool) -> Vec<u32> {
+        let Some((job, stage)) = self.jobs.get(key.job).zip(self.stage(key)) else {
+            return Vec::new();
+        };
+        let clear = |&i: &u32| self.is_clear(job, stage, i, settled);
+        let tasks: Vec<u32> = stage.waiting.iter().copied().filter(clear).collect();
+        match job.step(key.step).gang && tasks.len() < stage.waiting.len() {
+            true => Vec::new(),
+            false => tasks,
+        }
+    }
+
+    fn place_stage(&mut self, rank: Rank, key: StageKey, waiting: &[u32], room: &mut PoolRoom) {
+        if let Some(why) = self.blocked_at_once(rank, key, room) {
+            return self.blocked(key, why);
+        }
         let approval = self.approval_of(key);
         let candidates = self.candidates(key, approval.is_some());
         let gang = self
@@ -92,7 +108,7 @@
             .is_some_and(|j| j.step(key.step).gang);
         let (placed, all) = match gang {
             true => self.place_gang(rank, key, candidates, room),
-            false => self.place_tasks(rank, key, candidates, room),
+            false => self.place_tasks(rank, key, waiting, candidates, room),
         };
         if placed > 0 {
             self.note_placed(key, placed);
@@ -105,6 +121,18 @@
         }
     }
 
+    /// What keeps even one task of a stage from starting, wherever there is room: with
+    /// a long line most stages end here.
+    fn blocked_at_once(&self, rank: Rank, key: StageKey, room: &PoolRoom) -> Option<Blocked> {
+        let job = self.jobs.get(key.job)?;
+        let step = job.step(key.step);
+        if !self.within_limit(rank, &job.account, &step.need) {
+            return Some(Blocked::Limit);
+        }
+        let kept = !self.leaves_reserve(rank, &step.room(), room);
+        kept.then_some(Blocked::Reserve)
+    }
+
     fn note_placed(&mut self, key: StageKey, placed: usize) {
         let now = self.now;
         let Some(stage) = self.stage(key) else { return };
@@ -198,6 +226,7 @@
         &mut self,
         rank: Rank,
         key: StageKey,
+        waiting: &[u32],
         mut candidates: Vec<Candidate>,
         room: &mut PoolRoom,
     ) -> (usize, bool) {
@@ -207,8 +236,7 @@
         if self.now < stage.not_before {
             return (0, true);
         }
-        let waiting: Vec<(u32, u64)> = stage
-            .waiting
+        let waiting: Vec<(u32, u64)> = waiting
             .iter()
             .map(|&i| (i, stage.tasks[i as usize].attempt + 1))
             .collect();
@@ -300,7 +328,9 @@
             return true;
         };
         let mut used = self.usage.get(account).copied().unwrap_or_default();
-        used.add(&self.unseen);
+        if let Some(unseen) = self.unseen.get(account) {
+            used.add(unseen);
+        }
         let fits = |limit: u64, used: u64, need: u64| {
             let kept = match rank.class == URGENT || used * 2 <= limit {
                 true => 0,
--- a/crates/monsoonnotch_jobs/src/holder/runs.rs
+++ b/crates/monsoonnotch_jobs/src/holder/runs.rs
@@ -43,6 +43,10 @@
 /// Where a run stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum State {
+    /// Its task was sent elsewhere before: its start goes out once its place is stored.
+    Planned,
+    /// A former holder may have started it; its VM will tell.
+    Former,
     /// Its start is on its way.
     Starting,
     /// Its start was sent again and again without an answer; a look will tell.
@@ -87,7 +91,14 @@
 
 impl Holder {
     /// Makes a run and accounts for it.
-    fn add_run(&mut self, stage: StageKey, index: u32, vm: VmKey, attempt: u64) -> RunKey {
+    pub(super) fn add_run(
+        &mut self,
+        stage: StageKey,
+        index: u32,
+        vm: VmKey,
+        attempt: u64,
+        state: State,
+    ) -> RunKey {
         let job = self.jobs.get(stage.job).expect("a stage has a job");
         let step = job.step(stage.step);
         let run = Run {
@@ -95,7 +106,7 @@
             index,
             vm,
             attempt,
-            state: State::Starting,
+            state,
             sent: self.now,
             room: step.room(),
             need: step.need,
@@ -115,6 +126,7 @@
         stage_row.started_at = now;
         let task = &mut stage_row.tasks[index as usize];
         task.run = Some(key);
+        task.placed = true;
         task.attempt = task.attempt.max(attempt);
         self.line_up(stage);
         key
@@ -148,15 +160,33 @@
         attempt: u64,
         ticket: CompactString,
     ) {
-        let key = self.add_run(stage, index, vm, attempt);
+        let task = self.stage(stage).and_then(|s| s.tasks.get(index as usize));
+        let again = task.is_some_and(|t| t.placed);
+        let key = self.add_run(stage, index, vm, attempt, State::Planned);
         self.runs.get_mut(&key).expect("just made").ticket = ticket;
+        self.flush.place(stage.job, again.then_some(key));
         let job = self.jobs.get_mut(stage.job).expect("a stage has a job");
         let (id, taken_ms) = (job.id.0, job.taken_ms);
         if !std::mem::replace(&mut job.begun, true) {
             let waited = self.unix_ms.saturating_sub(taken_ms);
             self.note(id, "job begun", format!("waited_ms={waited}"));
         }
-        self.send_start(key);
+        if !again {
+            self.send_planned(key);
+        }
+    }
+
+    /// Starts a run whose place is stored, or need not be before.
+    pub(super) fn send_planned(&mut self, key: RunKey) {
+        let now = self.now;
+        let Some(run) = self.runs.get_mut(&key) else {
+            return;
+        };
+        if run.state == State::Planned {
+            run.state = State::Starting;
+            run.sent = now;
+            self.send_start(key);
+        }
     }
 
     /// Sends the start of a run, for the first time or again: a VM that has the
@@ -287,11 +317,15 @@
         let Some(run) = self.runs.get_mut(&key) else {
             return;
         };
-        if matches!(run.state, State::Starting | State::Unsure) {
+        let former = run.state == State::Former;
+        if matches!(run.state, State::Starting | State::Unsure | State::Former) {
             run.state = State::Running { since: now };
         }
         let (stage, index, vm) = (run.stage, run.index, run.vm);
         let ran = now.since(run.sent);
+        if former && !self.is_wanted(stage, index) {
+            return self.stop_run(key, "the job is over");
+        }
         if !row.saved.is_empty() {
             self.keep_saved(stage, index, row.saved.clone());
         }
@@ -318,12 +352,11 @@
         }
     }
 
-    /// Takes over a run that a former holder started.
+    /// Takes over a run whose place a former holder had not stored yet.
     pub(super) fn run_adopted(&mut self, stage: StageKey, vm: VmKey, row: &RunningRow) -> RunKey {
-        let now = self.now;
-        let key = self.add_run(stage, row.task.index, vm, row.attempt);
-        let run = self.runs.get_mut(&key).expect("just made");
-        run.state = State::Running { since: now };
+        let state = State::Running { since: self.now };
+        let key = self.add_run(stage, row.task.index, vm, row.attempt, state);
+        self.flush.place(stage.job, None);
         if let Some(job) = self.jobs.get_mut(stage.job) {
             job.begun = true;
         }
@@ -352,7 +385,8 @@
             return;
         };
         match run.state {
-            State::Starting => {}
+            State::Planned | State::Starting => {}
+            State::Former => self.run_gone(key, "not started before"),
             State::Unsure if sent > run.sent => self.stop_run(key, "start unanswered"),
             State::Unsure => {}
             State::Running { since } if sent > since => self.run_gone(key, "not listed"),
@@ -372,6 +406,12 @@
             return;
         };
         let mut sent = 0;
+        match run.state {
+            State::Planned => return self.run_gone(key, "not sent"),
+            // Its VM tells whether there is anything to stop.
+            State::Former => return,
+            _ => {}
+        }
         if let State::Ending {
             voided,
             asked,
@@ -435,6 +475,7 @@
     pub(super) fn scan_runs(&mut self) {
         let now = self.now;
         let mut again = Vec::new();
+        let mut lapsed = Vec::new();
         for (&key, run) in &self.runs {
             let due = match run.state {
                 State::Ending {
@@ -443,10 +484,15 @@
                     times,
                 } => voided.is_none() && now >= stop_again_at(asked, times),
                 State::Unsure => now >= run.sent + STOP_RETRY,
-                State::Starting | State::Running { .. } => false,
+                State::Planned | State::Former | State::Starting | State::Running { .. } => false,
             };
+            let vm = self.vms.get(run.vm);
+            let unheard = vm.is_some_and(|v| !v.answered);
+            if run.state == State::Former && unheard && now >= self.settle_at {
+                lapsed.push(key);
+            }
             // To a VM that does not answer nothing is sent; its leases lapse.
-            let silent = self.vms.get(run.vm).is_some_and(|v| v.looks.silent > 1);
+            let silent = vm.is_some_and(|v| v.looks.silent > 1);
             if due && !silent {
                 again.push(key);
             }
@@ -454,6 +500,9 @@
         for key in again {
             self.stop_run(key, "unanswered");
         }
+        for key in lapsed {
+            self.run_gone(key, "lease of a former holder lapsed");
+        }
     }
 
     /// A run is certain to be over without an end that says how.
@@ -500,6 +549,11 @@
             }
             self.line_up(run.stage);
         }
+        // What is kept for what still runs of an ended job can be dropped then.
+        let over = |j: &job::Job| j.outcome.is_some() && j.runs().next().is_none();
+        if self.jobs.get(run.stage.job).is_some_and(over) {
+            self.flush.dirty(run.stage.job);
+        }
         self.changed = true;
     }
 
--- a/crates/monsoonnotch_jobs/src/holder/vms.rs
+++ b/crates/monsoonnotch_jobs/src/holder/vms.rs
@@ -22,6 +22,10 @@
     pub(super) listed: bool,
     /// Whether it answered a look in this holder's term.
     pub(super) answered: bool,
+    /// Whether a former holder may have started something there.
+    pub(super) former: bool,
+    /// Whether it is stored that something may run there.
+    pub(super) enrolled: bool,
     /// Room taken by runs.
     pub(super) used: Resources,
     /// Processor that work which fills asks for, in thousandths of a core.
@@ -88,6 +92,8 @@
             report,
             listed: true,
             answered: false,
+            former: false,
+            enrolled: false,
             used: Resources::default(),
             filling: 0,
             serving: 0,
@@ -137,6 +143,7 @@
     pub(super) fn usable(&self, now: Time) -> bool {
         self.listed
             && self.answered
+            && self.enrolled
             && !self.report.draining
             && self.looks.silent == 0
             && now >= self.health.aside_until
@@ -213,10 +220,29 @@
         self.look_soon(key);
     }
 
-    fn vm_new(&mut self, report: Report) {
-        let id = report.id.clone();
-        let key = self.vms.insert(Vm::new(report));
+    /// The row of a VM that the list need not name.
+    pub(super) fn vm_of_id(&mut self, id: &CompactString) -> VmKey {
+        if let Some(&key) = self.vm_ids.get(id) {
+            return key;
+        }
+        let report = Report {
+            id: id.clone(),
+            ..Report::default()
+        };
+        let mut vm = Vm::new(report);
+        vm.listed = false;
+        self.add_vm(vm)
+    }
+
+    fn add_vm(&mut self, vm: Vm) -> VmKey {
+        let id = vm.report.id.clone();
+        let key = self.vms.insert(vm);
         self.vm_ids.insert(id, key);
+        key
+    }
+
+    fn vm_new(&mut self, report: Report) {
+        let key = self.add_vm(Vm::new(report));
         self.changed = true;
         if self.marker.is_some() {
             self.look_now(key);
@@ -328,29 +354,4 @@
             self.run_gone(run, "lease lapsed");
         }
     }
-
-    /// The most that can run unseen, started by a former holder.
-    pub(super) fn unseen_room(&self) -> Resources {
-        if self.now >= self.settle_at {
-            return Resources::default();
-        }
-        if self.now < self.list_sure_at {
-            return Resources {
-                cpu_milli: u64::MAX / 4,
-                memory_mib: u64::MAX / 4,
-                accelerators: u64::MAX / 4,
-                ..Resources::default()
-            };
-        }
-        let unseen = self.vms.iter().filter(|(_, vm)| vm.listed && !vm.answered);
-        let mut room = Resources::default();
-        unseen.for_each(|(_, vm)| room.add(&vm.report.capacity));
-        room
-    }
-
-    /// Whether nothing of a former holder can run unseen.
-    pub(super) fn settled(&self) -> bool {
-        let all_answered = || self.vms.iter().all(|(_, vm)| vm.answered || !vm.listed);
-        self.now >= self.settle_at || (self.now >= self.list_sure_at && all_answered())
-    }
 }
--- a/crates/monsoonnotch_jobs/src/journal/mod.rs
+++ b/crates/monsoonnotch_jobs/src/journal/mod.rs
@@ -1,8 +1,9 @@
 //! Records of the journal: what is stored of a job, each under its own key.
 //!
-//! A job has up to three keys: what was submitted (written by the member that
-//! took it), that it was cancelled (likewise), and how far it is (written by the
-//! holder under its token). The newest record of each key is kept by the store.
+//! A job has up to four keys: what was submitted (written by the member that
+//! took it), that it was cancelled (likewise), how far it is, and where its tasks
+//! were sent (both written by the holder under its token). The newest record of
+//! each key is kept by the store.
 
 use compact_str::CompactString;
 use compact_str::format_compact;
@@ -82,6 +83,25 @@
     pub saved: Vec<(u32, CompactString)>,
 }
 
+/// Where the tasks of a job that have not ended well were sent last.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Placements {
+    /// The VMs.
+    pub vms: Vec<Placed>,
+}
+
+/// The tasks of a job that were sent to one VM.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Placed {
+    /// The VM's id.
+    pub vm: CompactString,
+    /// Occurrence, step, index and attempt of each.
+    pub runs: Vec<(u32, u16, u32, u64)>,
+}
+
+/// Key of the record of VMs on which something may run.
+pub const FLEET_KEY: &str = "fleet";
+
 /// What a stored record says.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Entry {
@@ -91,6 +111,10 @@
     Cancelled(JobId),
     /// How far a job is.
     Progressed(JobId, Progress),
+    /// Where tasks of a job were sent.
+    Placed(JobId, Placements),
+    /// Ids of the VMs on which something may run.
+    Fleet(Vec<CompactString>),
     /// A new holder writes from here on.
     Held {
         /// Its token.
@@ -129,10 +153,23 @@
     }
 }
 
-/// The record that drops a submission, once the job's end is stored.
-pub fn submission_dropped(id: JobId) -> Stored {
+/// The record of where a job's tasks were sent.
+pub fn placed(id: JobId, placements: &Placements) -> Stored {
     Stored {
-        key: submission_key(id),
+        key: format_compact!("{id}.r"),
+        value: encode(placements),
+    }
+}
+
+/// The records that drop what only a job at work needs, once its end is stored
+/// and nothing of it runs any more.
+pub fn work_dropped(id: JobId) -> Vec<Stored> {
+    vec![without_value(id, ""), without_value(id, ".r")]
+}
+
+fn without_value(id: JobId, suffix: &str) -> Stored {
+    Stored {
+        key: format_compact!("{id}{suffix}"),
         value: Vec::new(),
     }
 }
@@ -145,13 +182,18 @@
     }
 }
 
+/// The record of the VMs on which something may run.
+pub fn fleet(ids: &[CompactString]) -> Stored {
+    Stored {
+        key: CompactString::const_new(FLEET_KEY),
+        value: encode(&ids),
+    }
+}
+
 /// The records that drop what is stored of a job.
 pub fn dropped(id: JobId) -> Vec<Stored> {
-    let key = |suffix: &str| Stored {
-        key: format_compact!("{id}{suffix}"),
-        value: Vec::new(),
-    };
-    vec![key(".p"), key(".c"), key("")]
+    let all = [".p", ".c", ".r", ""];
+    all.iter().map(|s| without_value(id, s)).collect()
 }
 
 /// Reads a stored record; `None` when it is not one of ours.
@@ -160,6 +202,9 @@
         let token = decode(&stored.value)?;
         return Some(Entry::Held { token });
     }
+    if stored.key == FLEET_KEY {
+        return Some(Entry::Fleet(decode(&stored.value)?));
+    }
     let (id, suffix) = stored.key.split_at_checked(16)?;
     let id = parse_job_id(id)?;
     if stored.value.is_empty() {
@@ -169,6 +214,7 @@
         "" => Some(Entry::Submitted(id, Box::new(decode(&stored.value)?))),
         ".c" => Some(Entry::Cancelled(id)),
         ".p" => Some(Entry::Progressed(id, decode(&stored.value)?)),
+        ".r" => Some(Entry::Placed(id, decode(&stored.value)?)),
         _ => None,
     }
 }
--- a/crates/monsoonnotch_jobs/src/vm/mod.rs
+++ b/crates/monsoonnotch_jobs/src/vm/mod.rs
@@ -6,7 +6,7 @@
 use crate::plan::TaskId;
 
 /// A VM's entry in the list of VMs.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Report {
     /// Its id.
     pub id: CompactString,
--- a/crates/monsoonnotch_jobs/tests/promises/directed.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/directed.rs
@@ -29,9 +29,29 @@
     Time(ms * 1_000)
 }
 
+/// Hands in an event; what is to be stored is stored at once.
 fn tell(holder: &mut Holder, ms: u64, event: Event) -> Vec<Effect> {
     holder.handle(event, at(ms), EPOCH + ms);
-    holder.decide(at(ms), EPOCH + ms)
+    decide(holder, ms)
+}
+
+/// Lets time pass in steps of ten milliseconds.
+fn wait(holder: &mut Holder, ms: std::ops::Range<u64>) -> Vec<Effect> {
+    ms.step_by(10).flat_map(|ms| decide(holder, ms)).collect()
+}
+
+fn decide(holder: &mut Holder, ms: u64) -> Vec<Effect> {
+    let mut fx = holder.decide(at(ms), EPOCH + ms);
+    if stores(&fx) {
+        let stored = Event::Appended { stored: true };
+        holder.handle(stored, at(ms), EPOCH + ms);
+        fx.extend(holder.decide(at(ms), EPOCH + ms));
+    }
+    fx
+}
+
+fn stores(fx: &[Effect]) -> bool {
+    fx.iter().any(|e| matches!(e, Effect::Append(_)))
 }
 
 fn looks(fx: &[Effect]) -> Vec<LookKey> {
@@ -61,7 +81,7 @@
 /// A holder of so many VMs that have answered, and the looks that wait there.
 fn holder_of(vms: u64) -> (Holder, Vec<LookKey>) {
     let tuning = Tuning::default();
-    let mut holder = Holder::new(1, tuning, Arc::new(site(0, false)), at(0), at(0));
+    let mut holder = Holder::new(1, tuning, Arc::new(site(0, false)), at(0));
     tell(&mut holder, 0, Event::AllVms(fleet(vms, 8_000)));
     let fx = tell(&mut holder, 1, Event::CaughtUp { marker: 0 });
     let mut waiting = Vec::new();
@@ -70,11 +90,17 @@
         let fx = tell(&mut holder, 2, Event::Looked { key, answer });
         waiting.extend(looks(&fx));
     }
+    wait(&mut holder, 3..60);
     (holder, waiting)
 }
 
 /// The record of a job of one task.
 fn one_task() -> Stored {
+    job_of(1)
+}
+
+/// The record of a job of so many tasks.
+fn job_of(count: u32) -> Stored {
     let submission = journal::Submission {
         queue: "quick".into(),
         account: "ann".into(),
@@ -82,7 +108,7 @@
         taken_ms: EPOCH,
         plan: monsoonnotch_jobs::plan::Plan {
             steps: vec![Step {
-                count: 1,
+                count,
                 need: cpu(500),
                 estimate_ms: 100,
                 ..Step::default()
@@ -95,7 +121,7 @@
 
 /// Hands in a job of one task and returns the run that is started for it.
 fn start_one(holder: &mut Holder) -> (RunKey, TaskId) {
-    let fx = tell(holder, 10, Event::Journal(vec![(1, one_task())]));
+    let fx = tell(holder, 100, Event::Journal(vec![(1, one_task())]));
     let started = fx.iter().find_map(|e| match e {
         Effect::Start { run, order, .. } => Some((*run, order.task)),
         _ => None,
@@ -110,10 +136,10 @@
     let (mut holder, waiting) = holder_of(1);
     let (run, task) = start_one(&mut holder);
     let answer = StartAnswer::Running;
-    tell(&mut holder, 12, Event::Started { run, answer });
+    tell(&mut holder, 102, Event::Started { run, answer });
     let wait = Tuning::default().look_wait.as_millis();
     let mut fx = Vec::new();
-    let mut ms = 13;
+    let mut ms = 103;
     while looks(&fx).is_empty() {
         assert!(
             ms < 2 + wait + 300,
@@ -133,8 +159,7 @@
     let key = looks(&fx)[0];
     let answer = Ok(look(vec![end]));
     let fx = tell(&mut holder, ms, Event::Looked { key, answer });
-    let stored = |e: &Effect| matches!(e, Effect::Append(_));
-    assert!(fx.iter().any(stored), "the end of the job is stored");
+    assert!(stores(&fx), "the end of the job is stored");
     let silent = Event::Looked {
         key: waiting[0],
         answer: Err(LookError::Silent),
@@ -149,7 +174,7 @@
 fn a_job_starts_when_its_member_tells_of_it_and_once() {
     let (mut holder, _) = holder_of(1);
     let told = Event::HandedIn(vec![(1, one_task())]);
-    assert_eq!(starts(&tell(&mut holder, 10, told)).len(), 1);
+    assert_eq!(starts(&tell(&mut holder, 100, told)).len(), 1);
     let read = Event::Journal(vec![(1, one_task())]);
     assert_eq!(starts(&tell(&mut holder, 1_010, read)), Vec::new());
 }
@@ -159,25 +184,128 @@
 #[test]
 fn a_job_told_of_before_the_journal_was_read_waits_for_it() {
     let tuning = Tuning::default();
-    let mut holder = Holder::new(2, tuning, Arc::new(site(0, false)), at(9_000), at(0));
+    let mut holder = Holder::new(2, tuning, Arc::new(site(0, false)), at(9_000));
     tell(&mut holder, 0, Event::AllVms(fleet(2, 8_000)));
     let told = Event::HandedIn(vec![(1, one_task())]);
     tell(&mut holder, 1, told);
-    tell(&mut holder, 2, Event::Journal(vec![(1, one_task())]));
+    let ids = ["v000".into(), "v001".into()];
+    let read = vec![(1, one_task()), (1, journal::fleet(&ids))];
+    tell(&mut holder, 2, Event::Journal(read));
     let fx = tell(&mut holder, 3, Event::CaughtUp { marker: 4 });
-    let answered = *looks(&fx).first().expect("each VM is looked at");
+    let key = *looks(&fx).first().expect("each VM is looked at");
     let answer = Ok(look(Vec::new()));
-    let fx = tell(
-        &mut holder,
-        4,
-        Event::Looked {
-            key: answered,
-            answer,
-        },
-    );
+    let fx = tell(&mut holder, 4, Event::Looked { key, answer });
     assert_eq!(starts(&fx), Vec::new(), "one VM has not answered");
 }
 
+/// What a former holder stored of where it sent tasks of job 5.
+fn placed(vm: &str, index: u32) -> Stored {
+    let placed = journal::Placed {
+        vm: vm.into(),
+        runs: vec![(0, 0, index, 1_000)],
+    };
+    journal::placed(JobId(5), &journal::Placements { vms: vec![placed] })
+}
+
+/// A holder after another one, whose leases lapse by 5 s: one task of two was sent
+/// to `v000`.
+fn successor() -> (Holder, Vec<LookKey>) {
+    let tuning = Tuning::default();
+    let mut holder = Holder::new(2, tuning, Arc::new(site(0, false)), at(5_000));
+    tell(&mut holder, 0, Event::AllVms(fleet(2, 8_000)));
+    let ids = ["v000".into(), "v001".into()];
+    let read = vec![
+        (0, job_of(2)),
+        (0, placed("v000", 0)),
+        (0, journal::fleet(&ids)),
+    ];
+    tell(&mut holder, 1, Event::Journal(read));
+    let fx = tell(&mut holder, 2, Event::CaughtUp { marker: 4 });
+    (holder, looks(&fx))
+}
+
+/// Places that the records of an append say, as VM and index.
+fn places(fx: &[Effect]) -> Vec<(String, u32)> {
+    let records = fx.iter().flat_map(|e| match e {
+        Effect::Append(records) => records.clone(),
+        _ => Vec::new(),
+    });
+    let placements = records.filter_map(|r| match journal::read(&r) {
+        Some(journal::Entry::Placed(_, p)) => Some(p),
+        _ => None,
+    });
+    let vms = placements.flat_map(|p| p.vms);
+    let runs = vms.flat_map(|v| v.runs.into_iter().map(move |r| (v.vm.to_string(), r.2)));
+    runs.collect()
+}
+
+/// The former holder sent one task to a VM, which shows that it does not run there.
+/// It is sent again at once, though another VM is silent; the other task may have been
+/// started there just before the end.
+#[test]
+fn a_task_with_a_stored_place_waits_for_its_vm_alone() {
+    let (mut holder, asked) = successor();
+    let v000 = asked[0];
+    let answer = Ok(look(Vec::new()));
+    holder.handle(Event::Looked { key: v000, answer }, at(30), EPOCH + 30);
+    let fx = holder.decide(at(30), EPOCH + 30);
+    assert_eq!(places(&fx), vec![("v000".to_owned(), 0)]);
+    assert_eq!(starts(&fx), Vec::new(), "its new place is not stored");
+    let fx = tell(&mut holder, 35, Event::Appended { stored: true });
+    assert_eq!(starts(&fx).len(), 1);
+    let fx = wait(&mut holder, 40..5_000);
+    assert_eq!(starts(&fx), Vec::new(), "the other task is in doubt");
+    let fx = wait(&mut holder, 5_000..5_300);
+    assert_eq!(starts(&fx).len(), 1, "every lease has lapsed");
+}
+
+/// The list lacks a VM that the former holder had: what has no stored place may run there.
+#[test]
+fn a_vm_that_the_list_lacks_keeps_tasks_in_doubt() {
+    let tuning = Tuning::default();
+    let mut holder = Holder::new(2, tuning, Arc::new(site(0, false)), at(5_000));
+    tell(&mut holder, 0, Event::AllVms(fleet(1, 8_000)));
+    let ids = ["v000".into(), "v001".into()];
+    let read = vec![(0, one_task()), (0, journal::fleet(&ids))];
+    tell(&mut holder, 1, Event::Journal(read));
+    let fx = tell(&mut holder, 2, Event::CaughtUp { marker: 4 });
+    let answer = Ok(look(Vec::new()));
+    let key = looks(&fx)[0];
+    let fx = tell(&mut holder, 4, Event::Looked { key, answer });
+    assert_eq!(starts(&fx), Vec::new(), "v001 has not answered");
+    let listed = Event::Vms(vec![("v001".into(), fleet(2, 8_000).pop())]);
+    let mut fx = tell(&mut holder, 600, listed);
+    fx.extend(wait(&mut holder, 610..700));
+    let v001 = looks(&fx).into_iter().find(|k| k.vm != key.vm);
+    let key = v001.expect("the VM that came back is looked at");
+    let answer = Ok(look(Vec::new()));
+    let fx = tell(&mut holder, 702, Event::Looked { key, answer });
+    assert_eq!(starts(&fx).len(), 1, "all have answered");
+}
+
+/// A VM that has left the list may still run what the former holder sent there.
+#[test]
+fn a_place_on_an_unlisted_vm_waits_for_its_lease() {
+    let tuning = Tuning::default();
+    let mut holder = Holder::new(2, tuning, Arc::new(site(0, false)), at(5_000));
+    tell(&mut holder, 0, Event::AllVms(fleet(1, 8_000)));
+    let ids = ["v000".into(), "v777".into()];
+    let read = vec![
+        (0, one_task()),
+        (0, placed("v777", 0)),
+        (0, journal::fleet(&ids)),
+    ];
+    tell(&mut holder, 1, Event::Journal(read));
+    let fx = tell(&mut holder, 2, Event::CaughtUp { marker: 4 });
+    let answer = Ok(look(Vec::new()));
+    let key = looks(&fx)[0];
+    let mut fx = tell(&mut holder, 4, Event::Looked { key, answer });
+    fx.extend(wait(&mut holder, 10..5_000));
+    assert_eq!(places(&fx), Vec::new(), "its lease may hold");
+    let fx = wait(&mut holder, 5_000..5_300);
+    assert_eq!(places(&fx), vec![("v000".to_owned(), 0)]);
+}
+
 /// A start is answered by nobody, though its run ends well; the same start goes
 /// out again and is refused as old before any look shows the end.
 #[test]
@@ -185,11 +313,11 @@
     let (mut holder, _) = holder_of(2);
     let (run, task) = start_one(&mut holder);
     let answer = StartAnswer::Unknown;
-    let fx = tell(&mut holder, 130, Event::Started { run, answer });
+    let fx = tell(&mut holder, 230, Event::Started { run, answer });
     assert_eq!(starts(&fx), vec![run], "the same start goes out again");
     let answer = StartAnswer::Old;
-    let mut fx = tell(&mut holder, 132, Event::Started { run, answer });
-    for ms in 133..300 {
+    let mut fx = tell(&mut holder, 232, Event::Started { run, answer });
+    for ms in 233..400 {
         assert_eq!(starts(&fx), Vec::new(), "started elsewhere at {ms} ms");
         fx.extend(holder.decide(at(ms), EPOCH + ms));
     }
@@ -202,8 +330,7 @@
     };
     let key = *looks(&fx).last().expect("a look is to tell");
     let answer = Ok(look(vec![end]));
-    let fx = tell(&mut holder, 301, Event::Looked { key, answer });
+    let fx = tell(&mut holder, 401, Event::Looked { key, answer });
     assert_eq!(starts(&fx), Vec::new(), "its end was good");
-    let stored = |e: &Effect| matches!(e, Effect::Append(_));
-    assert!(fx.iter().any(stored), "the end of the job is stored");
+    assert!(stores(&fx), "the end of the job is stored");
 }
--- a/crates/monsoonnotch_jobs/tests/promises/patterns.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/patterns.rs
@@ -55,6 +55,67 @@
     assert_eq!(running.filter(|t| of_job(t)).count(), 20, "tasks at work");
 }
 
+/// One account sends seven times its usual, more than its limit holds, quick work and
+/// bundles alike; another sends its usual.
+#[test]
+fn one_account_at_seven_times_its_usual() {
+    let mut world = World::new(
+        11,
+        site(3_000_000, true),
+        fleet(350, 64_000),
+        Faults::default(),
+    );
+    world.claim();
+    run(&mut world, 100);
+    let quick = || vec![step(10, 9_000, 600)];
+    let bundle = || vec![step(20, 18_000, 3_800)];
+    let mut sent: Vec<(u64, &str, u64)> = Vec::new();
+    let mut id = 1;
+    let begun = world.now;
+    while world.now < begun + 6_000 {
+        run(&mut world, 20);
+        let n = (world.now - begun) / 20;
+        let due = [
+            (n.is_multiple_of(5), "bob", "quick"),
+            (n.is_multiple_of(100), "bob", "bulk"),
+            (true, "ann", "quick"),
+            (n.is_multiple_of(15), "ann", "bulk"),
+        ];
+        for (_, account, queue) in due.into_iter().filter(|d| d.0) {
+            let steps = if queue == "quick" { quick() } else { bundle() };
+            let job = submission(&world, queue, account, steps);
+            world.submit(JobId(id), job);
+            if queue == "quick" {
+                sent.push((id, account, world.now));
+            }
+            id += 1;
+        }
+        world.see_ends();
+    }
+    for _ in 0..300 {
+        run(&mut world, 20);
+        world.see_ends();
+    }
+    // 2 x 600 ms and 500 ms more is the objective of these jobs.
+    let in_time = |account: &str| {
+        let own: Vec<_> = sent.iter().filter(|s| s.1 == account).collect();
+        let good = own
+            .iter()
+            .filter(|s| world.ended_by(JobId(s.0), s.2 + 1_700));
+        (good.count(), own.len())
+    };
+    let (bob, of_bob) = in_time("bob");
+    assert!(
+        bob * 100 >= of_bob * 97,
+        "{bob} of {of_bob} of the other account"
+    );
+    let (ann, of_ann) = in_time("ann");
+    assert!(
+        ann * 100 >= of_ann * 80,
+        "{ann} of {of_ann} of the loud account"
+    );
+}
+
 /// A job that has ended leaves little behind: the next holder reads its end and
 /// the jobs at work, and neither plans nor specs of what is over.
 #[test]
--- a/crates/monsoonnotch_jobs/tests/promises/random.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/random.rs
@@ -148,6 +148,11 @@
                 }
                 _ => {}
             }
+            if world.rng.random_bool(0.4) {
+                let id = format!("v{:03}", world.rng.random_range(0..10));
+                let ms = world.rng.random_range(100..6_000);
+                world.blind(&id, ms);
+            }
             world.claim();
         }
         if world.rng.random_bool(0.0004) {
--- a/crates/monsoonnotch_jobs/tests/promises/world.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/world.rs
@@ -90,7 +90,12 @@
     done: BTreeSet<TaskId>,
     /// Whether the store answers.
     pub(crate) store: bool,
+    /// VMs that the newest member does not reach, and until when.
+    blind: BTreeMap<String, u64>,
     pub(crate) starts: u64,
+    /// Jobs that were seen to have ended, and the records read for it.
+    ends: BTreeMap<JobId, u64>,
+    seen_to: usize,
     tuning: Tuning,
 }
 
@@ -111,7 +116,10 @@
             cancelled: BTreeSet::new(),
             done: BTreeSet::new(),
             store: true,
+            blind: BTreeMap::new(),
             starts: 0,
+            ends: BTreeMap::new(),
+            seen_to: 0,
             tuning: Tuning::default(),
         }
     }
@@ -133,7 +141,7 @@
         let now = Time(self.now * 1_000);
         let settle_at = now + Duration::from_millis(settle);
         let site = Arc::clone(&self.site);
-        let mut holder = Holder::new(token, self.tuning.clone(), site, settle_at, now);
+        let mut holder = Holder::new(token, self.tuning.clone(), site, settle_at);
         self.log.push(journal::held(token));
         let marker = self.log.len() as u64 - 1;
         let mut newest = BTreeMap::new();
@@ -161,6 +169,17 @@
         });
     }
 
+    /// The newest member does not reach a VM for a while; earlier ones do.
+    pub(crate) fn blind(&mut self, id: &str, ms: u64) {
+        self.blind.insert(id.to_owned(), self.now + ms);
+    }
+
+    fn reaches(&self, m: usize, id: &str) -> bool {
+        let newest = m + 1 == self.members.len();
+        let until = self.blind.get(id).copied().unwrap_or(0);
+        !newest || self.now >= until
+    }
+
     /// The newest holder ends without a word.
     pub(crate) fn kill(&mut self) {
         if let Some(m) = self.members.last_mut() {
@@ -403,7 +422,8 @@
             Msg::Start(m, run, order, way) => self.start(m, run, &order, &way),
             Msg::Stop(m, run, task, attempt, way) => {
                 let token = self.members[m].token;
-                let Some(vm) = self.end_of(&way) else {
+                let reached = self.reaches(m, &way.vm);
+                let Some(vm) = self.end_of(&way).filter(|_| reached) else {
                     let answer = StopAnswer::Unknown;
                     return self.post(400, Msg::Event(m, Event::Stopped { run, answer }));
                 };
@@ -420,7 +440,8 @@
                     answer: Err(LookError::Silent),
                 };
                 let lost = self.rng.random_bool(self.faults.lost);
-                let Some(vm) = self.vms.get_mut(&id).filter(|v| v.up) else {
+                let reached = self.reaches(m, &id);
+                let Some(vm) = self.vms.get_mut(&id).filter(|v| v.up && reached) else {
                     return self.post(700, Msg::Event(m, silent));
                 };
                 if let Err(e) = vm.hold(token, seen, until) {
@@ -470,7 +491,8 @@
             alone_ms: step.gang.then_some(now + GANG_MS),
             how: if fails { How::Failed } else { How::Done },
         };
-        let Some(vm) = self.end_of(way) else {
+        let reached = self.reaches(m, &way.vm);
+        let Some(vm) = self.end_of(way).filter(|_| reached) else {
             let answer = StartAnswer::Unknown;
             return self.post(400, Msg::Event(m, Event::Started { run, answer }));
         };
@@ -581,6 +603,24 @@
         (newest.len(), newest.values().sum())
     }
 
+    /// Notes which jobs have an outcome by now.
+    pub(crate) fn see_ends(&mut self) {
+        for (at, stored) in self.log.iter().enumerate().skip(self.seen_to) {
+            self.seen_to = at + 1;
+            let Some(journal::Entry::Progressed(id, p)) = journal::read(stored) else {
+                continue;
+            };
+            if p.outcome.is_some() {
+                self.ends.entry(id).or_insert(self.now);
+            }
+        }
+    }
+
+    /// Whether a job was seen to have ended by a time.
+    pub(crate) fn ended_by(&self, id: JobId, ms: u64) -> bool {
+        self.ends.get(&id).is_some_and(|&at| at <= ms)
+    }
+
     /// The stored outcome of a job.
     pub(crate) fn outcome(&self, id: JobId) -> Option<journal::Outcome> {
         let key = format!("{id}.p");
--- a/crates/monsoonnotch_member/src/control/mod.rs
+++ b/crates/monsoonnotch_member/src/control/mod.rs
@@ -34,8 +34,6 @@
         site: Arc<Published>,
         /// How long leases of a former holder may last.
         settle: Duration,
-        /// How long the list of VMs may lack some.
-        list_doubt: Duration,
     },
     /// Something happened to the holder of that token.
     Event(u64, Event),
@@ -153,14 +151,13 @@
                 token,
                 site,
                 settle,
-                list_doubt,
             } => {
                 let at = |d: Duration| {
                     let micros = u64::try_from(d.as_micros()).unwrap_or(u64::MAX);
                     Time(self.clock.now().0.saturating_add(micros))
                 };
                 let tuning = self.tuning.clone();
-                let holder = Holder::new(token, tuning, site, at(settle), at(list_doubt));
+                let holder = Holder::new(token, tuning, site, at(settle));
                 self.holder = Some(holder);
                 self.doubt = false;
                 self.kept.clear();
--- a/crates/monsoonnotch_member/src/cx/mod.rs
+++ b/crates/monsoonnotch_member/src/cx/mod.rs
@@ -55,7 +55,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct StoreHealth {
     failing_since: Option<Instant>,
-    last_failure: Option<Instant>,
+    last_answer: Option<Instant>,
     /// Until when the store is taken to be slow.
     slow_until: Option<Instant>,
 }
@@ -142,9 +142,9 @@
         let was = health.failing_since;
         if ok {
             health.failing_since = None;
+            health.last_answer = Some(Instant::now());
         } else {
             health.failing_since.get_or_insert_with(Instant::now);
-            health.last_failure = Some(Instant::now());
         }
         drop(health);
         match (was, ok) {
@@ -163,6 +163,12 @@
         since.map_or(Duration::ZERO, |s| s.elapsed())
     }
 
+    /// Whether the store answered within a time.
+    pub(crate) fn store_answered_within(&self, span: Duration) -> bool {
+        let last = lock(&self.health).last_answer;
+        last.is_some_and(|at| at.elapsed() <= span)
+    }
+
     /// Notes that the store was slow; it is taken to be so for a while.
     pub(crate) fn store_was_slow(&self, span: Duration) {
         let was = lock(&self.health).slow_until.replace(Instant::now() + span);
@@ -186,12 +192,6 @@
         }
     }
 
-    /// Time since the store last failed to answer.
-    pub(crate) fn store_well_for(&self) -> Duration {
-        let last = lock(&self.health).last_failure;
-        last.map_or(Duration::MAX, |l| l.elapsed())
-    }
-
     /// Sends a frame to the link of a guest; false when there is none.
     pub(crate) fn to_guest(&self, lane: LaneKey, frame: Frame) -> bool {
         let guests = lock(&self.guests);
--- a/crates/monsoonnotch_member/src/links/host.rs
+++ b/crates/monsoonnotch_member/src/links/host.rs
@@ -38,6 +38,9 @@
 /// Silence of a guest, in heartbeats, after which its link is closed.
 const SILENT_BEATS: u32 = 8;
 
+/// Time since the store's last answer in which no other member can have taken over:
+/// less than the silence that makes another claim.
+const SURE_FOR: Duration = Duration::from_millis(400);
 /// Pause between two tellings of other members' addresses to a guest.
 const PEERS_EVERY: Duration = Duration::from_secs(2);
 /// Addresses told at once: enough that the store answers one of them.
@@ -219,11 +222,14 @@
             let key = AskKey(ask);
             cx.control.event(token, Event::Approved { key, allowed });
         }
-        Frame::HandedIn { offset, key, value } => {
+        // A holder that is cut off from the store may have a successor by now, which
+        // finds the record in the journal.
+        Frame::HandedIn { offset, key, value } if cx.store_answered_within(SURE_FOR) => {
             let value = value.into_vec();
             let records = vec![(offset, Stored { key, value })];
             cx.control.event(token, Event::HandedIn(records));
         }
+        Frame::HandedIn { .. } => {}
         Frame::Store { seq, key, value } => {
             let cx = Arc::clone(cx);
             let value = value.into_vec();
--- a/crates/monsoonnotch_member/src/term/mod.rs
+++ b/crates/monsoonnotch_member/src/term/mod.rs
@@ -40,9 +40,6 @@
 const LIST_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(100);
-/// Time after an outage of the store by which VMs that live are listed again,
-/// from the platform's page, and some.
-const RELISTED: Duration = Duration::from_millis(2_300);
 /// Way of orders that a former holder sent just before it was fenced.
 const SETTLE_SLACK: Duration = Duration::from_millis(400);
 /// How many times the cores of the holder a member must have to be handed the jobs.
@@ -193,7 +190,6 @@
         token,
         site,
         settle: lease.mul_f64(1.03) + SETTLE_SLACK,
-        list_doubt: RELISTED.saturating_sub(cx.store_well_for()),
     });
     let event = |event| cx.control.event(token, event);
     event(Event::AllVms(reports(&vms)));
--- a/crates/monsoonnotch_member/src/term/writer.rs
+++ b/crates/monsoonnotch_member/src/term/writer.rs
@@ -1,8 +1,8 @@
 //! Appends under the token, in order, each repeated until its fate is known.
 
 use std::time::Duration;
+use std::time::Instant;
 
-use monsoonnotch_adapter::store::APPEND_TIMES;
 use monsoonnotch_adapter::store::Error;
 use monsoonnotch_adapter::store::Fence;
 use monsoonnotch_jobs::event::Event;
@@ -17,17 +17,26 @@
 const WRITER: &str = "holder";
 /// Pause before an append that was refused goes again.
 const PAUSE: Duration = Duration::from_millis(60);
+/// Times allowed for an append: starts wait for it, and a repeat counts once, so the
+/// first is short; an append takes 5 ms, that of a store 70 times slower 350.
+const TIMES: [Duration; 4] = [
+    Duration::from_millis(80),
+    Duration::from_millis(250),
+    Duration::from_millis(700),
+    Duration::from_millis(1_400),
+];
 
 /// Ends the former holder's writing; returns the offset of the record that did.
 pub(super) async fn fence(cx: &Cx, token: u64) -> Option<u64> {
-    append(cx, token, 0, &[journal::held(token)]).await
+    append(cx, token, 0, &[journal::held(token)], &mut 1).await
 }
 
 /// Appends what the reducer wants stored, until the term ends.
 pub(super) async fn run(cx: &Cx, token: u64, mut rx: mpsc::UnboundedReceiver<Vec<Stored>>) {
     let mut seq = 1;
+    let mut level = 0;
     while let Some(records) = rx.recv().await {
-        if append(cx, token, seq, &records).await.is_none() {
+        if append(cx, token, seq, &records, &mut level).await.is_none() {
             return;
         }
         seq += 1;
@@ -36,15 +45,24 @@
 }
 
 /// Appends until it is stored; `None` when another member writes by now.
-async fn append(cx: &Cx, token: u64, seq: u64, records: &[Stored]) -> Option<u64> {
+///
+/// `level` is the place in [`TIMES`] that the store needs: it rises with each
+/// timeout and falls when an append was quick.
+async fn append(
+    cx: &Cx,
+    token: u64,
+    seq: u64,
+    records: &[Stored],
+    level: &mut usize,
+) -> Option<u64> {
     let fence = Fence {
         writer: WRITER,
         token,
         seq,
     };
-    let mut times = APPEND_TIMES.iter().copied().cycle();
     loop {
-        let timeout = times.next().unwrap_or(APPEND_TIMES[0]);
+        let timeout = TIMES[*level];
+        let began = Instant::now();
         let appended = cx
             .store
             .append(JOURNAL, records, Some(fence), None, timeout)
@@ -52,6 +70,9 @@
         match appended {
             Ok(offset) => {
                 cx.store_answered(true);
+                if began.elapsed() < TIMES[0] {
+                    *level = 0;
+                }
                 return Some(offset);
             }
             // A repeat of an append whose answer was lost long ago.
@@ -60,6 +81,10 @@
                 log::warn!(event = "append fenced", token = token, seq = seq, error = format!("{e:?}"); "another member writes the journal");
                 return None;
             }
+            Err(Error::Unknown) if began.elapsed() >= timeout => {
+                cx.store_answered(false);
+                *level = (*level + 1).min(TIMES.len() - 1);
+            }
             Err(_) => {
                 cx.store_answered(false);
                 tokio::time::sleep(PAUSE).await;
