The stored fleet holds sound VMs only

The change: a VM that leaves, is silent or is not listed goes out of the stored fleet with the places there, since a holder starts nothing new on it; a VM is used once the fleet with it is stored.

--- a/crates/monsoonnotch_jobs/src/holder/flush.rs
+++ b/crates/monsoonnotch_jobs/src/holder/flush.rs
@@ -28,7 +28,7 @@
     planned: BTreeMap<JobKey, Vec<RunKey>>,
     batch: Option<Batch>,
     next_at: Time,
-    /// The VMs on which something may run, as stored.
+    /// The fleet, as stored.
     fleet: Vec<CompactString>,
     next_fleet: Time,
 }
@@ -39,7 +39,7 @@
     jobs: Vec<(JobKey, JobId, Progress)>,
     planned: BTreeMap<JobKey, Vec<RunKey>>,
     ends: Vec<(VmKey, u64, u64)>,
-    /// The VMs on which something may run, if they are stored anew.
+    /// The fleet, if it is stored anew.
     fleet: Option<Vec<CompactString>>,
     sent: Time,
 }
@@ -76,13 +76,12 @@
             Some((vm, row.report.born_ms, row.ends_seen))
         };
         let ends: Vec<(VmKey, u64, u64)> = ends.into_iter().filter_map(seen).collect();
-        let fleet = self.changed_fleet();
+        let mut fleet = self.changed_fleet();
         let idle = self.flush.dirty.is_empty() && self.flush.planned.is_empty();
         if idle && self.flush.dropped.is_empty() && fleet.is_none() {
             return self.note_ends(&ends);
         }
         let mut records = std::mem::take(&mut self.flush.dropped);
-        records.extend(fleet.as_deref().map(journal::fleet));
         let mut jobs = Vec::new();
         let mut size = 0;
         let mut planned = BTreeMap::new();
@@ -97,6 +96,12 @@
             records.push(record);
             planned.insert(key, runs);
         }
+        // A VM may leave the fleet only once all places there are stored.
+        fleet = fleet.filter(|_| self.flush.planned.is_empty());
+        if let Some(fleet) = &fleet {
+            self.expel_others(fleet);
+            records.push(journal::fleet(fleet));
+        }
         while size < APPEND_MAX
             && let Some(key) = self.flush.dirty.pop_first()
         {
@@ -132,7 +137,7 @@
         self.fx.push(Effect::Append(records));
     }
 
-    /// The VMs on which something may run, where they are not what is stored.
+    /// The fleet, where it is not what is stored.
     fn changed_fleet(&mut self) -> Option<Vec<CompactString>> {
         if self.now < self.flush.next_fleet {
             return None;
@@ -143,7 +148,6 @@
             return None;
         }
         self.flush.next_fleet = self.now + FLEET_PAUSE;
-        self.expel_others(&fleet);
         Some(fleet)
     }
 
--- a/crates/monsoonnotch_jobs/src/holder/former.rs
+++ b/crates/monsoonnotch_jobs/src/holder/former.rs
@@ -49,7 +49,7 @@
         }
     }
 
-    /// Takes in on which VMs a former holder may have started something.
+    /// Takes in on which VMs a former holder may have started what is not stored.
     pub(super) fn fleet_before(&mut self, ids: &[CompactString]) {
         if self.marker.is_some() {
             return;
@@ -93,20 +93,16 @@
         unseen
     }
 
-    /// VMs on which something may run: those that run something or hold a lease, as
-    /// far as this holder or the former one knows.
+    /// VMs on which a first place may not be stored yet: those that this holder may
+    /// use, and those of the former one that have not answered.
     pub(super) fn fleet(&self) -> Vec<CompactString> {
-        let drift = self.tuning.drift_milli;
-        let leased = |vm: &vms::Vm| vm.clock.is_some() && self.now <= vm.lapsed_at(drift);
         let unseen = |vm: &vms::Vm| vm.former && !vm.answered && self.now < self.settle_at;
-        let may_run = |vm: &&vms::Vm| leased(vm) || unseen(vm) || !vm.runs.is_empty();
         let rows = self.vms.iter().map(|(_, vm)| vm);
-        rows.filter(may_run)
-            .map(|vm| vm.report.id.clone())
-            .collect()
+        let used = rows.filter(|vm| vm.is_sound() || unseen(vm));
+        used.map(|vm| vm.report.id.clone()).collect()
     }
 
-    /// The VMs on which something may run are stored: those can be used.
+    /// The fleet is stored: its VMs can be used.
     pub(super) fn enroll(&mut self, ids: &[CompactString]) {
         for id in ids {
             if let Some(vm) = self.vm_ids.get(id).and_then(|&k| self.vms.get_mut(k)) {
@@ -116,8 +112,8 @@
         self.changed = true;
     }
 
-    /// The VMs on which something may run are about to be stored: no others are used
-    /// from now on, as a successor would not wait for them.
+    /// A fleet is about to be stored: no other VMs are used from now on, as a successor
+    /// would not wait for them.
     pub(super) fn expel_others(&mut self, ids: &[CompactString]) {
         let kept: BTreeSet<VmKey> = ids
             .iter()
--- a/crates/monsoonnotch_jobs/src/holder/vms.rs
+++ b/crates/monsoonnotch_jobs/src/holder/vms.rs
@@ -22,9 +22,9 @@
     pub(super) listed: bool,
     /// Whether it answered a look in this holder's term.
     pub(super) answered: bool,
-    /// Whether a former holder may have started something there.
+    /// Whether a former holder may have started there what is not stored.
     pub(super) former: bool,
-    /// Whether it is stored that something may run there.
+    /// Whether it is in the stored fleet.
     pub(super) enrolled: bool,
     /// Room taken by runs.
     pub(super) used: Resources,
@@ -139,16 +139,19 @@
             .minus(&self.strays.room)
     }
 
-    /// Whether something new may be started there.
-    pub(super) fn usable(&self, now: Time) -> bool {
+    /// Whether it is there and stays.
+    pub(super) fn is_sound(&self) -> bool {
         self.listed
             && self.answered
-            && self.enrolled
             && !self.report.draining
             && self.looks.silent == 0
-            && now >= self.health.aside_until
             && self.clock.is_some()
     }
+
+    /// Whether something new may be started there.
+    pub(super) fn usable(&self, now: Time) -> bool {
+        self.is_sound() && self.enrolled && now >= self.health.aside_until
+    }
 }
 
 impl Holder {
--- a/crates/monsoonnotch_jobs/src/journal/mod.rs
+++ b/crates/monsoonnotch_jobs/src/journal/mod.rs
@@ -99,7 +99,7 @@
     pub runs: Vec<(u32, u16, u32, u64)>,
 }
 
-/// Key of the record of VMs on which something may run.
+/// Key of the record of the fleet: VMs on which a task may run without a stored place.
 pub const FLEET_KEY: &str = "fleet";
 
 /// What a stored record says.
@@ -113,7 +113,7 @@
     Progressed(JobId, Progress),
     /// Where tasks of a job were sent.
     Placed(JobId, Placements),
-    /// Ids of the VMs on which something may run.
+    /// Ids of the VMs on which a task may run without a stored place.
     Fleet(Vec<CompactString>),
     /// A new holder writes from here on.
     Held {
@@ -182,7 +182,7 @@
     }
 }
 
-/// The record of the VMs on which something may run.
+/// The record of the fleet.
 pub fn fleet(ids: &[CompactString]) -> Stored {
     Stored {
         key: CompactString::const_new(FLEET_KEY),
