A job that nobody can store is refused at once, and relays keep to the caller's time

A member that the store does not answer gives the job to the holder and waited up to 2 s for it, longer than callers on their second try wait, also when the holder had no store either. Ruled out: the store's return; what is refused comes again and is served. The change: heartbeats of the holder say whether the store answers it; if it answers neither, the call is refused at once. The holder is told how long the member waits for a record's fate. A test of members in a caller's time fails on the tree before and passes.

--- a/crates/monsoonnotch_member/src/calls/submit.rs
+++ b/crates/monsoonnotch_member/src/calls/submit.rs
@@ -6,6 +6,7 @@
 //! the store refuses has the holder store for it.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -48,6 +49,8 @@
 const BATCH_BYTES: usize = 1 << 20;
 /// Longest wait for the holder to store a record: a little beyond what it takes.
 const RELAY_MAX: Duration = Duration::from_millis(2_000);
+/// Part of that wait which the way to the holder and back takes, at most.
+const RELAY_WAY: Duration = Duration::from_millis(60);
 /// How long a member leaves appends to the holder once the store was slow. A slow
 /// store takes 14 appends a second from all members together, so each of some
 /// forty may try one of its own only every few seconds.
@@ -102,6 +105,10 @@
 
 /// Stores a record here, or through the holder; the reply says whether it may have been.
 pub(super) async fn store(cx: &Arc<Cx>, record: Stored, until: Instant) -> Reply {
+    // Nobody can store it now, and the caller can come again.
+    if is_dark(cx) && !cx.host_has_store.load(Ordering::Relaxed) {
+        return Reply::NotRun { retry_s: RETRY_S };
+    }
     let stored = match is_dark(cx) || cx.store_is_slow() {
         true => Reply::NotRun { retry_s: RETRY_S },
         false => store_here(cx, record.clone(), until).await,
@@ -109,7 +116,7 @@
     match stored {
         // The store may refuse this member alone, or be slow: one append of the
         // holder then carries what many members would bring to a halt.
-        Reply::NotRun { .. } => match relay(cx, record.clone()).await {
+        Reply::NotRun { .. } => match relay(cx, record.clone(), until).await {
             Some(stored) => stored,
             None if cx.store_is_slow() && !is_dark(cx) => store_here(cx, record, until).await,
             None => stored,
@@ -140,10 +147,14 @@
 }
 
 /// Has the holder store a record; `None` when there is none to ask.
-async fn relay(cx: &Arc<Cx>, record: Stored) -> Option<Reply> {
+async fn relay(cx: &Arc<Cx>, record: Stored, until: Instant) -> Option<Reply> {
+    let within = until
+        .saturating_duration_since(Instant::now())
+        .min(RELAY_MAX);
     let (seq, rx) = cx.fates.ask();
     let frame = Frame::Store {
         seq,
+        within_ms: within.saturating_sub(RELAY_WAY).as_millis() as u64,
         key: record.key,
         value: ByteBuf::from(record.value),
     };
@@ -151,7 +162,7 @@
         .as_ref()
         .is_some_and(|tx| tx.try_send(frame).is_ok());
     let fate = match sent {
-        true => tokio::time::timeout(RELAY_MAX, rx).await,
+        true => tokio::time::timeout(within, rx).await,
         false => {
             cx.fates.forget(seq);
             return None;
@@ -247,7 +258,7 @@
 fn hand_on(cx: &Arc<Cx>, pending: Pending) {
     let cx = Arc::clone(cx);
     tokio::spawn(async move {
-        let reply = match relay(&cx, pending.record.clone()).await {
+        let reply = match relay(&cx, pending.record.clone(), pending.until).await {
             Some(Reply::Stored) => Reply::Stored,
             _ if pending.may_have_run => Reply::MayHaveRun,
             Some(reply) => reply,
--- a/crates/monsoonnotch_member/src/cx/mod.rs
+++ b/crates/monsoonnotch_member/src/cx/mod.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -80,6 +81,8 @@
     pub(crate) guests: Mutex<BTreeMap<u64, mpsc::Sender<Frame>>>,
     /// The link to the holder, while another member is.
     pub(crate) host: Mutex<Option<mpsc::Sender<Frame>>>,
+    /// Whether the store answers the holder, as it last said.
+    pub(crate) host_has_store: AtomicBool,
     /// Where some other members can be reached, as holders have told.
     pub(crate) peers: Mutex<BTreeSet<CompactString>>,
     /// Where records go that callers hand in.
@@ -116,6 +119,7 @@
             config_bytes: Mutex::default(),
             guests: Mutex::default(),
             host: Mutex::default(),
+            host_has_store: AtomicBool::new(true),
             peers: Mutex::default(),
             submit,
             queries: Questions::default(),
--- a/crates/monsoonnotch_member/src/links/guest.rs
+++ b/crates/monsoonnotch_member/src/links/guest.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -225,8 +226,9 @@
 
 fn take(cx: &Arc<Cx>, held: &Held, heard: &Heard, tx: &mpsc::Sender<Frame>, frame: Frame) {
     match frame {
-        Frame::HostBeat { token } if token == held.token => {
+        Frame::HostBeat { token, store } if token == held.token => {
             heard.reset();
+            cx.host_has_store.store(store, Ordering::Relaxed);
             let mut host = lock(&cx.host);
             if host.is_none() {
                 log::info!(event = "holder linked", holder = held.claim.name.as_str(), token = token; "linked to the holder");
--- a/crates/monsoonnotch_member/src/links/host.rs
+++ b/crates/monsoonnotch_member/src/links/host.rs
@@ -162,7 +162,9 @@
             },
             _ = beats.tick() => {
                 let alive = last.elapsed() < beat * SILENT_BEATS;
-                alive && socket.send(message(&Frame::HostBeat { token })).await.is_ok()
+                let store = cx.store_lost_for().is_zero();
+                let frame = Frame::HostBeat { token, store };
+                alive && socket.send(message(&frame)).await.is_ok()
             }
             msg = socket.next() => {
                 last = Instant::now();
@@ -230,10 +232,19 @@
             cx.control.event(token, Event::HandedIn(records));
         }
         Frame::HandedIn { .. } => {}
-        Frame::Store { seq, key, value } => {
+        Frame::Store {
+            seq,
+            within_ms,
+            key,
+            value,
+        } => {
             let cx = Arc::clone(cx);
-            let value = value.into_vec();
-            tokio::spawn(async move { store_for(&cx, link, seq, Stored { key, value }).await });
+            let record = Stored {
+                key,
+                value: value.into_vec(),
+            };
+            let within = Duration::from_millis(within_ms).min(STORE_FOR);
+            tokio::spawn(async move { store_for(&cx, link, seq, record, within).await });
         }
         _ => {
             log::warn!(event = "odd frame", link = link; "a member sent a frame that is not for a holder")
@@ -242,8 +253,8 @@
 }
 
 /// Stores a record for a guest whom the store refuses, and tells it what became of it.
-async fn store_for(cx: &Arc<Cx>, link: u64, seq: u64, record: Stored) {
-    let until = tokio::time::Instant::now() + STORE_FOR;
+async fn store_for(cx: &Arc<Cx>, link: u64, seq: u64, record: Stored, within: Duration) {
+    let until = tokio::time::Instant::now() + within;
     let fate = match submit::store_here(cx, record, until).await {
         Reply::Stored => Fate::Stored,
         Reply::NotRun { .. } => Fate::NotStored,
--- a/crates/monsoonnotch_member/src/links/mod.rs
+++ b/crates/monsoonnotch_member/src/links/mod.rs
@@ -49,6 +49,8 @@
     HostBeat {
         /// Its token.
         token: u64,
+        /// Whether the store answers it.
+        store: bool,
     },
     /// A newer claim than the one that the link is under: the store may refuse
     /// the other end, which learns of it in no other way.
@@ -102,6 +104,8 @@
     Store {
         /// Number of the question.
         seq: u64,
+        /// How long the member waits for the record's fate, in milliseconds.
+        within_ms: u64,
         /// The key.
         key: CompactString,
         /// The value.
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -150,6 +150,66 @@
     drop(std::fs::remove_dir_all(dir));
 }
 
+/// The store has gone silent for all. What a caller hands in then is refused at once, so
+/// that it can come again, and not when its patience is over.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_is_refused_at_once_while_the_store_is_silent_for_all() {
+    let (_site, members, dir) = start("silent", 2).await;
+    let addr = members[0].callers;
+    hand_in(addr, "00000000000000f1", &job_body(&[1], 500, 10)).await;
+    for member in &members {
+        member.tap.set(Fault::Silent);
+        member.tap.silence_open();
+    }
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    for member in &members {
+        let began = std::time::Instant::now();
+        let id = format!("{:016x}", 0xf2 + member.callers.port());
+        let (status, _) = send(
+            member.callers,
+            "POST",
+            &id,
+            "key-a",
+            &job_body(&[1], 500, 10),
+        )
+        .await;
+        assert_eq!(status, 503);
+        let took = began.elapsed();
+        assert!(took < Duration::from_millis(300), "refused after {took:?}");
+    }
+    drop(std::fs::remove_dir_all(dir));
+}
+
+/// A member that the store refuses has the holder store a job, just as the holder's
+/// store goes silent. The caller has its answer before its patience is over.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_that_the_holder_is_to_store_is_answered_in_the_callers_time() {
+    let (_site, members, dir) = start("relayed", 2).await;
+    let id = "0000000000000aa1";
+    hand_in(members[0].callers, id, &job_body(&[1], 500, 10)).await;
+    completes(members[0].callers, id).await;
+    let holds = |m: &Member| !m.lines(&["term begins"]).is_empty();
+    let holder = members.iter().position(holds);
+    let holder = holder.expect("one member holds the jobs");
+    let refused = &members[1 - holder];
+    refused.tap.set(Fault::Dark);
+    refused.tap.silence_open();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let id = "0000000000000aa2";
+    hand_in(refused.callers, id, &job_body(&[1], 500, 10)).await;
+    members[holder].tap.set(Fault::Silent);
+    members[holder].tap.silence_open();
+    let headers = [("authorization", "Bearer key-a"), ("x-deadline-ms", "700")];
+    let path = "/jobs/0000000000000aa3";
+    let body = job_body(&[1], 500, 10);
+    let began = std::time::Instant::now();
+    let answer = call(refused.callers, "POST", path, &headers, &body).await;
+    let took = began.elapsed();
+    assert!(answer.is_some(), "no answer");
+    assert!(took < Duration::from_millis(700), "answered after {took:?}");
+    drop(std::fs::remove_dir_all(dir));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_late_job_leads_to_what_blocked_it() {
     let (_site, members, dir) = start("late", 2).await;
