--- /dev/null
+++ b/crates/monsoonnotch_jobs/src/holder/ends.rs
@@ -0,0 +1,187 @@
+//! Ends of runs: what follows for the task, its step and its job, and what is
+//! learnt from them.
+
+use super::*;
+use crate::journal::Outcome;
+use crate::vm::How;
+
+/// Runs to learn slowness from must take at least this long.
+const LEARN_MIN: Duration = Duration::from_millis(50);
+/// Weight of the newest run in a VM's slowness.
+const SLOWNESS_WEIGHT: f64 = 0.3;
+/// Weight of one look at a run at work, of which there are several.
+const PROGRESS_WEIGHT: f64 = 0.15;
+/// Largest slowness learnt from one run.
+const SLOWNESS_MAX: f64 = 8.0;
+
+impl Holder {
+    /// Learns from a run at work how slow its VM is: one that crawls would say so
+    /// by its end only much later.
+    pub(super) fn learn_progress(&mut self, key: StageKey, vm: VmKey, ran: Duration, percent: u64) {
+        let Some(job) = self.jobs.get(key.job) else {
+            return;
+        };
+        let step = job.step(key.step);
+        if step.lasting || step.fills || step.estimate_ms == 0 {
+            return;
+        }
+        let usual = self.learnt.get(&job.queue).map_or(1.0, |l| l.ratio);
+        let done_ms = step.estimate_ms as f64 * usual * percent.max(1) as f64 / 100.0;
+        let seen = (ran.as_millis() as f64 / done_ms.max(1.0)).min(SLOWNESS_MAX);
+        if let Some(vm) = self.vms.get_mut(vm) {
+            vm.health.learn_slowness(seen, PROGRESS_WEIGHT);
+        }
+    }
+
+    pub(super) fn keep_saved(&mut self, key: StageKey, index: u32, saved: CompactString) {
+        let Some(job) = self.jobs.get_mut(key.job) else {
+            return;
+        };
+        let gang = job.step(key.step).gang;
+        let Some(stage) = job.stages.get_mut(&(key.occurrence, key.step)) else {
+            return;
+        };
+        if gang {
+            // One member's progress is good for all, and all must go on from the same.
+            stage.tasks.iter_mut().for_each(|t| t.saved = saved.clone());
+        } else if let Some(task) = stage.tasks.get_mut(index as usize) {
+            task.saved = saved;
+        }
+    }
+
+    /// A task ended well.
+    pub(super) fn task_done(&mut self, key: StageKey, index: u32, vm: VmKey, sent: Option<Time>) {
+        self.judge(vm, true);
+        if let Some(sent) = sent {
+            self.learn_run(key, vm, sent);
+            let took = self.now.since(sent).as_millis();
+            if let Some(stage) = self.stage_mut(key) {
+                stage.slowest_ms = stage.slowest_ms.max(took);
+            }
+        }
+        let Some(job) = self.jobs.get_mut(key.job) else {
+            return;
+        };
+        let (gang, lasting) = (job.step(key.step).gang, job.step(key.step).lasting);
+        if lasting {
+            return self.task_again(key, index, true, How::Done);
+        }
+        let Some(stage) = job.stages.get_mut(&(key.occurrence, key.step)) else {
+            return;
+        };
+        let count = u32::try_from(stage.tasks.len()).unwrap_or(0);
+        let ended: Vec<u32> = if gang {
+            (0..count).collect()
+        } else {
+            vec![index]
+        };
+        let mut others = Vec::new();
+        for i in ended {
+            let task = &mut stage.tasks[i as usize];
+            if !task.done {
+                task.done = true;
+                stage.done += 1;
+                stage.waiting.remove(&i);
+            }
+            // A member of a gang ends with it; another run of a task is not needed.
+            others.extend(task.run.filter(|_| !gang));
+        }
+        self.flush.dirty(key.job);
+        for run in others {
+            self.stop_run(run, "the task is done");
+        }
+        self.line_up(key);
+        if let Some(stage) = self.stage(key).filter(|s| s.whole()) {
+            let note = format!(
+                "step={} occurrence={} ms={} slowest_ms={}",
+                key.step,
+                key.occurrence,
+                self.now.since(stage.ready_at).as_millis(),
+                stage.slowest_ms
+            );
+            let id = self.task_id(key, 0).stage.job.0;
+            self.note(id, "step done", note);
+            self.advance(key.job);
+        }
+    }
+
+    fn learn_run(&mut self, key: StageKey, vm: VmKey, sent: Time) {
+        let took = self.now.since(sent);
+        let Some(job) = self.jobs.get(key.job) else {
+            return;
+        };
+        let step = job.step(key.step);
+        if took < LEARN_MIN || step.estimate_ms == 0 || step.lasting {
+            return;
+        }
+        let queue = job.queue.clone();
+        let ratio = took.as_millis() as f64 / step.estimate_ms as f64;
+        let usual = self.learnt.get(&queue).map_or(1.0, |l| l.ratio);
+        self.learn_time(&queue, ratio);
+        if let Some(vm) = self.vms.get_mut(vm) {
+            let seen = ratio / usual.max(0.05);
+            vm.health
+                .learn_slowness(seen.min(SLOWNESS_MAX), SLOWNESS_WEIGHT);
+        }
+    }
+
+    /// A task failed, by its own fault or its VM's.
+    pub(super) fn task_failed(&mut self, key: StageKey, index: u32, vm: VmKey, attempt: u64) {
+        self.judge(vm, false);
+        let Some(job) = self.jobs.get_mut(key.job) else {
+            return;
+        };
+        let id = job.id.0;
+        let step = job.step(key.step);
+        let (gang, lasting) = (step.gang, step.lasting);
+        let queue = job.queue.clone();
+        let Some(stage) = job.stages.get_mut(&(key.occurrence, key.step)) else {
+            return;
+        };
+        let Some(task) = stage.tasks.get_mut(index as usize) else {
+            return;
+        };
+        if !task.failed.insert(attempt) {
+            return;
+        }
+        stage.gang_failed.insert(attempt);
+        let fails = if gang {
+            stage.gang_failed.len()
+        } else {
+            task.failed.len()
+        };
+        let done = task.done;
+        let most = self.queue(&queue).map_or(u32::MAX, |q| q.attempts_max);
+        let note = format!("step={} index={index} fails={fails} most={most}", key.step);
+        self.note(id, "run failed", note);
+        if lasting {
+            return self.task_again(key, index, true, How::Failed);
+        }
+        self.flush.dirty(key.job);
+        if !done && most > 0 && fails >= most as usize {
+            return self.end_job(key.job, Outcome::Failed);
+        }
+        self.task_again(key, index, true, How::Failed);
+    }
+
+    /// A task without a run waits for its next.
+    pub(super) fn task_again(&mut self, key: StageKey, index: u32, ours: bool, how: How) {
+        let gang = self
+            .jobs
+            .get(key.job)
+            .is_some_and(|j| j.step(key.step).gang);
+        if gang && ours {
+            self.gang_broken(key, how);
+        }
+        let Some(stage) = self.stage_mut(key) else {
+            return;
+        };
+        let Some(task) = stage.tasks.get(index as usize) else {
+            return;
+        };
+        if task.run.is_none() && !task.done {
+            stage.waiting.insert(index);
+        }
+        self.line_up(key);
+    }
+}
--- a/crates/monsoonnotch_jobs/src/holder/mod.rs
+++ b/crates/monsoonnotch_jobs/src/holder/mod.rs
@@ -7,6 +7,7 @@
 //! lease under which it could run has lapsed.
 
 mod approve;
+mod ends;
 mod flush;
 mod fold;
 mod former;
@@ -17,6 +18,8 @@
 mod place;
 mod requests;
 mod runs;
+mod starts;
+mod stops;
 mod vms;
 
 use std::collections::BTreeMap;
--- /dev/null
+++ b/crates/monsoonnotch_jobs/src/holder/starts.rs
@@ -0,0 +1,181 @@
+//! Starts of runs: sent, sent again, answered, refused.
+
+use super::runs::State;
+use super::*;
+use crate::effect::StartOrder;
+use crate::event::StartAnswer;
+
+/// Times that a start is sent before a look and a stop are to tell: a VM that
+/// leaves some orders unanswered mostly answers the next.
+const TRIES: u32 = 4;
+/// How long the answer to each of them is waited for. A VM answers in 2 ms; a
+/// holder short of processor takes longer to see it.
+const PATIENCE: [Duration; 3] = [
+    Duration::from_millis(120),
+    Duration::from_millis(250),
+    Duration::from_millis(400),
+];
+/// Pause of a stage after a VM refused a start of it for want of room.
+const ROOM_PAUSE: Duration = Duration::from_millis(120);
+
+impl Holder {
+    /// Starts a task on a VM.
+    pub(super) fn start(
+        &mut self,
+        stage: StageKey,
+        index: u32,
+        vm: VmKey,
+        attempt: u64,
+        ticket: CompactString,
+    ) {
+        let task = self.stage(stage).and_then(|s| s.tasks.get(index as usize));
+        let again = task.is_some_and(|t| t.placed);
+        let key = self.add_run(stage, index, vm, attempt, State::Planned);
+        self.runs.get_mut(&key).expect("just made").ticket = ticket;
+        self.flush.place(stage.job, again.then_some(key));
+        let job = self.jobs.get_mut(stage.job).expect("a stage has a job");
+        let (id, taken_ms) = (job.id.0, job.taken_ms);
+        if !std::mem::replace(&mut job.begun, true) {
+            let waited = self.unix_ms.saturating_sub(taken_ms);
+            self.note(id, "job begun", format!("waited_ms={waited}"));
+        }
+        if !again {
+            self.send_planned(key);
+        }
+    }
+
+    /// Starts a run whose place is stored, or need not be before.
+    pub(super) fn send_planned(&mut self, key: RunKey) {
+        let now = self.now;
+        let Some(run) = self.runs.get_mut(&key) else {
+            return;
+        };
+        if run.state == State::Planned {
+            run.state = State::Starting;
+            run.sent = now;
+            self.send_start(key);
+        }
+    }
+
+    /// Sends the start of a run, for the first time or again: a VM that has the
+    /// run says so, and one that had it refuses.
+    fn send_start(&mut self, key: RunKey) {
+        let now = self.now;
+        let Some(run) = self.runs.get_mut(&key) else {
+            return;
+        };
+        let patience = PATIENCE[(run.tries as usize).min(PATIENCE.len() - 1)];
+        run.tries += 1;
+        let (stage, index, vm) = (run.stage, run.index, run.vm);
+        let (attempt, ticket) = (run.attempt, run.ticket.clone());
+        let task = self.task_id(stage, index);
+        let Some(job) = self.jobs.get(stage.job) else {
+            return;
+        };
+        let spec = Arc::clone(&job.spec);
+        let saved = job.stages[&(stage.occurrence, stage.step)].tasks[index as usize]
+            .saved
+            .clone();
+        let valid = self.tuning.start_valid.as_millis();
+        let row = self.vms.get_mut(vm).expect("a run has a VM");
+        let expires_ms = row.clock_at(now).unwrap_or(0) + valid;
+        row.lease_until_ms = row.lease_until_ms.max(expires_ms);
+        let to = row.target();
+        let order = StartOrder {
+            task,
+            attempt,
+            spec,
+            expires_ms,
+            saved,
+            ticket,
+            patience,
+        };
+        self.fx.push(Effect::Start {
+            run: key,
+            to,
+            order: Box::new(order),
+        });
+    }
+
+    /// Takes in the answer to a start.
+    pub(super) fn start_answered(&mut self, key: RunKey, answer: StartAnswer) {
+        let now = self.now;
+        let Some(run) = self.runs.get_mut(&key) else {
+            return;
+        };
+        let (vm, stage, index) = (run.vm, run.stage, run.index);
+        let starting = matches!(run.state, State::Starting | State::Unsure);
+        let wanted = self.is_wanted(stage, index);
+        let Some(run) = self.runs.get_mut(&key) else {
+            return;
+        };
+        match answer {
+            StartAnswer::Running if starting => {
+                run.state = State::Running { since: now };
+                if run.tries > 1 {
+                    self.muted.count(now);
+                }
+            }
+            StartAnswer::Running => {}
+            StartAnswer::Fenced => self.step_down(),
+            StartAnswer::OtherIncarnation => self.other_incarnation(vm),
+            StartAnswer::Unknown if starting && !wanted => self.stop_run(key, "not wanted"),
+            StartAnswer::Unknown if starting && run.tries < TRIES => self.send_start(key),
+            // A run there was not lower: this one, sent before, may have ended well.
+            StartAnswer::Old | StartAnswer::Unknown if starting => {
+                run.state = State::Unsure;
+                run.sent = now;
+                self.look_now(vm);
+            }
+            StartAnswer::Old | StartAnswer::Unknown => {}
+            refused => self.start_refused(key, stage, index, vm, refused),
+        }
+    }
+
+    /// Whether a task still has to run.
+    pub(super) fn is_wanted(&self, stage: StageKey, index: u32) -> bool {
+        let ended = self.jobs.get(stage.job).is_none_or(job::Job::ended);
+        let task = self.stage(stage).and_then(|s| s.tasks.get(index as usize));
+        !ended && task.is_some_and(|t| !t.done)
+    }
+
+    fn start_refused(
+        &mut self,
+        key: RunKey,
+        stage: StageKey,
+        index: u32,
+        vm: VmKey,
+        answer: StartAnswer,
+    ) {
+        let now = self.now;
+        let task = self.task_id(stage, index);
+        let (id, clock) = match self.vms.get(vm) {
+            Some(vm) => (vm.report.id.clone(), vm.clock),
+            None => Default::default(),
+        };
+        let age = clock.map_or(0, |(at, _)| now.since(at).as_millis());
+        let note = format!(
+            "step={} index={index} vm={id} answer={answer:?} clock_age_ms={age}",
+            stage.step
+        );
+        self.note(task.stage.job.0, "start refused", note);
+        match answer {
+            StartAnswer::Unapproved => self.ticket_refused(stage, vm),
+            StartAnswer::Late => self.look_now(vm),
+            StartAnswer::NoRoom => {
+                if let Some(row) = self.vms.get_mut(vm) {
+                    row.health.aside_until = row.health.aside_until.max(now + ROOM_PAUSE);
+                }
+                self.look_now(vm);
+            }
+            StartAnswer::Unhealthy | StartAnswer::NotSent | StartAnswer::Invalid => {
+                self.judge(vm, false);
+                if let Some(row) = self.vms.get_mut(vm) {
+                    row.health.aside_until = row.health.aside_until.max(now + ROOM_PAUSE);
+                }
+            }
+            _ => {}
+        }
+        self.run_gone(key, "start refused");
+    }
+}
--- a/crates/monsoonnotch_jobs/tests/promises/directed.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/directed.rs
@@ -207,23 +207,23 @@
     journal::placed(JobId(5), &journal::Placements { vms: vec![placed] })
 }
 
-/// A holder after another one, whose leases lapse by 5 s: one task of two was sent
-/// to `v000`.
-fn successor() -> (Holder, Vec<LookKey>) {
+/// A holder after another one, whose leases lapse by 5 s, with VMs of the list and what
+/// it reads; and its first looks.
+fn successor(vms: u64, read: Vec<Stored>) -> (Holder, Vec<LookKey>) {
     let tuning = Tuning::default();
     let mut holder = Holder::new(2, tuning, Arc::new(site(0, false)), at(5_000));
-    tell(&mut holder, 0, Event::AllVms(fleet(2, 8_000)));
-    let ids = ["v000".into(), "v001".into()];
-    let read = vec![
-        (0, job_of(2)),
-        (0, placed("v000", 0)),
-        (0, journal::fleet(&ids)),
-    ];
-    tell(&mut holder, 1, Event::Journal(read));
+    tell(&mut holder, 0, Event::AllVms(fleet(vms, 8_000)));
+    let read = read.into_iter().map(|stored| (0, stored));
+    tell(&mut holder, 1, Event::Journal(read.collect()));
     let fx = tell(&mut holder, 2, Event::CaughtUp { marker: 4 });
     (holder, looks(&fx))
 }
 
+/// The record of the fleet of the former holder.
+fn fleet_of(ids: [&str; 2]) -> Stored {
+    journal::fleet(&ids.map(Into::into))
+}
+
 /// Places that the records of an append say, as VM and index.
 fn places(fx: &[Effect]) -> Vec<(String, u32)> {
     let records = fx.iter().flat_map(|e| match e {
@@ -244,7 +244,8 @@
 /// started there just before the end.
 #[test]
 fn a_task_with_a_stored_place_waits_for_its_vm_alone() {
-    let (mut holder, asked) = successor();
+    let fleet = fleet_of(["v000", "v001"]);
+    let (mut holder, asked) = successor(2, vec![job_of(2), placed("v000", 0), fleet]);
     let v000 = asked[0];
     let answer = Ok(look(Vec::new()));
     holder.handle(Event::Looked { key: v000, answer }, at(30), EPOCH + 30);
@@ -262,15 +263,10 @@
 /// The list lacks a VM that the former holder had: what has no stored place may run there.
 #[test]
 fn a_vm_that_the_list_lacks_keeps_tasks_in_doubt() {
-    let tuning = Tuning::default();
-    let mut holder = Holder::new(2, tuning, Arc::new(site(0, false)), at(5_000));
-    tell(&mut holder, 0, Event::AllVms(fleet(1, 8_000)));
-    let ids = ["v000".into(), "v001".into()];
-    let read = vec![(0, one_task()), (0, journal::fleet(&ids))];
-    tell(&mut holder, 1, Event::Journal(read));
-    let fx = tell(&mut holder, 2, Event::CaughtUp { marker: 4 });
+    let former = fleet_of(["v000", "v001"]);
+    let (mut holder, asked) = successor(1, vec![one_task(), former]);
     let answer = Ok(look(Vec::new()));
-    let key = looks(&fx)[0];
+    let key = asked[0];
     let fx = tell(&mut holder, 4, Event::Looked { key, answer });
     assert_eq!(starts(&fx), Vec::new(), "v001 has not answered");
     let listed = Event::Vms(vec![("v001".into(), fleet(2, 8_000).pop())]);
@@ -286,19 +282,11 @@
 /// A VM that has left the list may still run what the former holder sent there.
 #[test]
 fn a_place_on_an_unlisted_vm_waits_for_its_lease() {
-    let tuning = Tuning::default();
-    let mut holder = Holder::new(2, tuning, Arc::new(site(0, false)), at(5_000));
-    tell(&mut holder, 0, Event::AllVms(fleet(1, 8_000)));
-    let ids = ["v000".into(), "v777".into()];
-    let read = vec![
-        (0, one_task()),
-        (0, placed("v777", 0)),
-        (0, journal::fleet(&ids)),
-    ];
-    tell(&mut holder, 1, Event::Journal(read));
-    let fx = tell(&mut holder, 2, Event::CaughtUp { marker: 4 });
+    let former = fleet_of(["v000", "v777"]);
+    let read = vec![one_task(), placed("v777", 0), former];
+    let (mut holder, asked) = successor(1, read);
     let answer = Ok(look(Vec::new()));
-    let key = looks(&fx)[0];
+    let key = asked[0];
     let mut fx = tell(&mut holder, 4, Event::Looked { key, answer });
     fx.extend(wait(&mut holder, 10..5_000));
     assert_eq!(places(&fx), Vec::new(), "its lease may hold");
