--- a/crates/monsoonnotch_jobs/tests/promises/directed.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/directed.rs
@@ -129,6 +129,17 @@
     started.expect("the task is started")
 }
 
+/// The first end on a VM: the first attempt at a task, which went well.
+fn done(task: TaskId) -> EndRow {
+    EndRow {
+        number: 1,
+        task,
+        attempt: 1,
+        how: How::Done,
+        saved: "".into(),
+    }
+}
+
 /// A VM leaves a look unanswered while a run ends there. The end shows soon after
 /// the look's wait is over, and the VM is not taken for silent.
 #[test]
@@ -149,15 +160,8 @@
         ms += 1;
     }
     assert!(ms > wait, "a look went out before the wait was over");
-    let end = EndRow {
-        number: 1,
-        task,
-        attempt: 1,
-        how: How::Done,
-        saved: "".into(),
-    };
     let key = looks(&fx)[0];
-    let answer = Ok(look(vec![end]));
+    let answer = Ok(look(vec![done(task)]));
     let fx = tell(&mut holder, ms, Event::Looked { key, answer });
     assert!(stores(&fx), "the end of the job is stored");
     let silent = Event::Looked {
@@ -309,15 +313,8 @@
         assert_eq!(starts(&fx), Vec::new(), "started elsewhere at {ms} ms");
         fx.extend(holder.decide(at(ms), EPOCH + ms));
     }
-    let end = EndRow {
-        number: 1,
-        task,
-        attempt: 1,
-        how: How::Done,
-        saved: "".into(),
-    };
     let key = *looks(&fx).last().expect("a look is to tell");
-    let answer = Ok(look(vec![end]));
+    let answer = Ok(look(vec![done(task)]));
     let fx = tell(&mut holder, 401, Event::Looked { key, answer });
     assert_eq!(starts(&fx), Vec::new(), "its end was good");
     assert!(stores(&fx), "the end of the job is stored");
