Log why a run is dropped, and keep warnings apart from the limit on other lines

The log of the leader could not tell the hypotheses apart: in the second in which a task was started twice, 526 to 958 lines were left out, and dropped lines used up the reserve for warnings as well.

- Each line of the scheduler has the token of its term; tasks started has the index and attempt of each run.

--- a/crates/monsoonnotch_jobs/src/effect/mod.rs
+++ b/crates/monsoonnotch_jobs/src/effect/mod.rs
@@ -164,6 +164,8 @@
 /// A decision that is written to the log.
 #[derive(Debug)]
 pub struct LogEntry {
+    /// Whether the line is a warning, which has its own limit per second.
+    pub is_warning: bool,
     /// The id of the job that the decision is about; zero if it is about no single job.
     pub job: u64,
     /// The name of the decision.
--- a/crates/monsoonnotch_jobs/src/scheduler/mod.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/mod.rs
@@ -221,7 +221,20 @@
     }
 
     fn log(&mut self, job: u64, event: &'static str, detail: String) {
-        self.effects
-            .push(Effect::Log(LogEntry { job, event, detail }));
+        self.push_log_entry(false, job, event, detail);
+    }
+
+    /// Logs a decision about a run whose end no VM has listed, or about a run that no task has.
+    fn warn(&mut self, job: u64, event: &'static str, detail: String) {
+        self.push_log_entry(true, job, event, detail);
+    }
+
+    fn push_log_entry(&mut self, is_warning: bool, job: u64, event: &'static str, detail: String) {
+        self.effects.push(Effect::Log(LogEntry {
+            is_warning,
+            job,
+            event,
+            detail,
+        }));
     }
 }
--- a/crates/monsoonnotch_jobs/src/scheduler/placement.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/placement.rs
@@ -168,18 +168,20 @@
         let now = self.now;
         let Some(stage) = self.stage(key) else { return };
         let new = stage.runs().filter_map(|r| self.runs.get(&r));
-        let new = new
-            .filter(|r| r.sent_at == now)
-            .filter_map(|r| self.vms.get(r.vm));
-        let vms: Vec<&str> = new.map(|v| v.registration.id.as_str()).collect();
+        let new: Vec<&runs::Run> = new.filter(|r| r.sent_at == now).collect();
+        let vms = new.iter().filter_map(|r| self.vms.get(r.vm));
+        let vms: Vec<&str> = vms.map(|v| v.registration.id.as_str()).collect();
+        let attempts = new.iter().map(|r| format!("{}/{}", r.index, r.attempt));
+        let attempts: Vec<String> = attempts.collect();
         let detail = format!(
-            "step={} occurrence={} tasks={placed} waiting={} class={} ready_ms={} vms={}",
+            "step={} occurrence={} tasks={placed} waiting={} class={} ready_ms={} vms={} attempts={}",
             key.step,
             key.occurrence,
             stage.waiting.len(),
             stage.rank.class,
             now.since(stage.ready_at).as_millis(),
-            vms.join(",")
+            vms.join(","),
+            attempts.join(",")
         );
         let id = self.task_id(key, 0).stage.job.0;
         self.log(id, "tasks started", detail);
--- a/crates/monsoonnotch_jobs/src/scheduler/runs.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/runs.rs
@@ -154,6 +154,10 @@
     pub(super) fn adopt_run(&mut self, stage: StageKey, vm: VmKey, running: &RunningRun) -> RunKey {
         let state = State::Running { since: self.now };
         let key = self.add_run(stage, running.task.index, vm, running.attempt, state);
+        if let Some(run) = self.runs.get(&key) {
+            let detail = self.describe_run(run);
+            self.log(running.task.stage.job.0, "run adopted", detail);
+        }
         self.flush.add_placement(stage.job, None);
         if let Some(job) = self.jobs.get_mut(stage.job) {
             job.begun = true;
@@ -168,19 +172,33 @@
         let Some(run) = self.runs.get(&key) else {
             return;
         };
-        let (stage, index, attempt) = (run.stage, run.index, run.attempt);
-        let vm = self.vms.get(run.vm).map(|v| v.registration.id.clone());
+        let (stage, index) = (run.stage, run.index);
+        let detail = format!("{} why={why:?}", self.describe_run(run));
         self.remove_run(key);
         let task = self.task_id(stage, index);
-        let detail = format!(
-            "step={} index={index} attempt={attempt} vm={} why={why:?}",
-            stage.step,
-            vm.unwrap_or_default()
-        );
-        self.log(task.stage.job.0, "run lost", detail);
+        self.warn(task.stage.job.0, "run lost", detail);
         self.requeue_task(stage, index, true, RunOutcome::LeaseExpired);
     }
 
+    /// Returns what log lines say of a run: its task, attempt, VM with the start of the
+    /// incarnation, state and number of sends.
+    pub(super) fn describe_run(&self, run: &Run) -> String {
+        let vm = self.vms.get(run.vm).map(|v| &v.registration);
+        let (vm, started_ms) = vm.map_or(("", 0), |r| (r.id.as_str(), r.started_ms));
+        let state = match run.state {
+            State::Planned => "planned",
+            State::Inherited => "inherited",
+            State::Starting => "starting",
+            State::Uncertain => "uncertain",
+            State::Running { .. } => "running",
+            State::Stopping { .. } => "stopping",
+        };
+        format!(
+            "step={} occurrence={} index={} attempt={} vm={vm} vm_started_ms={started_ms} state={state} sends={}",
+            run.stage.step, run.stage.occurrence, run.index, run.attempt, run.sends
+        )
+    }
+
     /// Requires a run to be confirmed again after a restart of its VM at an unknown time.
     ///
     /// The run was either lost with the previous incarnation or started by the new one;
--- a/crates/monsoonnotch_jobs/src/scheduler/starts.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/starts.rs
@@ -132,6 +132,12 @@
             StartAnswer::Old | StartAnswer::Unknown if starting => {
                 run.state = State::Uncertain;
                 run.sent_at = now;
+                let (detail, id) = match self.runs.get(&key) {
+                    Some(run) => (self.describe_run(run), self.task_id(stage, index)),
+                    None => return,
+                };
+                let detail = format!("{detail} answer={answer:?}");
+                self.warn(id.stage.job.0, "run uncertain", detail);
                 self.poll_now(vm);
             }
             StartAnswer::Old | StartAnswer::Unknown => {}
@@ -156,16 +162,16 @@
     ) {
         let now = self.now;
         let task = self.task_id(stage, index);
-        let (id, clock) = match self.vms.get(vm) {
-            Some(vm) => (vm.registration.id.clone(), vm.clock),
-            None => Default::default(),
-        };
+        let clock = self.vms.get(vm).and_then(|v| v.clock);
         let age = clock.map_or(0, |(at, _)| now.since(at).as_millis());
+        let Some(run) = self.runs.get(&key) else {
+            return;
+        };
         let detail = format!(
-            "step={} index={index} vm={id} answer={answer:?} clock_age_ms={age}",
-            stage.step
+            "{} answer={answer:?} clock_age_ms={age}",
+            self.describe_run(run)
         );
-        self.log(task.stage.job.0, "start refused", detail);
+        self.warn(task.stage.job.0, "start refused", detail);
         match answer {
             StartAnswer::Unapproved => self.invalidate_ticket(stage, vm),
             StartAnswer::Late => self.poll_now(vm),
--- a/crates/monsoonnotch_jobs/src/scheduler/stops.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/stops.rs
@@ -21,6 +21,15 @@
         // The key belongs to no run, because nothing waits for the answer: each poll that
         // lists the orphaned run stops it again.
         let run = RunKey(0);
+        let id = &to.id;
+        let detail = format!(
+            "step={} occurrence={} index={} attempt={} vm={id}",
+            running.task.stage.step,
+            running.task.stage.occurrence,
+            running.task.index,
+            running.attempt
+        );
+        self.warn(running.task.stage.job.0, "orphan stopped", detail);
         self.effects.push(Effect::Stop {
             run,
             to,
@@ -81,17 +90,17 @@
         let (vm, attempt, stage, index) = (run.vm, run.attempt, run.stage, run.index);
         let task = self.task_id(stage, index);
         let Some(vm) = self.vms.get(vm) else { return };
-        let (to, id) = (vm.target(), vm.registration.id.clone());
+        let to = vm.target();
+        let Some(run) = self.runs.get(&key) else {
+            return;
+        };
+        let detail = format!("{} why={why:?}", self.describe_run(run));
         self.effects.push(Effect::Stop {
             run: key,
             to,
             task,
             attempt,
         });
-        let detail = format!(
-            "step={} index={index} attempt={attempt} vm={id} why={why:?}",
-            stage.step
-        );
         self.log(task.stage.job.0, "run stopped", detail);
     }
 
--- a/crates/monsoonnotch_jobs/src/scheduler/vms.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/vms.rs
@@ -280,7 +280,7 @@
             return;
         };
         let (id, runs) = (vm.registration.id.clone(), vm.runs.clone());
-        self.log(
+        self.warn(
             0,
             "vm restarted",
             format!("vm={id} runs_in_doubt={}", runs.len()),
@@ -367,7 +367,7 @@
         let Some(vm) = self.vms.get(key) else { return };
         let (id, runs) = (vm.registration.id.clone(), vm.runs.clone());
         self.set_orphans(key, Orphans::default());
-        self.log(0, "leases expired", format!("vm={id} runs={}", runs.len()));
+        self.warn(0, "leases expired", format!("vm={id} runs={}", runs.len()));
         for run in runs {
             self.lose_run(run, "lease expired");
         }
--- a/crates/monsoonnotch_member/src/executor/mod.rs
+++ b/crates/monsoonnotch_member/src/executor/mod.rs
@@ -63,7 +63,7 @@
             let _ = term_requests.send(TermRequest::Relinquish(token));
         }
         Effect::Reply { key, answer } => reply(cx, key, answer),
-        Effect::Log(entry) => write_log_entry(&entry),
+        Effect::Log(entry) => write_log_entry(token, &entry),
         request => {
             let cx = Arc::clone(cx);
             tokio::spawn(async move {
@@ -142,7 +142,11 @@
     let _ = cx.send_to_follower(slot, frame);
 }
 
-fn write_log_entry(entry: &LogEntry) {
+fn write_log_entry(token: u64, entry: &LogEntry) {
     let job = format!("{:016x}", entry.job);
-    log::info!(event = entry.event, job = job, why = entry.detail.as_str(); "{}", entry.event);
+    let level = match entry.is_warning {
+        true => log::Level::Warn,
+        false => log::Level::Info,
+    };
+    log::log!(level, event = entry.event, job = job, token = token, why = entry.detail.as_str(); "{}", entry.event);
 }
--- a/crates/monsoonnotch_member/src/lib.rs
+++ b/crates/monsoonnotch_member/src/lib.rs
@@ -12,7 +12,7 @@
 mod executor;
 mod leadership;
 mod links;
-mod logs;
+pub mod logs;
 mod process;
 mod requests;
 pub mod settings;
--- a/crates/monsoonnotch_member/src/settings/mod.rs
+++ b/crates/monsoonnotch_member/src/settings/mod.rs
@@ -98,7 +98,7 @@
     pub weak_cores: f64,
     /// Share of a pool's CPU capacity that is reserved for the highest priority, in thousandths.
     pub urgent_reserve_milli: u64,
-    /// Maximum number of log lines per second; warnings and errors have 100 more.
+    /// Maximum number of log lines per second; warnings and errors have a limit of their own.
     pub log_lines_per_s: u32,
 }
 
