--- a/crates/monsoonnotch_jobs/tests/promises/directed.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/directed.rs
@@ -26,18 +26,18 @@
 use crate::random::site;
 use crate::simulation::START_UNIX_MS;
 
-fn at(ms: u64) -> Time {
+pub(crate) fn at(ms: u64) -> Time {
     Time(ms * 1_000)
 }
 
 /// Delivers an event and returns the effects; appends are reported as stored at once.
-fn deliver(scheduler: &mut Scheduler, ms: u64, event: Event) -> Vec<Effect> {
+pub(crate) fn deliver(scheduler: &mut Scheduler, ms: u64, event: Event) -> Vec<Effect> {
     scheduler.handle(event, at(ms), START_UNIX_MS + ms);
     decide(scheduler, ms)
 }
 
 /// Advances the time in steps of ten milliseconds and returns the effects.
-fn wait(scheduler: &mut Scheduler, ms: std::ops::Range<u64>) -> Vec<Effect> {
+pub(crate) fn wait(scheduler: &mut Scheduler, ms: std::ops::Range<u64>) -> Vec<Effect> {
     ms.step_by(10)
         .flat_map(|ms| decide(scheduler, ms))
         .collect()
@@ -57,7 +57,7 @@
     fx.iter().any(|e| matches!(e, Effect::Append(_)))
 }
 
-fn polls(fx: &[Effect]) -> Vec<PollKey> {
+pub(crate) fn polls(fx: &[Effect]) -> Vec<PollKey> {
     let key = |e: &Effect| match e {
         Effect::Poll { key, .. } => Some(*key),
         _ => None,
@@ -65,7 +65,7 @@
     fx.iter().filter_map(key).collect()
 }
 
-fn starts(fx: &[Effect]) -> Vec<RunKey> {
+pub(crate) fn starts(fx: &[Effect]) -> Vec<RunKey> {
     let key = |e: &Effect| match e {
         Effect::Start { run, .. } => Some(*run),
         _ => None,
@@ -73,7 +73,7 @@
     fx.iter().filter_map(key).collect()
 }
 
-fn poll_answer(ended: Vec<FinishedRun>) -> PollAnswer {
+pub(crate) fn poll_answer(ended: Vec<FinishedRun>) -> PollAnswer {
     PollAnswer {
         clock_ms: 1_000,
         finished: ended,
@@ -82,7 +82,7 @@
 }
 
 /// Returns a scheduler with `vms` VMs that have answered, and the polls that wait there.
-fn scheduler_with(vms: u64) -> (Scheduler, Vec<PollKey>) {
+pub(crate) fn scheduler_with(vms: u64) -> (Scheduler, Vec<PollKey>) {
     let tuning = Tuning::default();
     let mut scheduler = Scheduler::new(1, tuning, Arc::new(site(0, false)), at(0));
     deliver(&mut scheduler, 0, Event::AllVms(fleet(vms, 8_000)));
@@ -123,7 +123,7 @@
 }
 
 /// Submits a job with one task and returns the run that is started for it.
-fn start_one(scheduler: &mut Scheduler) -> (RunKey, TaskId) {
+pub(crate) fn start_one(scheduler: &mut Scheduler) -> (RunKey, TaskId) {
     let fx = deliver(scheduler, 100, Event::Journal(vec![(1, job_of_one_task())]));
     let started = fx.iter().find_map(|e| match e {
         Effect::Start { run, order, .. } => Some((*run, order.task)),
--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -5,6 +5,7 @@
 
 mod directed;
 mod load;
+mod orders;
 mod random;
 mod simulation;
 mod vm;
