Drop a run on a refusal only if no send of its start is unanswered

What callers saw: one task ran twice at the same time, a task started again after its success was stored, and a VM got more than its capacity.

Cause: a start without an answer is sent again, up to four times. The answer to each send was applied to the order as a whole. If a repetition was refused or could not be sent, the run was dropped, although an earlier send may still take effect (over a link that loses packets, 0.2 s later), or already had and the run was listed as running. The task then started on another VM, and the room of the first run was given away.

A refusal now ends the run only if it was the only send, which certainly had no effect. After a repetition the run is uncertain, as after a repetition without an answer: a poll shows whether it runs, and otherwise a stop makes its VM refuse late copies, before the task starts again. A run that its VM lists as running is not touched.

--- a/crates/monsoonnotch_jobs/src/scheduler/mod.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! A task either is *waiting* or has one *run*. A run occupies capacity on its VM
 //! and counts against its account's limit from before its start is sent until it
-//! is certain that it neither runs nor will run: its VM listed it as finished, its
-//! start was refused, a stop was answered and a later poll does not list it, or
-//! every lease under which it could run has expired.
+//! is certain that it neither runs nor will run: its VM listed it as finished, the
+//! only send of its start was refused, a stop was answered and a later poll does not
+//! list it, or every lease under which it could run has expired.
 
 mod approvals;
 mod completions;
--- a/crates/monsoonnotch_jobs/src/scheduler/starts.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/starts.rs
@@ -129,20 +129,27 @@
             StartAnswer::Unknown if starting && run.sends < START_SENDS_MAX => self.send_start(key),
             // The VM had this attempt or a higher one before, so the run may have been
             // started by an earlier send and may even have succeeded.
-            StartAnswer::Old | StartAnswer::Unknown if starting => {
-                run.state = State::Uncertain;
-                run.sent_at = now;
-                let (detail, id) = match self.runs.get(&key) {
-                    Some(run) => (self.describe_run(run), self.task_id(stage, index)),
-                    None => return,
-                };
-                let detail = format!("{detail} answer={answer:?}");
-                self.warn(id.stage.job.0, "run uncertain", detail);
-                self.poll_now(vm);
-            }
+            StartAnswer::Old | StartAnswer::Unknown if starting => self.mark_uncertain(key, answer),
             StartAnswer::Old | StartAnswer::Unknown => {}
-            refused => self.start_refused(key, stage, index, vm, refused),
+            refused => self.start_refused(key, refused),
+        }
+    }
+
+    /// Marks a run as uncertain until the next poll of its VM shows whether it runs.
+    fn mark_uncertain(&mut self, key: RunKey, answer: StartAnswer) {
+        let now = self.now;
+        let Some(run) = self.runs.get_mut(&key) else {
+            return;
+        };
+        run.state = State::Uncertain;
+        run.sent_at = now;
+        let (vm, stage, index) = (run.vm, run.stage, run.index);
+        if let Some(run) = self.runs.get(&key) {
+            let detail = format!("{} answer={answer:?}", self.describe_run(run));
+            let id = self.task_id(stage, index).stage.job.0;
+            self.warn(id, "run uncertain", detail);
         }
+        self.poll_now(vm);
     }
 
     /// Whether a task still has to run.
@@ -152,21 +159,20 @@
         !ended && task.is_some_and(|t| !t.done)
     }
 
-    fn start_refused(
-        &mut self,
-        key: RunKey,
-        stage: StageKey,
-        index: u32,
-        vm: VmKey,
-        answer: StartAnswer,
-    ) {
+    /// Applies a refusal of one send of a start.
+    ///
+    /// A refusal says that this send has no effect. Earlier sends had no answer and may
+    /// still take effect, so that the run ends only if there was none.
+    fn start_refused(&mut self, key: RunKey, answer: StartAnswer) {
         let now = self.now;
-        let task = self.task_id(stage, index);
-        let clock = self.vms.get(vm).and_then(|v| v.clock);
-        let age = clock.map_or(0, |(at, _)| now.since(at).as_millis());
         let Some(run) = self.runs.get(&key) else {
             return;
         };
+        let (vm, stage, index) = (run.vm, run.stage, run.index);
+        let (state, only_send) = (run.state, run.sends == 1);
+        let task = self.task_id(stage, index);
+        let clock = self.vms.get(vm).and_then(|v| v.clock);
+        let age = clock.map_or(0, |(at, _)| now.since(at).as_millis());
         let detail = format!(
             "{} answer={answer:?} clock_age_ms={age}",
             self.describe_run(run)
@@ -191,6 +197,11 @@
             }
             _ => {}
         }
-        self.lose_run(key, "start refused");
+        match state {
+            State::Running { .. } => {}
+            _ if only_send => self.lose_run(key, "start refused"),
+            State::Starting | State::Uncertain => self.mark_uncertain(key, answer),
+            State::Stopping { .. } | State::Planned | State::Inherited => {}
+        }
     }
 }
