Count a poll that is sent in the step in which a run's state began

What callers saw: a task whose start stayed unanswered waited 450 ms longer than needed, and a task lost with a restarted VM up to 1.3 s longer, the wait of the next poll.

Cause: a run that becomes uncertain, whose stop is answered or whose VM has restarted is followed by a poll in the same step. The answer to that poll was ignored, because the poll had not been sent later than the state began. It was: the state began with an answer of the VM that had arrived before.

The time saved on a restarted VM is by reading, not measured.

--- a/crates/monsoonnotch_jobs/src/scheduler/stops.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/stops.rs
@@ -39,6 +39,9 @@
     }
 
     /// Handles a run that is missing from the answer to a poll sent at `polled_at`.
+    ///
+    /// A poll sent in the same step as a state began was sent after the answer that led to
+    /// that state, so it counts.
     pub(super) fn run_not_listed(&mut self, key: RunKey, polled_at: Time) {
         let Some(run) = self.runs.get(&key) else {
             return;
@@ -46,12 +49,12 @@
         match run.state {
             State::Planned | State::Starting => {}
             State::Inherited => self.lose_run(key, "the predecessor did not start it"),
-            State::Uncertain if polled_at > run.sent_at => self.stop_run(key, "start unanswered"),
+            State::Uncertain if polled_at >= run.sent_at => self.stop_run(key, "start unanswered"),
             State::Uncertain => {}
-            State::Running { since } if polled_at > since => self.lose_run(key, "not listed"),
+            State::Running { since } if polled_at >= since => self.lose_run(key, "not listed"),
             State::Running { .. } => {}
             State::Stopping { answered_at, .. } => {
-                if answered_at.is_some_and(|at| polled_at > at) {
+                if answered_at.is_some_and(|at| polled_at >= at) {
                     self.lose_run(key, "stopped before it started");
                 }
             }
