Keep the runs of a draining VM without an entry until its lease expires

What callers would see: one task runs twice at the same time, when a VM that is about to leave loses its entry in the VM list and cannot be reached for a moment.

Cause: a draining VM that was unlisted and left two polls unanswered counted as terminated, so that its runs were dropped at once. The entries of live VMs are also removed after three heartbeats of silence, and while the store is unavailable, and two lost polls need only a lossy link. A refused connection shows no more: the VM may still run what it has.

Its runs now end with its lease, as those of any other VM that does not answer.

--- a/crates/monsoonnotch_jobs/src/scheduler/vms.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/vms.rs
@@ -344,11 +344,10 @@
         let mut expired = Vec::new();
         let mut due = Vec::new();
         for (key, vm) in self.vms.iter() {
+            // Neither a missing entry nor a refused connection shows that a VM has left: the
+            // entries of live VMs are removed while the store is unavailable.
             let leases_expired = vm.polls.unanswered > 0 && now > vm.leases_expire_at(drift);
-            // A draining VM that is unlisted and unresponsive has terminated.
-            let has_left = vm.registration.draining && !vm.listed && vm.polls.unanswered > 1;
-            if (leases_expired || has_left) && !(vm.runs.is_empty() && vm.orphans.needs.is_empty())
-            {
+            if leases_expired && !(vm.runs.is_empty() && vm.orphans.needs.is_empty()) {
                 expired.push(key);
             }
             if vm.polls.is_due(now) {
--- a/crates/monsoonnotch_jobs/tests/promises/directed.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/directed.rs
@@ -43,7 +43,7 @@
         .collect()
 }
 
-fn decide(scheduler: &mut Scheduler, ms: u64) -> Vec<Effect> {
+pub(crate) fn decide(scheduler: &mut Scheduler, ms: u64) -> Vec<Effect> {
     let mut fx = scheduler.decide(at(ms), START_UNIX_MS + ms);
     if appends(&fx) {
         let stored = Event::Appended { stored: true };
@@ -98,12 +98,12 @@
 }
 
 /// Returns the record of a job with one task.
-fn job_of_one_task() -> KeyedRecord {
+pub(crate) fn job_of_one_task() -> KeyedRecord {
     job_with_tasks(1)
 }
 
 /// Returns the record of a job with `count` tasks.
-fn job_with_tasks(count: u32) -> KeyedRecord {
+pub(crate) fn job_with_tasks(count: u32) -> KeyedRecord {
     let submission = journal::Submission {
         queue: "quick".into(),
         account: "ann".into(),
@@ -211,7 +211,7 @@
 }
 
 /// Returns the placement of a task of job 5 as stored by a previous leader.
-fn placement(vm: &str, index: u32) -> KeyedRecord {
+pub(crate) fn placement(vm: &str, index: u32) -> KeyedRecord {
     let placement = journal::Placed {
         vm: vm.into(),
         runs: vec![(0, 0, index, 1_000)],
@@ -226,7 +226,7 @@
 
 /// Returns a scheduler that succeeds another one, and its first polls. The leases of the
 /// previous leader expire by 5 s; `vms` VMs are listed and the journal contains `read`.
-fn successor(vms: u64, read: Vec<KeyedRecord>) -> (Scheduler, Vec<PollKey>) {
+pub(crate) fn successor(vms: u64, read: Vec<KeyedRecord>) -> (Scheduler, Vec<PollKey>) {
     let tuning = Tuning::default();
     let mut scheduler = Scheduler::new(2, tuning, Arc::new(site(0, false)), at(5_000));
     deliver(&mut scheduler, 0, Event::AllVms(fleet(vms, 8_000)));
@@ -237,12 +237,12 @@
 }
 
 /// Returns the fleet record that a previous leader stored.
-fn fleet_record_of(ids: [&str; 2]) -> KeyedRecord {
+pub(crate) fn fleet_record_of(ids: [&str; 2]) -> KeyedRecord {
     journal::fleet_record(&ids.map(Into::into))
 }
 
 /// Returns the placements in appended records, as VM id and task index.
-fn placements(fx: &[Effect]) -> Vec<(String, u32)> {
+pub(crate) fn placements(fx: &[Effect]) -> Vec<(String, u32)> {
     let records = fx.iter().flat_map(|e| match e {
         Effect::Append(records) => records.clone(),
         _ => Vec::new(),
--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -4,6 +4,7 @@
 //! sets how many seeds run.
 
 mod directed;
+mod incarnations;
 mod load;
 mod orders;
 mod random;
