Count the leases that a restarted VM may have from its previous clock

What callers would see: one task runs twice at the same time, after a VM has restarted under its id and is cut off within ten seconds; or a task that never starts again, because its VM restarted and was not reachable from then on.

Cause: orders name the VM's id, not its incarnation, and a restarted VM's clock starts anew. An order in transit that was computed from the old clock gives the new incarnation the longest lease that it grants. The scheduler forgot all leases at the restart and counted only those that it sent later. While the clock was unknown, leases counted as never expiring. Likewise, a VM that listed a run of a predecessor had no lease on record until the next poll was sent; if that poll had been sent before, without a lease, and was lost, the run was dropped at once.

Each VM now has an end of the leases that did not come from its present clock: the longest lease from the discovery of a restart, and a usual one from the first answer, before which a predecessor's orders may have reached it.

--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -274,7 +274,7 @@
     }
 
     fn apply_poll_answer(&mut self, key: VmKey, polled_at: Time, answer: PollAnswer) {
-        let now = self.now;
+        let (now, lease, drift) = (self.now, self.tuning.lease, self.tuning.drift_milli);
         let Some(vm) = self.vms.get_mut(key) else {
             return;
         };
@@ -292,6 +292,10 @@
         }
         let unanswered = std::mem::take(&mut vm.polls.unanswered);
         let first = !std::mem::replace(&mut vm.answered, true);
+        if first {
+            // It refuses orders of a predecessor from now on, but may have a lease from one.
+            vm.add_other_lease(now, lease, drift);
+        }
         vm.clock = Some((now, answer.clock_ms));
         if answer.running.is_empty() {
             // Without runs, nothing else would ever lower the slowness.
--- a/crates/monsoonnotch_jobs/src/scheduler/vms.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/vms.rs
@@ -39,6 +39,9 @@
     /// Latest end of any lease or start validity that was sent to it, in milliseconds on
     /// the VM's clock.
     pub(super) lease_until_ms: u64,
+    /// When every lease has expired that it may have from a predecessor, or from orders
+    /// that were computed from the clock of its previous incarnation.
+    other_leases_expire_at: Time,
     pub(super) polls: super::polls::Polls,
     /// Finished runs up to this completion number were applied.
     pub(super) finished_seen: u64,
@@ -90,7 +93,7 @@
 }
 
 impl Vm {
-    fn new(registration: Registration) -> Self {
+    fn new(registration: Registration, other_leases_expire_at: Time) -> Self {
         Self {
             registration,
             listed: true,
@@ -103,6 +106,7 @@
             runs: BTreeSet::new(),
             clock: None,
             lease_until_ms: 0,
+            other_leases_expire_at,
             polls: super::polls::Polls::default(),
             finished_seen: 0,
             finished_stored: 0,
@@ -125,15 +129,21 @@
         Some(ms + now.since(at).as_millis())
     }
 
-    /// Returns when every lease sent to it has expired, even if its clock runs slow by
-    /// `drift_milli` thousandths; the maximum time if its clock was never read.
+    /// Returns when every lease that it may have has expired, even if its clock runs slow by
+    /// `drift_milli` thousandths.
     pub(super) fn leases_expire_at(&self, drift_milli: u64) -> Time {
-        let Some((at, ms)) = self.clock else {
-            return Time(u64::MAX);
-        };
-        let left = self.lease_until_ms.saturating_sub(ms);
-        let left = left * 1_000 / (1_000 - drift_milli.min(500));
-        at + Duration::from_millis(left) + CLOCK_SLACK
+        let own = self.clock.map_or(Time::default(), |(at, ms)| {
+            let left = self.lease_until_ms.saturating_sub(ms);
+            lease_end(at, Duration::from_millis(left), drift_milli)
+        });
+        own.max(self.other_leases_expire_at)
+    }
+
+    /// Takes into account that it may have got a lease of `lease` at `now` at the latest, by
+    /// an order that this scheduler did not compute from its clock.
+    pub(super) fn add_other_lease(&mut self, now: Time, lease: Duration, drift_milli: u64) {
+        let end = lease_end(now, lease, drift_milli);
+        self.other_leases_expire_at = self.other_leases_expire_at.max(end);
     }
 
     /// Returns the free capacity.
@@ -159,6 +169,13 @@
     }
 }
 
+/// Returns when a lease that a VM got at `at` or before has expired, even if the VM's clock
+/// runs slow by `drift_milli` thousandths.
+fn lease_end(at: Time, lease: Duration, drift_milli: u64) -> Time {
+    let longest_ms = lease.as_millis() * 1_000 / (1_000 - drift_milli.min(500));
+    at + Duration::from_millis(longest_ms) + CLOCK_SLACK
+}
+
 impl Scheduler {
     /// Applies changed entries of the VM list.
     pub(super) fn apply_vm_changes(&mut self, entries: Vec<(CompactString, Option<Registration>)>) {
@@ -242,7 +259,7 @@
             id: id.clone(),
             ..Registration::default()
         };
-        let mut vm = Vm::new(registration);
+        let mut vm = Vm::new(registration, self.settle_at);
         vm.listed = false;
         self.add_vm(vm)
     }
@@ -255,7 +272,7 @@
     }
 
     fn add_registered_vm(&mut self, registration: Registration) {
-        let key = self.add_vm(Vm::new(registration));
+        let key = self.add_vm(Vm::new(registration, self.settle_at));
         self.placement_needed = true;
         if self.marker.is_some() {
             self.poll_now(key);
@@ -264,13 +281,19 @@
 
     /// Resets the state of a VM for a new incarnation, which numbers its finished runs from
     /// one again. Its runs have to be confirmed again.
+    ///
+    /// Its clock starts anew as well. An order in transit that was computed from the clock of
+    /// the previous incarnation may give the new one the longest lease that VMs grant.
     pub(super) fn reset_incarnation(&mut self, key: VmKey) {
+        let (now, lease_max) = (self.now, self.tuning.lease_max);
+        let drift = self.tuning.drift_milli;
         let Some(vm) = self.vms.get_mut(key) else {
             return;
         };
         vm.answered = false;
         vm.clock = None;
         vm.lease_until_ms = 0;
+        vm.add_other_lease(now, lease_max, drift);
         vm.finished_seen = 0;
         vm.finished_stored = 0;
         vm.health = Health::default();
--- a/crates/monsoonnotch_jobs/src/tuning/mod.rs
+++ b/crates/monsoonnotch_jobs/src/tuning/mod.rs
@@ -9,6 +9,8 @@
     /// members including the change of leader (about 2 s), and short enough that lost
     /// work is soon replaced.
     pub lease: Duration,
+    /// Longest lease that a VM grants; a VM shortens a longer one. Fixed by the platform.
+    pub lease_max: Duration,
     /// How long a start order stays valid, measured on the VM's clock. Shorter than the
     /// 2 s after which delayed orders arrive, so that a VM refuses those.
     pub start_valid: Duration,
@@ -35,6 +37,7 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_millis(4_000),
+            lease_max: Duration::from_millis(10_000),
             start_valid: Duration::from_millis(1_500),
             poll_wait: Duration::from_millis(1_300),
             poll_pause: Duration::from_millis(200),
--- a/crates/monsoonnotch_jobs/tests/promises/incarnations.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/incarnations.rs
@@ -8,17 +8,32 @@
 use monsoonnotch_jobs::event::Event;
 use monsoonnotch_jobs::event::PollError;
 use monsoonnotch_jobs::event::StartAnswer;
+use monsoonnotch_jobs::plan::JobId;
+use monsoonnotch_jobs::plan::StageId;
+use monsoonnotch_jobs::plan::TaskId;
 use monsoonnotch_jobs::scheduler::Scheduler;
 use monsoonnotch_jobs::tuning::Tuning;
 use monsoonnotch_jobs::vm::PollAnswer;
 use monsoonnotch_jobs::vm::Registration;
+use monsoonnotch_jobs::vm::RunningRun;
 
 use crate::directed::decide;
 use crate::directed::deliver;
+use crate::directed::fleet_record_of;
 use crate::directed::job_of_one_task;
+use crate::directed::placement;
+use crate::directed::placements;
+use crate::directed::poll_answer;
+use crate::directed::polls;
 use crate::directed::scheduler_with;
 use crate::directed::starts;
+use crate::directed::successor;
+use crate::directed::wait;
 use crate::random::fleet;
+use crate::simulation::START_UNIX_MS;
+
+/// When the second incarnation of a VM starts, in Unix milliseconds.
+const RESTARTED_UNIX_MS: u64 = START_UNIX_MS + 900;
 
 /// Returns the registration of a VM.
 fn registration(id: &str) -> Registration {
@@ -27,17 +42,34 @@
     found.expect("a VM of the fleet")
 }
 
-/// Starts a job with one task and returns the id of its VM.
-fn start_running(scheduler: &mut Scheduler) -> String {
+/// A poll answer of the incarnation that started at `started_ms`; it lists the first attempt
+/// at each of `tasks` as running.
+fn listing(started_ms: u64, tasks: &[TaskId]) -> PollAnswer {
+    let row = |task: &TaskId| RunningRun {
+        task: *task,
+        attempt: 1,
+        checkpoint: "".into(),
+        percent: 50,
+        latency_or_usage: 0,
+    };
+    PollAnswer {
+        started_ms: Some(started_ms),
+        running: tasks.iter().map(row).collect(),
+        ..poll_answer(Vec::new())
+    }
+}
+
+/// Starts a job with one task and returns its task and the id of its VM.
+fn start_running(scheduler: &mut Scheduler) -> (TaskId, String) {
     let fx = deliver(scheduler, 100, Event::Journal(vec![(1, job_of_one_task())]));
     let started = fx.iter().find_map(|e| match e {
-        Effect::Start { run, to, .. } => Some((*run, to.id.to_string())),
+        Effect::Start { run, to, order } => Some((*run, order.task, to.id.to_string())),
         _ => None,
     });
-    let (run, vm) = started.expect("the task is started");
+    let (run, task, vm) = started.expect("the task is started");
     let answer = StartAnswer::Running;
     deliver(scheduler, 102, Event::Started { run, answer });
-    vm
+    (task, vm)
 }
 
 /// Advances the time while `poll` gives the result of each poll in `fx`, and of those that
@@ -93,7 +125,7 @@
 #[test]
 fn a_draining_vm_without_an_entry_keeps_its_runs_until_its_lease_expires() {
     let (mut scheduler, waiting) = scheduler_with(2);
-    let vm = start_running(&mut scheduler);
+    let (_, vm) = start_running(&mut scheduler);
     let draining = Registration {
         draining: true,
         ..registration(&vm)
@@ -110,3 +142,93 @@
     let fx = cut_off(&mut scheduler, fx, &vm, lease..lease + 400);
     assert_eq!(starts(&fx).len(), 1, "its lease has expired");
 }
+
+/// Guards against two runs of one task: an order that was computed from the clock of the
+/// previous incarnation reached the new one and gave it the longest lease that VMs grant,
+/// before the VM is cut off.
+#[test]
+fn a_restarted_vm_that_is_cut_off_keeps_its_runs_for_the_longest_lease() {
+    let (mut scheduler, waiting) = scheduler_with(2);
+    let (task, vm) = start_running(&mut scheduler);
+    let listed = || listing(RESTARTED_UNIX_MS, &[task]);
+    let fx = end_pending(&mut scheduler, 1_000, &waiting, &vm, Ok(listed()));
+    let longest = Tuning::default().lease_max.as_millis();
+    let until = 1_000 + longest;
+    let poll = |id: &str, ms: u64| match ms {
+        _ if id != vm => None,
+        ..1_100 => Some(Ok(listed())),
+        _ => Some(Err(PollError::Unresponsive)),
+    };
+    let fx = run_polls(&mut scheduler, fx, 1_000..until, poll);
+    assert_eq!(starts(&fx), Vec::new(), "its lease may hold");
+    let fx = run_polls(&mut scheduler, fx, until..until + 600, poll);
+    assert_eq!(starts(&fx).len(), 1, "its lease has expired");
+}
+
+/// Guards against a task that never starts again: its VM restarted and was not reachable
+/// from then on, so that nothing is known of its clock.
+#[test]
+fn a_restarted_vm_that_never_answers_loses_its_runs() {
+    let (mut scheduler, _) = scheduler_with(2);
+    let (_, vm) = start_running(&mut scheduler);
+    let restarted = Registration {
+        started_ms: RESTARTED_UNIX_MS,
+        ..registration(&vm)
+    };
+    let listed = Event::Vms(vec![(restarted.id.clone(), Some(restarted))]);
+    let fx = deliver(&mut scheduler, 1_000, listed);
+    let until = 1_000 + Tuning::default().lease_max.as_millis();
+    let fx = cut_off(&mut scheduler, fx, &vm, 1_000..until);
+    assert_eq!(starts(&fx), Vec::new(), "its lease may hold");
+    let fx = cut_off(&mut scheduler, fx, &vm, until..until + 600);
+    assert_eq!(starts(&fx).len(), 1, "its lease has expired");
+}
+
+/// Guards against two runs of one task after a change of leader: a VM listed a run of the
+/// previous leader, and its next poll had been sent before, without a lease, and was lost.
+#[test]
+fn a_run_of_the_predecessor_keeps_its_lease_when_the_second_poll_is_lost() {
+    let stored_fleet = fleet_record_of(["v000", "v001"]);
+    let read = vec![job_of_one_task(), placement("v000", 0), stored_fleet];
+    let (mut scheduler, sent) = successor(2, read);
+    let answer = Ok(poll_answer(Vec::new()));
+    let mut fx = deliver(
+        &mut scheduler,
+        4,
+        Event::Polled {
+            key: sent[1],
+            answer,
+        },
+    );
+    fx.extend(wait(&mut scheduler, 10..200));
+    let hedged = polls(&fx).into_iter().find(|k| k.vm == sent[0].vm);
+    let hedged = hedged.expect("the overdue poll is hedged");
+    let mut answer = listing(START_UNIX_MS - 1_000, &[task_of_job_5()]);
+    answer.running[0].attempt = 1_000;
+    let polled = Event::Polled {
+        key: sent[0],
+        answer: Ok(answer),
+    };
+    deliver(&mut scheduler, 200, polled);
+    let lost = Event::Polled {
+        key: hedged,
+        answer: Err(PollError::Unresponsive),
+    };
+    let fx = deliver(&mut scheduler, 860, lost);
+    let until = 200 + Tuning::default().lease.as_millis();
+    let fx = cut_off(&mut scheduler, fx, "v000", 860..until);
+    assert_eq!(placements(&fx), Vec::new(), "its lease holds");
+    // The leases of the previous leader have expired by 5 s on all VMs.
+    let fx = cut_off(&mut scheduler, fx, "v000", until..5_400);
+    assert_eq!(placements(&fx).len(), 1, "its lease has expired");
+}
+
+/// Returns the first task of the job of the tests.
+fn task_of_job_5() -> TaskId {
+    let stage = StageId {
+        job: JobId(5),
+        occurrence: 0,
+        step: 0,
+    };
+    TaskId { stage, index: 0 }
+}
--- a/crates/monsoonnotch_member/src/settings/mod.rs
+++ b/crates/monsoonnotch_member/src/settings/mod.rs
@@ -164,9 +164,11 @@
     /// Returns the parameters of the scheduler that runs while this member is the leader.
     pub fn scheduler_tuning(&self) -> Tuning {
         let ms = time::Duration::from_millis;
-        let lease = ms(self.tuning.lease_ms.min(self.times.lease_max));
+        let lease_max = ms(self.times.lease_max);
+        let lease = ms(self.tuning.lease_ms).min(lease_max);
         Tuning {
             lease,
+            lease_max,
             poll_wait: ms(lease.as_millis() / 3),
             keep_ended: time::Duration::from_secs(self.times.keep_ended_s),
             approvals: !self.services.approval.is_empty(),
