Drop the runs of a VM only when a poll finds another VM at its address

What callers would see: one task runs twice at the same time, and a VM gets more than its capacity, after a VM has restarted at another address.

Cause: an order that reached another VM (status 421) dropped all runs of the VM's row, whatever address the order had been sent to. An order to the address before the restart thus dropped the runs of the new incarnation.

Evidence: an_order_to_an_old_address_does_not_drop_the_runs_at_the_new_one and an_order_to_another_vm_is_followed_by_a_poll_that_drops_the_runs failed before this change and pass with it.

Such an order now makes its run uncertain and is followed by a poll. Polls of an earlier incarnation are discarded at a restart, so a poll that finds another VM concerns the present address: then the runs are dropped at once, as before.

--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -240,7 +240,10 @@
     }
 
     /// Drops the runs of a VM after another incarnation answered at its address.
-    pub(super) fn other_incarnation(&mut self, key: VmKey) {
+    ///
+    /// Only a poll shows that, because polls of an earlier incarnation are discarded. An
+    /// order may have been sent to an address that a newer registration has replaced.
+    fn other_incarnation(&mut self, key: VmKey) {
         let now = self.now;
         let Some(vm) = self.vms.get_mut(key) else {
             return;
--- a/crates/monsoonnotch_jobs/src/scheduler/starts.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/starts.rs
@@ -124,7 +124,10 @@
             }
             StartAnswer::Running => {}
             StartAnswer::Fenced => self.step_down(),
-            StartAnswer::OtherIncarnation => self.other_incarnation(vm),
+            // The poll that follows shows which incarnation is at the VM's address, and
+            // whether it has the run.
+            StartAnswer::OtherIncarnation if starting => self.mark_uncertain(key, answer),
+            StartAnswer::OtherIncarnation => self.poll_now(vm),
             StartAnswer::Unknown if starting && !needed => self.stop_run(key, "no longer needed"),
             StartAnswer::Unknown if starting && run.sends < START_SENDS_MAX => self.send_start(key),
             // The VM had this attempt or a higher one before, so the run may have been
--- a/crates/monsoonnotch_jobs/src/scheduler/stops.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/stops.rs
@@ -127,7 +127,7 @@
             }
             StopAnswer::OtherIncarnation => {
                 let vm = run.vm;
-                self.other_incarnation(vm);
+                self.poll_now(vm);
             }
             StopAnswer::Fenced | StopAnswer::Unknown => {}
         }
--- a/crates/monsoonnotch_jobs/tests/promises/incarnations.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/incarnations.rs
@@ -11,6 +11,7 @@
 use monsoonnotch_jobs::plan::JobId;
 use monsoonnotch_jobs::plan::StageId;
 use monsoonnotch_jobs::plan::TaskId;
+use monsoonnotch_jobs::scheduler::RunKey;
 use monsoonnotch_jobs::scheduler::Scheduler;
 use monsoonnotch_jobs::tuning::Tuning;
 use monsoonnotch_jobs::vm::PollAnswer;
@@ -21,11 +22,13 @@
 use crate::directed::deliver;
 use crate::directed::fleet_record_of;
 use crate::directed::job_of_one_task;
+use crate::directed::job_with_tasks;
 use crate::directed::placement;
 use crate::directed::placements;
 use crate::directed::poll_answer;
 use crate::directed::polls;
 use crate::directed::scheduler_with;
+use crate::directed::start_one;
 use crate::directed::starts;
 use crate::directed::successor;
 use crate::directed::wait;
@@ -232,3 +235,82 @@
     };
     TaskId { stage, index: 0 }
 }
+
+/// Returns a scheduler whose only VM has restarted at another address, with two runs whose
+/// starts were sent to the old address, and repeated. The VM has confirmed the first one.
+fn moved_vm() -> (Scheduler, Vec<RunKey>, Vec<TaskId>) {
+    let (mut scheduler, _) = scheduler_with(1);
+    let fx = deliver(
+        &mut scheduler,
+        100,
+        Event::Journal(vec![(1, job_with_tasks(2))]),
+    );
+    let runs = starts(&fx);
+    let tasks = (0..2).map(|index| TaskId {
+        index,
+        ..task_of_job_5()
+    });
+    let moved = Registration {
+        started_ms: RESTARTED_UNIX_MS,
+        addr: "10.0.0.2:1".into(),
+        ..registration("v000")
+    };
+    let listed = Event::Vms(vec![(moved.id.clone(), Some(moved))]);
+    let fx = deliver(&mut scheduler, 150, listed);
+    let poll = |_: &str, ms| (ms == 150).then(|| Ok(listing(RESTARTED_UNIX_MS, &[])));
+    run_polls(&mut scheduler, fx, 150..230, poll);
+    let (run, answer) = (runs[0], StartAnswer::Unknown);
+    let fx = deliver(&mut scheduler, 230, Event::Started { run, answer });
+    assert_eq!(
+        starts(&fx),
+        vec![run],
+        "the start is sent to the new address"
+    );
+    let answer = StartAnswer::Running;
+    deliver(&mut scheduler, 232, Event::Started { run, answer });
+    (scheduler, runs, tasks.collect())
+}
+
+/// Guards against two runs of one task: another VM answers at the address that a VM had
+/// before its restart, while the VM runs tasks at its new address.
+#[test]
+fn an_order_to_an_old_address_does_not_drop_the_runs_at_the_new_one() {
+    let (mut scheduler, runs, tasks) = moved_vm();
+    let (run, answer) = (runs[1], StartAnswer::OtherIncarnation);
+    let fx = deliver(&mut scheduler, 240, Event::Started { run, answer });
+    let listed = |_: &str, _| Some(Ok(listing(RESTARTED_UNIX_MS, &tasks[..1])));
+    let fx = run_polls(&mut scheduler, fx, 240..5_000, listed);
+    assert_eq!(starts(&fx), Vec::new(), "the first task is running");
+    assert_eq!(stops(&fx).first(), Some(&run), "it may start late");
+}
+
+/// Guards against a needless wait for leases: the VM at the present address is another one,
+/// so that the tasks can start again as soon as a poll has shown it.
+#[test]
+fn an_order_to_another_vm_is_followed_by_a_poll_that_drops_the_runs() {
+    let (mut scheduler, waiting) = scheduler_with(2);
+    let (run, _) = start_one(&mut scheduler);
+    let answer = StartAnswer::OtherIncarnation;
+    let fx = deliver(&mut scheduler, 102, Event::Started { run, answer });
+    let polled = *polls(&fx).last().expect("the VM is polled at once");
+    assert!(waiting.iter().any(|k| k.vm == polled.vm));
+    let answer = Err(PollError::OtherIncarnation);
+    let mut fx = deliver(
+        &mut scheduler,
+        104,
+        Event::Polled {
+            key: polled,
+            answer,
+        },
+    );
+    fx.extend(wait(&mut scheduler, 105..200));
+    assert_eq!(starts(&fx).len(), 1);
+}
+
+fn stops(fx: &[Effect]) -> Vec<RunKey> {
+    let key = |e: &Effect| match e {
+        Effect::Stop { run, .. } => Some(*run),
+        _ => None,
+    };
+    fx.iter().filter_map(key).collect()
+}
