Acknowledge finished runs only to the incarnation that listed them

What callers would see: a task runs again after it has succeeded, when its VM restarts under its id and the leader does not know yet.

Cause: completion numbers begin anew when a VM restarts, and orders name the VM's id only. A poll that was not sent right upon an answer (hedged, after silence, or deferred until finished runs are stored) acknowledged the numbers of the previous incarnation, so that the new one forgot finished runs that it had never listed. Their tasks were then not listed and started again.

Evidence: a_hedged_poll_acknowledges_nothing and two cases of a_poll_acknowledges_only_while_no_start_is_unanswered failed before this change and pass with it.

Polls acknowledge nothing while the VM may have restarted since its last answer: finished runs are listed again, and the next poll acknowledges them. It may have if the poll is hedged, the VM does not answer, or a start that may have reached a later incarnation has no answer. The client for VMs tells answers of a later incarnation by their lower clock.

--- a/crates/monsoonnotch_jobs/src/effect/mod.rs
+++ b/crates/monsoonnotch_jobs/src/effect/mod.rs
@@ -47,6 +47,9 @@
     pub addr: CompactString,
     /// The VM's id.
     pub id: CompactString,
+    /// The VM's clock when it was last read, in milliseconds; zero if it was never read. A
+    /// response with a lower clock comes from a later incarnation.
+    pub min_clock_ms: u64,
 }
 
 /// The state of a job as callers see it.
--- a/crates/monsoonnotch_jobs/src/event/mod.rs
+++ b/crates/monsoonnotch_jobs/src/event/mod.rs
@@ -127,7 +127,8 @@
     Unhealthy,
     /// The VM could not parse the order.
     Invalid,
-    /// The address belongs to another VM or to another incarnation of the VM.
+    /// The address belongs to another VM or to another incarnation of the VM; the latter may
+    /// have started the run.
     OtherIncarnation,
     /// The order was not sent.
     NotSent,
--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -68,6 +68,8 @@
     sent_at: Time,
     /// How long the VM may wait for a run to finish.
     wait: Duration,
+    /// Completion number up to which the VM may forget finished runs.
+    acknowledged: u64,
     /// Whether a later poll was answered while this one was overdue.
     overtaken: bool,
 }
@@ -187,7 +189,16 @@
         let first = !vm.answered || vm.polls.unanswered > 0;
         let all_stored = vm.finished_stored >= vm.finished_seen;
         let hedged = !vm.polls.pending.is_empty();
-        let wait = match first || hedged || !all_stored {
+        // Completion numbers begin anew in each incarnation. If the VM may have restarted
+        // since its last answer, an acknowledgement could discard finished runs of the new
+        // incarnation that were never listed.
+        let may_have_restarted = first || hedged || !vm.unanswered_starts.is_empty();
+        let acknowledged = match may_have_restarted {
+            true => 0,
+            false => vm.finished_stored,
+        };
+        let acknowledges_all = vm.finished_acknowledged.max(acknowledged) >= vm.finished_seen;
+        let wait = match first || hedged || !all_stored || !acknowledges_all {
             true => Duration::default(),
             false => wait,
         };
@@ -203,6 +214,7 @@
             PendingPoll {
                 sent_at: now,
                 wait,
+                acknowledged,
                 overtaken: false,
             },
         );
@@ -210,7 +222,7 @@
         let effect = Effect::Poll {
             key: PollKey { vm: key, seq },
             to: vm.target(),
-            acknowledged: vm.finished_stored,
+            acknowledged,
             lease_until_ms: until,
             wait,
         };
@@ -232,7 +244,7 @@
         };
         (0..overtaken).for_each(|_| self.unanswered_orders.record(now));
         match answer {
-            Ok(answer) => self.apply_poll_answer(key.vm, pending.sent_at, answer),
+            Ok(answer) => self.apply_poll_answer(key.vm, pending, answer),
             Err(PollError::Fenced) => self.step_down(),
             Err(PollError::OtherIncarnation) => self.other_incarnation(key.vm),
             Err(PollError::Unresponsive) => self.poll_unanswered(key),
@@ -276,7 +288,7 @@
         }
     }
 
-    fn apply_poll_answer(&mut self, key: VmKey, polled_at: Time, answer: PollAnswer) {
+    fn apply_poll_answer(&mut self, key: VmKey, poll: PendingPoll, answer: PollAnswer) {
         let (now, lease, drift) = (self.now, self.tuning.lease, self.tuning.drift_milli);
         let Some(vm) = self.vms.get_mut(key) else {
             return;
@@ -300,6 +312,8 @@
             vm.add_other_lease(now, lease, drift);
         }
         vm.clock = Some((now, answer.clock_ms));
+        vm.finished_acknowledged = vm.finished_acknowledged.max(poll.acknowledged);
+        vm.unanswered_starts.retain(|_, sent| *sent > poll.sent_at);
         if answer.running.is_empty() {
             // Without runs, nothing else would ever lower the slowness.
             vm.health.record_slowness(1.0, IDLE_SLOWNESS_WEIGHT);
@@ -314,7 +328,7 @@
             self.placement_needed = true;
         }
         self.apply_finished(key, &answer.finished);
-        self.apply_running(key, polled_at, &answer);
+        self.apply_running(key, poll.sent_at, &answer);
         self.schedule_next_poll(key);
     }
 
--- a/crates/monsoonnotch_jobs/src/scheduler/starts.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/starts.rs
@@ -86,6 +86,7 @@
         let row = self.vms.get_mut(vm).expect("a run has a VM");
         let expires_ms = row.clock_at(now).unwrap_or(0) + valid;
         row.lease_until_ms = row.lease_until_ms.max(expires_ms);
+        row.unanswered_starts.insert(key, now);
         let to = row.target();
         let order = StartOrder {
             task,
@@ -111,6 +112,13 @@
         };
         let (vm, stage, index) = (run.vm, run.stage, run.index);
         let starting = matches!(run.state, State::Starting | State::Uncertain);
+        let answered = !matches!(
+            answer,
+            StartAnswer::Unknown | StartAnswer::NotSent | StartAnswer::OtherIncarnation
+        );
+        if answered && let Some(row) = self.vms.get_mut(vm) {
+            row.unanswered_starts.remove(&key);
+        }
         let needed = self.is_needed(stage, index);
         let Some(run) = self.runs.get_mut(&key) else {
             return;
--- a/crates/monsoonnotch_jobs/src/scheduler/vms.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/vms.rs
@@ -47,6 +47,12 @@
     pub(super) finished_seen: u64,
     /// The effects of finished runs up to this completion number are stored.
     pub(super) finished_stored: u64,
+    /// Its present incarnation was told to forget finished runs up to this completion
+    /// number, and has answered.
+    pub(super) finished_acknowledged: u64,
+    /// Starts without an answer of the present incarnation, with the time when each was
+    /// last sent. A later incarnation may have executed them.
+    pub(super) unanswered_starts: BTreeMap<RunKey, Time>,
     pub(super) health: Health,
     /// Listed runs that belong to no run of this scheduler.
     pub(super) orphans: Orphans,
@@ -110,6 +116,8 @@
             polls: super::polls::Polls::default(),
             finished_seen: 0,
             finished_stored: 0,
+            finished_acknowledged: 0,
+            unanswered_starts: BTreeMap::new(),
             health: Health::default(),
             orphans: Orphans::default(),
         }
@@ -119,6 +127,7 @@
         Target {
             addr: self.registration.addr.clone(),
             id: self.registration.id.clone(),
+            min_clock_ms: self.clock.map_or(0, |(_, ms)| ms),
         }
     }
 
@@ -296,6 +305,8 @@
         vm.add_other_lease(now, lease_max, drift);
         vm.finished_seen = 0;
         vm.finished_stored = 0;
+        vm.finished_acknowledged = 0;
+        vm.unanswered_starts.clear();
         vm.health = Health::default();
         vm.polls.clear();
         self.set_orphans(key, Orphans::default());
--- a/crates/monsoonnotch_jobs/tests/promises/directed.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/directed.rs
@@ -133,7 +133,7 @@
 }
 
 /// Returns the first finished run of a VM: the first attempt at `task`, which succeeded.
-fn done(task: TaskId) -> FinishedRun {
+pub(crate) fn done(task: TaskId) -> FinishedRun {
     FinishedRun {
         number: 1,
         task,
--- a/crates/monsoonnotch_jobs/tests/promises/incarnations.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/incarnations.rs
@@ -17,9 +17,11 @@
 use monsoonnotch_jobs::vm::PollAnswer;
 use monsoonnotch_jobs::vm::Registration;
 use monsoonnotch_jobs::vm::RunningRun;
+use rstest::rstest;
 
 use crate::directed::decide;
 use crate::directed::deliver;
+use crate::directed::done;
 use crate::directed::fleet_record_of;
 use crate::directed::job_of_one_task;
 use crate::directed::job_with_tasks;
@@ -314,3 +316,68 @@
     };
     fx.iter().filter_map(key).collect()
 }
+
+/// Returns the completion numbers that the polls acknowledge.
+fn acknowledged(fx: &[Effect]) -> Vec<u64> {
+    let number = |e: &Effect| match e {
+        Effect::Poll { acknowledged, .. } => Some(*acknowledged),
+        _ => None,
+    };
+    fx.iter().filter_map(number).collect()
+}
+
+/// Returns a scheduler whose only VM has reported a finished run that is stored and
+/// acknowledged by the poll that waits there, with the time of that poll.
+fn acknowledging_poll() -> (Scheduler, u64) {
+    let (mut scheduler, waiting) = scheduler_with(1);
+    let (task, vm) = start_running(&mut scheduler);
+    let answer = Ok(poll_answer(vec![done(task)]));
+    let fx = end_pending(&mut scheduler, 300, &waiting, &vm, answer);
+    assert_eq!(acknowledged(&fx), vec![1], "the run is stored");
+    (scheduler, 300)
+}
+
+/// Guards against a task that runs again after its success: a VM has restarted, and a hedged
+/// poll makes the new incarnation forget finished runs that it has never listed.
+#[test]
+fn a_hedged_poll_acknowledges_nothing() {
+    let (mut scheduler, sent_ms) = acknowledging_poll();
+    let overdue = sent_ms + Tuning::default().poll_wait.as_millis();
+    let fx = wait(&mut scheduler, sent_ms + 10..overdue + 300);
+    assert_eq!(acknowledged(&fx), vec![0], "the overdue poll is hedged");
+}
+
+/// Guards against a task that runs again after its success: a VM has restarted and has
+/// executed a start there was no answer to, and the next poll makes it forget the success.
+#[rstest]
+#[case::unanswered(None, vec![0], vec![1])]
+#[case::not_sent(Some(StartAnswer::NotSent), vec![0], vec![1])]
+#[case::answered(Some(StartAnswer::Running), vec![1], vec![])]
+fn a_poll_acknowledges_only_while_no_start_is_unanswered(
+    #[case] answer: Option<StartAnswer>,
+    #[case] first: Vec<u64>,
+    #[case] second: Vec<u64>,
+) {
+    let (mut scheduler, waiting) = scheduler_with(1);
+    let submitted = Event::Journal(vec![(1, job_with_tasks(2))]);
+    let runs = starts(&deliver(&mut scheduler, 100, submitted));
+    let running = Event::Started {
+        run: runs[0],
+        answer: StartAnswer::Running,
+    };
+    deliver(&mut scheduler, 102, running);
+    if let Some(answer) = answer {
+        let run = runs[1];
+        deliver(&mut scheduler, 103, Event::Started { run, answer });
+    }
+    let finished = poll_answer(vec![done(task_of_job_5())]);
+    let fx = end_pending(&mut scheduler, 300, &waiting, "v000", Ok(finished.clone()));
+    assert_eq!(acknowledged(&fx), first);
+    let key = polls(&fx)[0];
+    let answer = Ok(finished);
+    let fx = match first == [0] {
+        true => deliver(&mut scheduler, 310, Event::Polled { key, answer }),
+        false => Vec::new(),
+    };
+    assert_eq!(acknowledged(&fx), second);
+}
