Request approvals of slow VMs when the others are full

Cause: after its first request, a stage requests VMs in their order of preference up to the first one that is full. Slow VMs come after all others, so one full VM hid them, and 'stage waiting ... blocked=Room' went on.

Full VMs are now left out of such a request instead of ending it.

--- a/crates/monsoonnotch_jobs/src/scheduler/approvals.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/approvals.rs
@@ -218,14 +218,16 @@
             .map_or(0.5, |s| s.approved_share)
             .clamp(0.1, 1.0);
         let first = stage.approvals.last_answer_at == Time::default();
-        let rows = self.request_candidates(job, stage, step);
+        let mut rows = self.request_candidates(job, stage, step);
+        // A first request may include VMs that are full now.
+        rows.retain(|r| r.fits > 0 || first);
         // A gang starts all at once, so VMs that are approved already count as well.
         let wanted = tasks as f64 * REQUEST_CAPACITY_FACTOR + 1.0;
         let mut sum = 0.0;
         let mut requested = Vec::new();
         for row in rows {
             let enough = sum >= wanted && (!first || requested.len() >= FIRST_REQUEST_VMS_MIN);
-            if enough || requested.len() >= REQUEST_VMS_MAX || (row.fits == 0 && !first) {
+            if enough || requested.len() >= REQUEST_VMS_MAX {
                 break;
             }
             sum += row.fits as f64 * if row.approved_before { 1.0 } else { share };
--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -3,6 +3,7 @@
 //! `MONSOONNOTCH_SEED` replays the random schedule of one seed; `MONSOONNOTCH_CASES`
 //! sets how many seeds run.
 
+mod approvals;
 mod directed;
 mod load;
 mod orders;
