--- a/crates/monsoonnotch_jobs/src/event/mod.rs
+++ b/crates/monsoonnotch_jobs/src/event/mod.rs
@@ -20,8 +20,17 @@
 pub enum Event {
     /// A new configuration takes effect.
     Config(Arc<PublishedConfig>),
-    /// Records of the journal with their offsets, in order.
+    /// Records of the journal with their offsets, in order. All records before the last one
+    /// have been delivered.
     Journal(Vec<(u64, KeyedRecord)>),
+    /// The newest record of each key, read after records of the journal were trimmed. Reading
+    /// continues at `next`.
+    NewestRecords {
+        /// The records with their offsets; some may have been stored at `next` or later.
+        records: Vec<(u64, KeyedRecord)>,
+        /// The offset before which no record is missing.
+        next: u64,
+    },
     /// Records that a member has stored, with their offsets, as that member reports. The
     /// journal delivers the same records again, sometimes much later.
     RecordsStored(Vec<(u64, KeyedRecord)>),
--- a/crates/monsoonnotch_jobs/src/scheduler/mod.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/mod.rs
@@ -27,6 +27,7 @@
 use std::sync::Arc;
 
 use crate::effect::LogEntry;
+use crate::journal::KeyedRecord;
 use crate::prelude::*;
 
 pub use self::job::JobKey;
@@ -56,8 +57,10 @@
     /// Offset of the first journal record written under this token; `None` until the
     /// journal has been read up to it.
     marker: Option<u64>,
-    /// Offset of the next journal record to read.
+    /// Offset before which all journal records have been applied.
     read_to: u64,
+    /// Reported records from `read_to` on, by offset, until all earlier ones are known.
+    reported: BTreeMap<u64, KeyedRecord>,
     /// When every lease that a predecessor renewed has expired.
     settle_at: Time,
     jobs: Arena<JobKey, job::Job>,
@@ -90,7 +93,7 @@
     next_retry: Time,
     /// Whether something changed that may allow a waiting task to start.
     placement_needed: bool,
-    /// Set once a leader with a higher token is seen; no decisions are made from then on.
+    /// Set once a leader with a higher token is seen; nothing is decided or sent from then on.
     stopped: bool,
     effects: Vec<Effect>,
 }
@@ -109,6 +112,7 @@
             token,
             marker: None,
             read_to: 0,
+            reported: BTreeMap::new(),
             jobs: Arena::default(),
             jobs_by_id: BTreeMap::new(),
             cancelled_before_submission: BTreeSet::new(),
@@ -150,9 +154,8 @@
                 self.placement_needed = true;
             }
             Event::Journal(records) => self.replay(records),
-            // Until the journal has been read, a newer record of the same key may follow.
-            Event::RecordsStored(records) if self.marker.is_some() => self.apply(records),
-            Event::RecordsStored(_) => {}
+            Event::NewestRecords { records, next } => self.replay_newest(records, next),
+            Event::RecordsStored(records) => self.records_reported(records),
             Event::CaughtUp { marker } => self.caught_up(marker),
             Event::Vms(entries) => self.apply_vm_changes(entries),
             Event::AllVms(registrations) => self.apply_vm_list(registrations),
@@ -185,6 +188,11 @@
             }
             self.flush_progress();
         }
+        if self.stopped {
+            let is_harmless =
+                |e: &Effect| matches!(e, Effect::StepDown | Effect::Reply { .. } | Effect::Log(_));
+            self.effects.retain(is_harmless);
+        }
         std::mem::take(&mut self.effects)
     }
 
--- a/crates/monsoonnotch_jobs/src/scheduler/replay.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/replay.rs
@@ -4,13 +4,15 @@
 use super::*;
 use crate::journal;
 use crate::journal::Entry;
-use crate::journal::KeyedRecord;
 use crate::journal::Progress;
 use crate::journal::Submission;
 use crate::plan::parse_job_id;
 
 /// Burst size of an account, in seconds of its entitled share.
 const BURST_SECS: f64 = 2.0;
+/// Maximum number of reported records that wait for earlier ones. Further ones are read from
+/// the journal.
+const REPORTED_RECORDS_MAX: usize = 1_024;
 /// Attempt numbers reserved for one term. The attempts of the next term have higher ones.
 const ATTEMPTS_PER_TERM: u64 = 1_000;
 
@@ -38,14 +40,59 @@
 impl Scheduler {
     /// Applies the next records of the journal, in order.
     pub(super) fn replay(&mut self, records: Vec<(u64, KeyedRecord)>) {
-        if let Some((last, _)) = records.last() {
-            self.read_to = self.read_to.max(last + 1);
+        let next = records.last().map_or(0, |(last, _)| last + 1);
+        self.replay_newest(records, next);
+    }
+
+    /// Applies records of the journal after which all records before `next` are known.
+    pub(super) fn replay_newest(&mut self, records: Vec<(u64, KeyedRecord)>, next: u64) {
+        if self.apply(records) {
+            self.read_to = self.read_to.max(next);
+            self.apply_reported();
+        }
+    }
+
+    /// Applies the records that a member reports, each once all earlier ones are known.
+    ///
+    /// A record after a gap may belong to the term of a successor, which may already run the
+    /// job: the record by which that term starts is then in the gap.
+    pub(super) fn records_reported(&mut self, records: Vec<(u64, KeyedRecord)>) {
+        for (offset, stored) in records {
+            if offset == self.read_to || self.reported.len() < REPORTED_RECORDS_MAX {
+                self.reported.insert(offset, stored);
+            }
+            self.apply_reported();
+        }
+    }
+
+    /// Applies the reported records that follow the known ones without a gap.
+    fn apply_reported(&mut self) {
+        // Until the journal has been read, a newer record of the same key may follow.
+        if self.marker.is_none() {
+            return;
+        }
+        while let Some(entry) = self.reported.first_entry()
+            && *entry.key() <= self.read_to
+        {
+            let (offset, stored) = entry.remove_entry();
+            if offset == self.read_to && self.apply(vec![(offset, stored)]) {
+                self.read_to += 1;
+            }
         }
-        self.apply(records);
     }
 
     /// Applies stored records; each may be delivered more than once.
-    pub(super) fn apply(&mut self, records: Vec<(u64, KeyedRecord)>) {
+    ///
+    /// Returns false, and applies none of them, if a newer term has begun.
+    fn apply(&mut self, records: Vec<(u64, KeyedRecord)>) -> bool {
+        // The newest records are in the order of their keys, so that records of a newer term may
+        // precede the one by which it starts.
+        if records.iter().any(|(_, r)| self.starts_newer_term(r)) {
+            self.step_down();
+        }
+        if self.stopped {
+            return false;
+        }
         for (offset, stored) in records {
             let is_known = |id: JobId| self.jobs_by_id.contains_key(&id);
             if parse_job_id(&stored.key).is_some_and(is_known) {
@@ -64,7 +111,6 @@
                 Some(Entry::Progressed(id, progress)) => self.apply_progress(id, progress),
                 Some(Entry::Placed(id, placements)) => self.apply_placements(id, &placements),
                 Some(Entry::Fleet(ids)) => self.apply_fleet(&ids),
-                Some(Entry::TermStarted { token }) if token > self.token => self.step_down(),
                 Some(Entry::TermStarted { .. } | Entry::Dropped) => {}
                 None => self.log(
                     0,
@@ -73,6 +119,12 @@
                 ),
             }
         }
+        true
+    }
+
+    fn starts_newer_term(&self, stored: &KeyedRecord) -> bool {
+        let entry = (stored.key == journal::LEADER_KEY).then(|| journal::decode_entry(stored));
+        matches!(entry, Some(Some(Entry::TermStarted { token })) if token > self.token)
     }
 
     fn apply_submission(&mut self, offset: u64, id: JobId, submission: Submission) {
@@ -247,5 +299,6 @@
             self.advance(key);
         }
         self.poll_all();
+        self.apply_reported();
     }
 }
--- a/crates/monsoonnotch_jobs/tests/promises/directed.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/directed.rs
@@ -26,24 +26,24 @@
 use crate::random::site;
 use crate::simulation::START_UNIX_MS;
 
-fn at(ms: u64) -> Time {
+pub(crate) fn at(ms: u64) -> Time {
     Time(ms * 1_000)
 }
 
 /// Delivers an event and returns the effects; appends are reported as stored at once.
-fn deliver(scheduler: &mut Scheduler, ms: u64, event: Event) -> Vec<Effect> {
+pub(crate) fn deliver(scheduler: &mut Scheduler, ms: u64, event: Event) -> Vec<Effect> {
     scheduler.handle(event, at(ms), START_UNIX_MS + ms);
     decide(scheduler, ms)
 }
 
 /// Advances the time in steps of ten milliseconds and returns the effects.
-fn wait(scheduler: &mut Scheduler, ms: std::ops::Range<u64>) -> Vec<Effect> {
+pub(crate) fn wait(scheduler: &mut Scheduler, ms: std::ops::Range<u64>) -> Vec<Effect> {
     ms.step_by(10)
         .flat_map(|ms| decide(scheduler, ms))
         .collect()
 }
 
-fn decide(scheduler: &mut Scheduler, ms: u64) -> Vec<Effect> {
+pub(crate) fn decide(scheduler: &mut Scheduler, ms: u64) -> Vec<Effect> {
     let mut fx = scheduler.decide(at(ms), START_UNIX_MS + ms);
     if appends(&fx) {
         let stored = Event::Appended { stored: true };
@@ -53,11 +53,11 @@
     fx
 }
 
-fn appends(fx: &[Effect]) -> bool {
+pub(crate) fn appends(fx: &[Effect]) -> bool {
     fx.iter().any(|e| matches!(e, Effect::Append(_)))
 }
 
-fn polls(fx: &[Effect]) -> Vec<PollKey> {
+pub(crate) fn polls(fx: &[Effect]) -> Vec<PollKey> {
     let key = |e: &Effect| match e {
         Effect::Poll { key, .. } => Some(*key),
         _ => None,
@@ -65,7 +65,7 @@
     fx.iter().filter_map(key).collect()
 }
 
-fn starts(fx: &[Effect]) -> Vec<RunKey> {
+pub(crate) fn starts(fx: &[Effect]) -> Vec<RunKey> {
     let key = |e: &Effect| match e {
         Effect::Start { run, .. } => Some(*run),
         _ => None,
@@ -73,7 +73,7 @@
     fx.iter().filter_map(key).collect()
 }
 
-fn poll_answer(ended: Vec<FinishedRun>) -> PollAnswer {
+pub(crate) fn poll_answer(ended: Vec<FinishedRun>) -> PollAnswer {
     PollAnswer {
         clock_ms: 1_000,
         finished: ended,
@@ -82,7 +82,7 @@
 }
 
 /// Returns a scheduler with `vms` VMs that have answered, and the polls that wait there.
-fn scheduler_with(vms: u64) -> (Scheduler, Vec<PollKey>) {
+pub(crate) fn scheduler_with(vms: u64) -> (Scheduler, Vec<PollKey>) {
     let tuning = Tuning::default();
     let mut scheduler = Scheduler::new(1, tuning, Arc::new(site(0, false)), at(0));
     deliver(&mut scheduler, 0, Event::AllVms(fleet(vms, 8_000)));
@@ -98,12 +98,12 @@
 }
 
 /// Returns the record of a job with one task.
-fn job_of_one_task() -> KeyedRecord {
+pub(crate) fn job_of_one_task() -> KeyedRecord {
     job_with_tasks(1)
 }
 
 /// Returns the record of a job with `count` tasks.
-fn job_with_tasks(count: u32) -> KeyedRecord {
+pub(crate) fn job_with_tasks(count: u32) -> KeyedRecord {
     let submission = journal::Submission {
         queue: "quick".into(),
         account: "ann".into(),
@@ -123,7 +123,7 @@
 }
 
 /// Submits a job with one task and returns the run that is started for it.
-fn start_one(scheduler: &mut Scheduler) -> (RunKey, TaskId) {
+pub(crate) fn start_one(scheduler: &mut Scheduler) -> (RunKey, TaskId) {
     let fx = deliver(scheduler, 100, Event::Journal(vec![(1, job_of_one_task())]));
     let started = fx.iter().find_map(|e| match e {
         Effect::Start { run, order, .. } => Some((*run, order.task)),
@@ -133,7 +133,7 @@
 }
 
 /// Returns the first finished run of a VM: the first attempt at `task`, which succeeded.
-fn done(task: TaskId) -> FinishedRun {
+pub(crate) fn done(task: TaskId) -> FinishedRun {
     FinishedRun {
         number: 1,
         task,
@@ -211,7 +211,7 @@
 }
 
 /// Returns the placement of a task of job 5 as stored by a previous leader.
-fn placement(vm: &str, index: u32) -> KeyedRecord {
+pub(crate) fn placement(vm: &str, index: u32) -> KeyedRecord {
     let placement = journal::Placed {
         vm: vm.into(),
         runs: vec![(0, 0, index, 1_000)],
@@ -226,7 +226,7 @@
 
 /// Returns a scheduler that succeeds another one, and its first polls. The leases of the
 /// previous leader expire by 5 s; `vms` VMs are listed and the journal contains `read`.
-fn successor(vms: u64, read: Vec<KeyedRecord>) -> (Scheduler, Vec<PollKey>) {
+pub(crate) fn successor(vms: u64, read: Vec<KeyedRecord>) -> (Scheduler, Vec<PollKey>) {
     let tuning = Tuning::default();
     let mut scheduler = Scheduler::new(2, tuning, Arc::new(site(0, false)), at(5_000));
     deliver(&mut scheduler, 0, Event::AllVms(fleet(vms, 8_000)));
@@ -237,12 +237,12 @@
 }
 
 /// Returns the fleet record that a previous leader stored.
-fn fleet_record_of(ids: [&str; 2]) -> KeyedRecord {
+pub(crate) fn fleet_record_of(ids: [&str; 2]) -> KeyedRecord {
     journal::fleet_record(&ids.map(Into::into))
 }
 
 /// Returns the placements in appended records, as VM id and task index.
-fn placements(fx: &[Effect]) -> Vec<(String, u32)> {
+pub(crate) fn placements(fx: &[Effect]) -> Vec<(String, u32)> {
     let records = fx.iter().flat_map(|e| match e {
         Effect::Append(records) => records.clone(),
         _ => Vec::new(),
--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -4,6 +4,7 @@
 //! sets how many seeds run.
 
 mod directed;
+mod leaders;
 mod load;
 mod random;
 mod simulation;
--- a/crates/monsoonnotch_member/src/cx/mod.rs
+++ b/crates/monsoonnotch_member/src/cx/mod.rs
@@ -59,7 +59,6 @@
 pub(crate) struct StoreHealth {
     /// When the first of the consecutive failures occurred; `None` while requests succeed.
     failing_since: Option<Instant>,
-    last_response: Option<Instant>,
     /// The store counts as slow until this time; `None` if it never did.
     slow_until: Option<Instant>,
 }
@@ -155,7 +154,6 @@
         let was = health.failing_since;
         if ok {
             health.failing_since = None;
-            health.last_response = Some(Instant::now());
         } else {
             health.failing_since.get_or_insert_with(Instant::now);
         }
@@ -176,12 +174,6 @@
         since.map_or(Duration::ZERO, |s| s.elapsed())
     }
 
-    /// Returns whether the store's last response is at most `span` old.
-    pub(crate) fn store_responded_within(&self, span: Duration) -> bool {
-        let last = lock(&self.health).last_response;
-        last.is_some_and(|at| at.elapsed() <= span)
-    }
-
     /// Marks the store as slow for the next `span`.
     pub(crate) fn mark_store_slow(&self, span: Duration) {
         let was = lock(&self.health).slow_until.replace(Instant::now() + span);
--- a/crates/monsoonnotch_member/src/links/leader.rs
+++ b/crates/monsoonnotch_member/src/links/leader.rs
@@ -37,10 +37,6 @@
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Number of heartbeat intervals without a frame after which the link to a follower is closed.
 const MISSED_HEARTBEATS_MAX: u32 = 8;
-
-/// How long after the store's last response no other member can have become the leader. This is
-/// less than the time after which other members claim leadership from an unresponsive leader.
-const LEADERSHIP_CERTAIN_FOR: Duration = Duration::from_millis(400);
 /// Interval at which a follower is sent addresses of other members.
 const PEERS_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum number of addresses in one frame: enough that at least one of the members can reach the
@@ -236,16 +232,11 @@
             let key = ApprovalRequestKey(request);
             cx.control.event(token, Event::Approved { key, allowed });
         }
-        // A leader that cannot reach the store may already have a successor, which reads the record
-        // from the journal.
-        Frame::RecordStored { offset, key, value }
-            if cx.store_responded_within(LEADERSHIP_CERTAIN_FOR) =>
-        {
+        Frame::RecordStored { offset, key, value } => {
             let value = value.into_vec();
             let records = vec![(offset, KeyedRecord { key, value })];
             cx.control.event(token, Event::RecordsStored(records));
         }
-        Frame::RecordStored { .. } => {}
         Frame::Store {
             seq,
             within_ms,
--- a/crates/monsoonnotch_member/src/term/mod.rs
+++ b/crates/monsoonnotch_member/src/term/mod.rs
@@ -18,6 +18,7 @@
 use monsoonnotch_adapter::store::VMS_TOPIC;
 use monsoonnotch_jobs::effect::ApprovalSlotKey;
 use monsoonnotch_jobs::event::Event;
+use monsoonnotch_jobs::journal;
 use monsoonnotch_jobs::journal::KeyedRecord;
 use monsoonnotch_jobs::vm::Registration;
 use tokio::sync::mpsc;
@@ -176,10 +177,14 @@
 
 /// Starts a term in the control thread and feeds the scheduler until the term ends.
 async fn feed_scheduler(cx: Arc<Cx>, token: u64, rx: mpsc::UnboundedReceiver<Vec<KeyedRecord>>) {
-    let Some(marker) = writer::fence(&cx, token).await else {
+    if !writer::fence(&cx, token).await {
         return;
-    };
+    }
     let (jobs, vms) = tokio::join!(read_newest(&cx, JOURNAL_TOPIC), read_newest(&cx, VMS_TOPIC));
+    let Some(marker) = term_record_offset(&jobs, token) else {
+        log::warn!(event = "term superseded", token = token; "a newer leader term has begun");
+        return;
+    };
     let config = loop {
         let config = cx.config.borrow().clone();
         match config {
@@ -229,6 +234,14 @@
     }
 }
 
+/// Returns the offset of the record by which the term with this token starts, or `None` when a
+/// newer term has begun.
+fn term_record_offset(journal: &Newest, token: u64) -> Option<u64> {
+    let own = journal::term_record(token);
+    let mut records = journal.records.iter();
+    records.find_map(|(offset, stored)| (*stored == own).then_some(*offset))
+}
+
 fn registrations(newest: &Newest) -> Vec<Registration> {
     let entries = newest.records.iter();
     entries.filter_map(|(_, s)| registry::parse_vm(s)).collect()
@@ -254,7 +267,9 @@
                 log::warn!(event = "journal trimmed", from = from, start = start; "records of the journal have been trimmed; reading the newest record of each key instead");
                 let newest = read_newest(cx, JOURNAL_TOPIC).await;
                 from = newest.next;
-                cx.control.event(token, Event::Journal(newest.records));
+                let (records, next) = (newest.records, newest.next);
+                cx.control
+                    .event(token, Event::NewestRecords { records, next });
             }
             Err(_) => {
                 cx.record_store_result(false);
--- a/crates/monsoonnotch_member/src/term/writer.rs
+++ b/crates/monsoonnotch_member/src/term/writer.rs
@@ -30,9 +30,10 @@
 
 /// Fences the journal against writes of previous leaders by appending a record under the token.
 ///
-/// Returns the offset of that record, or `None` when another member writes the journal.
-pub(super) async fn fence(cx: &Cx, token: u64) -> Option<u64> {
-    append(cx, token, 0, &[journal::term_record(token)], &mut 1).await
+/// Returns false when another member writes the journal.
+pub(super) async fn fence(cx: &Cx, token: u64) -> bool {
+    let record = journal::term_record(token);
+    append(cx, token, 0, &[record], &mut 1).await != Outcome::Fenced
 }
 
 /// Appends the scheduler's records until the term ends, and reports each append to the scheduler.
@@ -40,21 +41,32 @@
     let mut seq = 1;
     let mut timeout_index = 0;
     while let Some(records) = rx.recv().await {
-        if append(cx, token, seq, &records, &mut timeout_index)
-            .await
-            .is_none()
-        {
-            return;
+        match append(cx, token, seq, &records, &mut timeout_index).await {
+            Outcome::StoredAt(offset) => {
+                // Without these, records that members report would wait for the journal.
+                let stored = (offset..).zip(records).collect();
+                cx.control.event(token, Event::RecordsStored(stored));
+            }
+            Outcome::Stored => {}
+            Outcome::Fenced => return,
         }
         seq += 1;
         cx.control.event(token, Event::Appended { stored: true });
     }
 }
 
-/// Repeats an append until the records are stored.
-///
-/// Returns the offset of the first record, or 0 when only the response to an earlier attempt was
-/// lost. Returns `None` when another member writes the journal.
+/// The outcome of an append.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    /// The records are stored, the first one at this offset.
+    StoredAt(u64),
+    /// The records are stored; the response that has their offset was lost.
+    Stored,
+    /// Another member writes the journal.
+    Fenced,
+}
+
+/// Repeats an append until the records are stored or another member writes the journal.
 ///
 /// `timeout_index` selects the timeout in [`APPEND_TIMEOUTS`]. It rises with each timeout and falls
 /// to zero after a quick append.
@@ -64,7 +76,7 @@
     seq: u64,
     records: &[KeyedRecord],
     timeout_index: &mut usize,
-) -> Option<u64> {
+) -> Outcome {
     let fence = Fence {
         writer: WRITER,
         token,
@@ -83,13 +95,13 @@
                 if began.elapsed() < APPEND_TIMEOUTS[0] {
                     *timeout_index = 0;
                 }
-                return Some(offset);
+                return Outcome::StoredAt(offset);
             }
             // An earlier attempt was stored, but its response was lost.
-            Err(Error::Sequence(expected)) if expected == seq + 1 => return Some(0),
+            Err(Error::Sequence(expected)) if expected == seq + 1 => return Outcome::Stored,
             Err(e @ (Error::Fenced | Error::Sequence(_))) => {
                 log::warn!(event = "append fenced", token = token, seq = seq, error = format!("{e:?}"); "another member writes the journal");
-                return None;
+                return Outcome::Fenced;
             }
             Err(Error::Unknown) if began.elapsed() >= timeout => {
                 cx.record_store_result(false);
