--- a/crates/monsoonnotch_jobs/tests/promises/directed.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/directed.rs
@@ -53,7 +53,7 @@
     fx
 }
 
-fn appends(fx: &[Effect]) -> bool {
+pub(crate) fn appends(fx: &[Effect]) -> bool {
     fx.iter().any(|e| matches!(e, Effect::Append(_)))
 }
 
--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -3,8 +3,10 @@
 //! `MONSOONNOTCH_SEED` replays the random schedule of one seed; `MONSOONNOTCH_CASES`
 //! sets how many seeds run.
 
+mod approvals;
 mod directed;
 mod incarnations;
+mod leaders;
 mod load;
 mod orders;
 mod random;
