Send a stop again after its VM has restarted

What callers would see: one task runs twice at the same time, when its VM restarts while the run is being stopped.

Cause: a VM refuses a late copy of a start only while it remembers the stop, and it forgets that at a restart. A stop that the previous incarnation had answered still counted, so that the task started elsewhere as soon as the new one did not list the run, while a copy of its start could still reach the new one.

Evidence: both cases of a_stop_answered_by_the_previous_incarnation_is_sent_again failed before this change and pass with it.

A restart now voids the answer, and an answer to a stop that was sent to an earlier incarnation is ignored; the stop is sent again. An uncertain run waits for a poll that was sent after the restart was noticed.

--- a/crates/monsoonnotch_jobs/src/scheduler/runs.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/runs.rs
@@ -34,6 +34,8 @@
         answered_at: Option<Time>,
         /// When the stop was last sent.
         sent_at: Time,
+        /// Start of the incarnation that it was last sent to, in Unix milliseconds.
+        vm_started_ms: u64,
         /// Number of stops that were sent.
         sends: u32,
     },
@@ -202,14 +204,18 @@
     /// Requires a run to be confirmed again after a restart of its VM at an unknown time.
     ///
     /// The run was either lost with the previous incarnation or started by the new one;
-    /// the next poll shows which.
+    /// the next poll shows which. The new one does not refuse what the previous one was
+    /// told to stop, so the stop is sent again.
     pub(super) fn mark_unconfirmed(&mut self, key: RunKey) {
         let now = self.now;
         let Some(run) = self.runs.get_mut(&key) else {
             return;
         };
-        if let State::Running { since } = &mut run.state {
-            *since = now;
+        match &mut run.state {
+            State::Running { since } => *since = now,
+            State::Uncertain => run.sent_at = now,
+            State::Stopping { answered_at, .. } => *answered_at = None,
+            State::Planned | State::Inherited | State::Starting => {}
         }
     }
 
--- a/crates/monsoonnotch_jobs/src/scheduler/stops.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/stops.rs
@@ -78,6 +78,7 @@
             answered_at,
             sent_at,
             sends,
+            ..
         } = run.state
         {
             if answered_at.is_some() || now < stop_retry_at(sent_at, sends) {
@@ -85,15 +86,18 @@
             }
             prior_sends = sends;
         }
+        let Some(vm) = self.vms.get(run.vm) else {
+            return;
+        };
+        let to = vm.target();
         run.state = State::Stopping {
             answered_at: None,
             sent_at: now,
+            vm_started_ms: vm.registration.started_ms,
             sends: prior_sends + 1,
         };
-        let (vm, attempt, stage, index) = (run.vm, run.attempt, run.stage, run.index);
+        let (attempt, stage, index) = (run.attempt, run.stage, run.index);
         let task = self.task_id(stage, index);
-        let Some(vm) = self.vms.get(vm) else { return };
-        let to = vm.target();
         let Some(run) = self.runs.get(&key) else {
             return;
         };
@@ -116,10 +120,18 @@
         let Some(run) = self.runs.get_mut(&key) else {
             return;
         };
-        let State::Stopping { answered_at, .. } = &mut run.state else {
+        let State::Stopping {
+            answered_at,
+            vm_started_ms,
+            ..
+        } = &mut run.state
+        else {
             return;
         };
+        let vm = self.vms.get(run.vm).map(|v| v.registration.started_ms);
         match answer {
+            // The answer of a previous incarnation says nothing about the present one.
+            StopAnswer::Accepted if vm != Some(*vm_started_ms) => {}
             StopAnswer::Accepted => {
                 *answered_at = Some(now);
                 let vm = run.vm;
@@ -145,6 +157,7 @@
                     answered_at,
                     sent_at,
                     sends,
+                    ..
                 } => answered_at.is_none() && now >= stop_retry_at(sent_at, sends),
                 State::Uncertain => now >= run.sent_at + STOP_RETRY,
                 State::Planned | State::Inherited | State::Starting | State::Running { .. } => {
--- a/crates/monsoonnotch_jobs/tests/promises/incarnations.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/incarnations.rs
@@ -8,6 +8,7 @@
 use monsoonnotch_jobs::event::Event;
 use monsoonnotch_jobs::event::PollError;
 use monsoonnotch_jobs::event::StartAnswer;
+use monsoonnotch_jobs::event::StopAnswer;
 use monsoonnotch_jobs::plan::JobId;
 use monsoonnotch_jobs::plan::StageId;
 use monsoonnotch_jobs::plan::TaskId;
@@ -381,3 +382,72 @@
     };
     assert_eq!(acknowledged(&fx), second);
 }
+
+/// Returns a scheduler whose only start got no answer, with its run and the stop that its VM
+/// has not answered; the first poll after that showed no run.
+fn unanswered_start() -> (Scheduler, RunKey, String) {
+    let (mut scheduler, _) = scheduler_with(2);
+    let fx = deliver(
+        &mut scheduler,
+        100,
+        Event::Journal(vec![(1, job_of_one_task())]),
+    );
+    let started = fx.iter().find_map(|e| match e {
+        Effect::Start { run, to, .. } => Some((*run, to.id.to_string())),
+        _ => None,
+    });
+    let (run, vm) = started.expect("the task is started");
+    let mut fx = Vec::new();
+    for ms in [230, 480, 880, 1_280] {
+        let answer = StartAnswer::Unknown;
+        fx = deliver(&mut scheduler, ms, Event::Started { run, answer });
+    }
+    let key = *polls(&fx).last().expect("the VM is polled");
+    let answer = Ok(poll_answer(Vec::new()));
+    let fx = deliver(&mut scheduler, 1_290, Event::Polled { key, answer });
+    assert_eq!(stops(&fx), vec![run], "a late copy must be refused");
+    (scheduler, run, vm)
+}
+
+/// Registers the second incarnation of a VM, which lists no run, at 1,310 ms.
+fn restart_empty(scheduler: &mut Scheduler, vm: &str, until: u64) -> Vec<Effect> {
+    let restarted = Registration {
+        started_ms: RESTARTED_UNIX_MS,
+        ..registration(vm)
+    };
+    let listed = Event::Vms(vec![(restarted.id.clone(), Some(restarted))]);
+    let fx = deliver(scheduler, 1_310, listed);
+    let empty = |id: &str, _| (id == vm).then(|| Ok(listing(RESTARTED_UNIX_MS, &[])));
+    run_polls(scheduler, fx, 1_310..until, empty)
+}
+
+/// Guards against two runs of one task: a stop that the previous incarnation of a VM answered
+/// does not make the new one refuse a start that is still in transit.
+#[rstest]
+#[case::answered_before_the_restart(1_300)]
+#[case::answer_arrives_after_the_restart(1_320)]
+fn a_stop_answered_by_the_previous_incarnation_is_sent_again(#[case] answered_ms: u64) {
+    let (mut scheduler, run, vm) = unanswered_start();
+    let answer = StopAnswer::Accepted;
+    let mut fx = Vec::new();
+    if answered_ms < 1_310 {
+        deliver(&mut scheduler, answered_ms, Event::Stopped { run, answer });
+        fx.extend(restart_empty(&mut scheduler, &vm, 1_900));
+    } else {
+        fx.extend(restart_empty(&mut scheduler, &vm, answered_ms));
+        fx.extend(deliver(
+            &mut scheduler,
+            answered_ms,
+            Event::Stopped { run, answer },
+        ));
+        let empty = |id: &str, _| (id == vm).then(|| Ok(listing(RESTARTED_UNIX_MS, &[])));
+        let sent = std::mem::take(&mut fx);
+        fx = run_polls(&mut scheduler, sent, answered_ms..1_900, empty);
+    }
+    assert_eq!(starts(&fx), Vec::new(), "the new incarnation may start it");
+    assert_eq!(stops(&fx), vec![run], "the new incarnation gets the stop");
+    let fx = deliver(&mut scheduler, 1_910, Event::Stopped { run, answer });
+    let empty = |id: &str, _| (id == vm).then(|| Ok(listing(RESTARTED_UNIX_MS, &[])));
+    let fx = run_polls(&mut scheduler, fx, 1_910..2_000, empty);
+    assert_eq!(starts(&fx).len(), 1, "it certainly did not start");
+}
