A leader decides nothing without a recent confirmation of its claim

Callers would see one task run twice, and a VM over its capacity.

Cause: a new leader counted every lease of its predecessors as expired 4.5 s after its term began, as if they had stopped at that moment. A leader that reaches neither the store nor the members that know the newer claim learns of neither. It went on renewing the leases of the VMs that it reached, and starting tasks there, without end; a VM that the new leader does not reach accepts its orders. Then the new leader gave up the runs there and started them elsewhere.

Change: the leader asks the store every 0.5 s whether its claim is the newest. The control thread counts the sending of the last request that was confirmed, and decides nothing once that is 6 s ago, by the path that served only after a pause of the process. The new leader waits 6 s longer: 6 s, a lease with clock error, and 0.4 s, from after the first record of its term; a confirmation of a predecessor was asked for before that. A newer claim that the request finds ends the term at once.

Tests: a_leader_that_the_store_does_not_confirm_lets_leases_expire failed before (the run went on 10.5 s after the store was gone). a_run_survives_a_store_outage_of_five_seconds passed before and after and guards the other side. The new leader's longer wait has no test of its own.

Not covered: a VM that has answered the new leader and restarts has seen no token, and accepts orders of the previous one for the rest of its 6 s. An order with the clock of the VM's previous incarnation may hold for 10 s there, more than the lease that is waited for.

--- a/crates/monsoonnotch_member/src/control/mod.rs
+++ b/crates/monsoonnotch_member/src/control/mod.rs
@@ -23,6 +23,14 @@
 /// Longest pause of the process after which its token still counts as confirmed. A longer pause
 /// may have let another member take over, which takes about a second.
 const PAUSE_MAX: Duration = Duration::from_millis(700);
+/// How long after a request to the store that confirmed its token a leader makes decisions. Longer
+/// than usual outages of the store, during which nothing can confirm the token; a successor waits
+/// as long, because until then its predecessor may renew leases.
+pub(crate) const CONFIRMATION_VALID: Duration = Duration::from_millis(6_000);
+/// Interval between requests to confirm the token.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between such requests while no decisions are made without a confirmation.
+const CONFIRM_RETRY_INTERVAL: Duration = Duration::from_millis(150);
 
 /// An input of the control thread.
 #[derive(Debug)]
@@ -35,11 +43,18 @@
         config: Arc<PublishedConfig>,
         /// Time after which all leases of previous leaders have expired.
         predecessor_leases: Duration,
+        /// When the append by which the term begins was first sent.
+        requested_at: Instant,
     },
     /// An event for the scheduler of the term with this token.
     Event(u64, Event),
-    /// Confirms that no member has claimed leadership since this token was issued.
-    TokenConfirmed(u64),
+    /// The store confirmed that no member has claimed leadership since a token was issued.
+    TokenConfirmed {
+        /// The token.
+        token: u64,
+        /// When the request was sent.
+        requested_at: Instant,
+    },
     /// Ends the leader term with this token.
     EndTerm(u64),
 }
@@ -49,7 +64,7 @@
 pub(crate) enum Output {
     /// Effects for the executor.
     Effects(u64, Vec<Effect>),
-    /// Requests a check whether the token is still the newest, because the process was paused.
+    /// Requests that the store confirm that the token is still the newest.
     ConfirmToken(u64),
 }
 
@@ -93,7 +108,10 @@
             clock,
             tuning,
             scheduler: None,
+            confirmed_at: Instant::now(),
+            resumed_at: Instant::now(),
             token_unconfirmed: false,
+            next_confirm_at: Instant::now(),
             deferred: Vec::new(),
         };
         control.run(&rx, out);
@@ -105,9 +123,15 @@
     clock: Clock,
     tuning: Tuning,
     scheduler: Option<Scheduler>,
-    /// Whether another member may have become the leader during a pause of the process. No
-    /// scheduling decisions are made until the token is confirmed.
+    /// When the last request was sent to which the store responded that the token is the newest.
+    confirmed_at: Instant,
+    /// When the process last resumed from a pause. Earlier confirmations do not count.
+    resumed_at: Instant,
+    /// Whether another member may have become the leader. No scheduling decisions are made until
+    /// the token is confirmed.
     token_unconfirmed: bool,
+    /// When the next confirmation is requested.
+    next_confirm_at: Instant,
     /// Events received while the token is unconfirmed, in order.
     deferred: Vec<Event>,
 }
@@ -122,11 +146,10 @@
             last_wake = Instant::now();
             if was_paused && let Some(scheduler) = &self.scheduler {
                 log::warn!(event = "process paused", token = scheduler.token(); "the process was paused; checking whether the token is still the newest");
-                self.token_unconfirmed = true;
-                if !out(Output::ConfirmToken(scheduler.token())) {
-                    return;
-                }
+                self.resumed_at = Instant::now();
+                self.next_confirm_at = self.resumed_at;
             }
+            self.check_confirmation();
             match input {
                 Ok(input) => self.handle_input(input),
                 Err(RecvTimeoutError::Timeout) => {}
@@ -135,6 +158,12 @@
             for input in rx.try_iter().take(INPUTS_MAX) {
                 self.handle_input(input);
             }
+            self.check_confirmation();
+            if let Some(token) = self.confirmation_due()
+                && !out(Output::ConfirmToken(token))
+            {
+                return;
+            }
             if let Some((token, effects)) = self.decide()
                 && !effects.is_empty()
                 && !out(Output::Effects(token, effects))
@@ -145,10 +174,48 @@
     }
 
     fn time_to_wake(&self) -> Duration {
-        let Some(scheduler) = self.scheduler.as_ref().filter(|_| !self.token_unconfirmed) else {
-            return IDLE_WAIT;
+        match &self.scheduler {
+            None => IDLE_WAIT,
+            Some(_) if self.token_unconfirmed => CONFIRM_RETRY_INTERVAL,
+            Some(scheduler) => scheduler.wake_at().since(self.clock.now()).into(),
+        }
+    }
+
+    /// Updates whether the token counts as confirmed, and handles the events that were deferred
+    /// until it is.
+    fn check_confirmation(&mut self) {
+        let Some(scheduler) = &self.scheduler else {
+            return;
+        };
+        let token = scheduler.token();
+        let age = self.confirmed_at.elapsed();
+        let unconfirmed = age > CONFIRMATION_VALID || self.confirmed_at < self.resumed_at;
+        if std::mem::replace(&mut self.token_unconfirmed, unconfirmed) == unconfirmed {
+            return;
+        }
+        if unconfirmed {
+            log::warn!(event = "token unconfirmed", token = token, age_ms = age.as_millis() as u64; "making no decisions until the store confirms that the token is the newest");
+            return;
+        }
+        log::info!(event = "token confirmed", token = token; "the store confirmed that the token is the newest");
+        for event in std::mem::take(&mut self.deferred) {
+            self.handle_event(token, event);
+        }
+    }
+
+    /// Returns the token if a confirmation of it is to be requested now.
+    fn confirmation_due(&mut self) -> Option<u64> {
+        let scheduler = self.scheduler.as_ref()?;
+        let now = Instant::now();
+        let interval = match self.token_unconfirmed {
+            true => CONFIRM_RETRY_INTERVAL,
+            false => CONFIRM_INTERVAL,
         };
-        scheduler.wake_at().since(self.clock.now()).into()
+        if now < self.next_confirm_at {
+            return None;
+        }
+        self.next_confirm_at = now + interval;
+        Some(scheduler.token())
     }
 
     fn handle_input(&mut self, input: Input) {
@@ -157,6 +224,7 @@
                 token,
                 config,
                 predecessor_leases,
+                requested_at,
             } => {
                 let at = |d: Duration| {
                     let micros = u64::try_from(d.as_micros()).unwrap_or(u64::MAX);
@@ -165,18 +233,19 @@
                 let tuning = self.tuning.clone();
                 let scheduler = Scheduler::new(token, tuning, config, at(predecessor_leases));
                 self.scheduler = Some(scheduler);
+                self.confirmed_at = requested_at;
                 self.token_unconfirmed = false;
                 self.deferred.clear();
             }
             Input::Event(token, event) => self.handle_event(token, event),
-            Input::TokenConfirmed(token) if self.is_current(token) => {
-                self.token_unconfirmed = false;
-                for event in std::mem::take(&mut self.deferred) {
-                    self.handle_event(token, event);
-                }
+            Input::TokenConfirmed {
+                token,
+                requested_at,
+            } if self.is_current(token) => {
+                self.confirmed_at = self.confirmed_at.max(requested_at);
             }
             Input::EndTerm(token) if self.is_current(token) => self.scheduler = None,
-            Input::TokenConfirmed(_) | Input::EndTerm(_) => {}
+            Input::TokenConfirmed { .. } | Input::EndTerm(_) => {}
         }
     }
 
--- a/crates/monsoonnotch_member/src/leadership/mod.rs
+++ b/crates/monsoonnotch_member/src/leadership/mod.rs
@@ -195,10 +195,10 @@
     }
 }
 
-/// Returns whether no claim is newer than the one with this token, or `None` when the store does
-/// not respond.
+/// Returns whether the newest claim is the one with this token, or `None` when the store does not
+/// tell.
 pub(crate) async fn is_newest(cx: &Cx, token: u64) -> Option<bool> {
     let newest = cx.store.newest(TOPIC).await.ok()?;
     let last = newest.records.iter().map(|(offset, _)| offset + 1).max();
-    Some(last.is_none_or(|last| last <= token))
+    last.filter(|&last| last >= token).map(|last| last == token)
 }
--- a/crates/monsoonnotch_member/src/term/mod.rs
+++ b/crates/monsoonnotch_member/src/term/mod.rs
@@ -24,6 +24,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
+use crate::control::CONFIRMATION_VALID;
 use crate::control::Input;
 use crate::cx::Cx;
 use crate::cx::LOCAL_LINK;
@@ -41,6 +42,8 @@
 const VM_LIST_INTERVAL: Duration = Duration::from_millis(250);
 /// Pause after a failed request to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Timeout for a request that confirms a token; a slow store responds in about 300 ms.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Longest time in transit of an order that a previous leader sent just before it was fenced.
 const IN_FLIGHT_ORDERS_MAX: Duration = Duration::from_millis(400);
 /// A follower with at least this many times the leader's cores is asked to take over.
@@ -112,20 +115,20 @@
     }
 }
 
-/// Queries the store until it responds whether the token is the newest, and if so confirms the
-/// token to the control thread.
+/// Queries the store whether the token is the newest. Confirms the token to the control thread if
+/// it is, and ends the term there if it is not.
 async fn confirm_token(cx: &Cx, token: u64) {
-    while cx.own_token() == Some(token) {
-        match leadership::is_newest(cx, token).await {
-            Some(true) => {
-                cx.control.send(Input::TokenConfirmed(token));
-                return;
-            }
-            // The term ends when the newer claim is read from the topic of claims.
-            Some(false) => return,
-            None => tokio::time::sleep(RETRY_PAUSE).await,
-        }
-    }
+    let requested_at = Instant::now();
+    let newest = tokio::time::timeout(CONFIRM_TIMEOUT, leadership::is_newest(cx, token)).await;
+    match newest {
+        Ok(Some(true)) => cx.control.send(Input::TokenConfirmed {
+            token,
+            requested_at,
+        }),
+        Ok(Some(false)) => cx.control.send(Input::EndTerm(token)),
+        // The control thread requests the next confirmation.
+        Ok(None) | Err(_) => false,
+    };
 }
 
 /// Requests that the follower with the most cores claim leadership, if this member is stopping or
@@ -177,6 +180,7 @@
 
 /// Starts a term in the control thread and feeds the scheduler until the term ends.
 async fn feed_scheduler(cx: Arc<Cx>, token: u64, rx: mpsc::UnboundedReceiver<Vec<KeyedRecord>>) {
+    let requested_at = Instant::now();
     if !writer::fence(&cx, token).await {
         return;
     }
@@ -196,7 +200,8 @@
     cx.control.send(Input::BeginTerm {
         token,
         config,
-        predecessor_leases: lease.mul_f64(1.03) + IN_FLIGHT_ORDERS_MAX,
+        predecessor_leases: CONFIRMATION_VALID + lease.mul_f64(1.03) + IN_FLIGHT_ORDERS_MAX,
+        requested_at,
     });
     let event = |event| cx.control.event(token, event);
     event(Event::AllVms(registrations(&vms)));
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -276,3 +276,66 @@
     wait_for_completion(members[0].callers, id).await;
     drop(std::fs::remove_dir_all(dir));
 }
+
+/// Waits until `count` runs have started at the VMs of a site.
+async fn wait_for_starts(site: &Site, count: usize) {
+    let started = || async { starts(site) == count };
+    wait_until("the tasks run", started).await;
+}
+
+fn starts(site: &Site) -> usize {
+    let checker = site.checker.lock();
+    checker
+        .expect("no thread panics while it holds the lock")
+        .starts
+        .len()
+}
+
+/// Guards against two runs of one task under two leaders. The store and the other members are
+/// unreachable for a leader, but a VM is not. Another member may have become the leader and wait
+/// for the leases at that VM to expire, so that the leader must stop renewing them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_the_store_does_not_confirm_lets_leases_expire() {
+    let (site, members, dir) = start_members("expires", 1, 1).await;
+    submit(
+        members[0].callers,
+        "00000000000000f1",
+        &job_body(&[1], 500, 60_000),
+    )
+    .await;
+    wait_for_starts(&site, 1).await;
+    members[0].store_proxy.set_fault(Fault::Unavailable);
+    members[0].store_proxy.silence_open_connections();
+    // What a successor waits for after its claim: certainty, lease, clock error and slack.
+    tokio::time::sleep(Duration::from_millis(6_000 + 4_120 + 400)).await;
+    let poll = r#"{"fencing-token":1000000,"last-seen":0}"#;
+    let response = send_request(site.vms[0].addr(), "POST", "/hold", &[], poll).await;
+    let response = response.expect("the VM responds");
+    let listed = String::from_utf8_lossy(&response.body).into_owned();
+    assert!(
+        listed.contains(r#""lapsed""#),
+        "the lease was renewed: {listed}"
+    );
+    drop(std::fs::remove_dir_all(dir));
+}
+
+/// Guards against lost work in an outage of the store. No member can become the leader meanwhile,
+/// so that a run must survive an outage of ordinary length.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_survives_a_store_outage_of_five_seconds() {
+    let (site, members, dir) = start("survives", 1).await;
+    let id = "00000000000000f2";
+    submit(members[0].callers, id, &job_body(&[1], 500, 8_000)).await;
+    wait_for_starts(&site, 1).await;
+    for member in &members {
+        member.store_proxy.set_fault(Fault::Unavailable);
+        member.store_proxy.silence_open_connections();
+    }
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    for member in &members {
+        member.store_proxy.set_fault(Fault::None);
+    }
+    wait_for_completion(members[0].callers, id).await;
+    assert_eq!(starts(&site), 1, "the run was lost");
+    drop(std::fs::remove_dir_all(dir));
+}
