--- a/crates/monsoonnotch_standins/src/serve/mod.rs
+++ b/crates/monsoonnotch_standins/src/serve/mod.rs
@@ -14,6 +14,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// The body of a response. An error in it closes the connection before the end of the body.
@@ -24,9 +25,18 @@
 pub struct Server {
     /// Address on which the server listens.
     pub addr: SocketAddr,
+    /// Number of times that the open connections were closed.
+    closings: watch::Sender<u64>,
     task: JoinHandle<()>,
 }
 
+impl Server {
+    /// Closes all open connections; requests in progress get no response.
+    pub fn close_connections(&self) {
+        self.closings.send_modify(|n| *n += 1);
+    }
+}
+
 impl Drop for Server {
     fn drop(&mut self) {
         self.task.abort();
@@ -47,11 +57,16 @@
 {
     let listener = TcpListener::bind(addr).await?;
     let addr = listener.local_addr()?;
-    let task = tokio::spawn(accept(listener, Arc::new(f)));
-    Ok(Server { addr, task })
+    let (closings, closed) = watch::channel(0);
+    let task = tokio::spawn(accept(listener, Arc::new(f), closed));
+    Ok(Server {
+        addr,
+        closings,
+        task,
+    })
 }
 
-async fn accept<F, A>(listener: TcpListener, f: Arc<F>)
+async fn accept<F, A>(listener: TcpListener, f: Arc<F>, mut closed: watch::Receiver<u64>)
 where
     F: Fn(Request<Incoming>) -> A + Send + Sync + 'static,
     A: Future<Output = Option<Response<Body>>> + Send + 'static,
@@ -60,7 +75,14 @@
     let mut connections = tokio::task::JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
-        let Ok((stream, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closed.changed() => {
+                connections.abort_all();
+                continue;
+            }
+        };
+        let Ok((stream, _)) = accepted else {
             continue;
         };
         let _ = stream.set_nodelay(true);
