Soak: faults per pair of member and VM, in overlapping series, with kept connections

Members get a path of their own to each VM and to each other member. A path can lose packets, be silent in either direction, reset or refuse connections.

The faults are series of actions that overlap: cuts and lossy paths between some members and some VMs, VMs that crash behind a cut and start again under their id and address, entries withdrawn while the VM runs, the store slow, lossy or refusing some members, members killed, paused and stopped, and faults of the leader in a row, among them one that cuts it off from the store and some members while it reaches the VMs. Each action is printed with its time.

Callers keep their connections open through shutdowns, submit some accepted jobs again, and check that no job's state is impossible or goes back from completed, and that no refused job is known at the end.

--- a/crates/monsoonnotch_standins/src/caller/mod.rs
+++ b/crates/monsoonnotch_standins/src/caller/mod.rs
@@ -1,12 +1,18 @@
-//! Single HTTP requests as a caller sends them, and waiting for conditions.
+//! HTTP requests as a caller sends them, and waiting for conditions.
 
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use http_body_util::BodyExt;
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
 use serde_json::Value;
+use tokio::task::JoinHandle;
 
 /// Maximum time to wait for a condition that is expected within a few seconds.
 pub const WAIT_MAX: Duration = Duration::from_secs(60);
@@ -44,38 +50,80 @@
     headers: &[(&str, &str)],
     body: &str,
 ) -> Option<Response> {
-    let stream = tokio::net::TcpStream::connect(addr).await.ok()?;
-    let io = hyper_util::rt::TokioIo::new(stream);
-    let (mut sender, conn) = hyper::client::conn::http1::handshake(io).await.ok()?;
-    let conn = tokio::spawn(conn);
-    let mut req = hyper::Request::builder()
+    let req = request(method, path, headers, body);
+    Connections::default().send(addr, req).await
+}
+
+/// Creates a request.
+///
+/// # Panics
+///
+/// Panics when the method, path or headers are invalid.
+pub fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> Request<String> {
+    let mut req = Request::builder()
         .method(method)
         .uri(path)
         .header("host", "test");
     for (name, value) in headers {
         req = req.header(*name, *value);
     }
-    let req = req.body(body.to_owned()).expect("a valid request");
-    let res = sender.send_request(req).await.ok()?;
-    let (parts, mut body) = res.into_parts();
-    let mut buf = Vec::new();
-    let mut complete = true;
-    while let Some(frame) = body.frame().await {
-        match frame {
-            Ok(f) => buf.extend(f.data_ref().map(|d| d.to_vec()).unwrap_or_default()),
-            Err(_) => {
-                complete = false;
-                break;
+    req.body(body.to_owned()).expect("a valid request")
+}
+
+/// Connections of a caller, which it reuses until they fail. Dropping it closes them.
+#[derive(Debug, Default)]
+pub struct Connections(BTreeMap<SocketAddr, (SendRequest<String>, AbortOnDrop)>);
+
+/// Ends a task when it is dropped.
+#[derive(Debug)]
+struct AbortOnDrop(JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Connections {
+    /// Sends a request. Returns `None` when no response head was received. The connection is
+    /// closed when the response is incomplete, or the returned future is dropped.
+    pub async fn send(&mut self, addr: SocketAddr, req: Request<String>) -> Option<Response> {
+        let open = self.0.remove(&addr).filter(|(s, _)| !s.is_closed());
+        let (mut sender, conn) = match open {
+            Some(open) => open,
+            None => connect(addr).await?,
+        };
+        sender.ready().await.ok()?;
+        let res = sender.send_request(req).await.ok()?;
+        let (parts, mut body) = res.into_parts();
+        let mut buf = Vec::new();
+        let mut complete = true;
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(f) => buf.extend(f.data_ref().map(|d| d.to_vec()).unwrap_or_default()),
+                Err(_) => {
+                    complete = false;
+                    break;
+                }
             }
         }
+        if complete {
+            self.0.insert(addr, (sender, conn));
+        }
+        Some(Response {
+            status: parts.status.as_u16(),
+            headers: parts.headers,
+            body: buf,
+            complete,
+        })
     }
-    conn.abort();
-    Some(Response {
-        status: parts.status.as_u16(),
-        headers: parts.headers,
-        body: buf,
-        complete,
-    })
+}
+
+async fn connect(addr: SocketAddr) -> Option<(SendRequest<String>, AbortOnDrop)> {
+    let stream = tokio::net::TcpStream::connect(addr).await.ok()?;
+    let (sender, conn) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let conn = tokio::spawn(async move { drop(conn.await) });
+    Some((sender, AbortOnDrop(conn)))
 }
 
 /// Polls `f` until it returns true.
--- a/crates/monsoonnotch_standins/src/lib.rs
+++ b/crates/monsoonnotch_standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fault_injection;
 pub mod load;
 pub mod log;
+pub mod path;
 pub mod serve;
 pub mod site;
 pub mod vms;
@@ -16,7 +17,9 @@
 
 /// The types that users of this crate need.
 pub mod prelude {
+    pub use crate::caller::Connections;
     pub use crate::caller::Response;
+    pub use crate::caller::request;
     pub use crate::caller::send_request;
     pub use crate::caller::wait_until;
     pub use crate::fault_injection::Fault;
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -1,142 +1,319 @@
-//! Random faults of members, VMs and the store, which may overlap.
+//! Random series of faults of members, VMs, the store and the network, which may overlap.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use monsoonnotch_adapter_standins::member::Member;
+use monsoonnotch_adapter_standins::network::Network;
 use monsoonnotch_adapter_standins::site::Site;
 use monsoonnotch_adapter_standins::store::Faults;
 use monsoonnotch_standins::fault_injection::Fault;
+use monsoonnotch_standins::path;
 use rand::RngExt;
 use rand::rngs::StdRng;
 use tokio::time::Instant;
 
-/// The action that ends a fault. Numbers are indexes of members or VMs.
-#[derive(Debug, Clone, Copy)]
-enum Undo {
-    StartMember(usize),
-    ResumeMember(usize),
-    RestoreStorePath(usize),
-    RepairStore,
-    RestartVm(usize),
-    RestoreVmPath(usize),
-    ClearVmDelay(usize),
+/// Response of a store that refuses one member.
+const STORE_REFUSAL: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+/// Largest number of members, and of VMs, between which one fault affects the paths.
+const PATH_SIDE_MAX: usize = 16;
+
+/// A change at one time. Numbers are indexes of members or VMs.
+#[derive(Debug, Clone)]
+enum Action {
+    Signal(usize, &'static str),
+    /// Starts a member again, unless it is running.
+    Start(usize),
+    StorePath(usize, Fault),
+    Store(Faults),
+    Crash(usize),
+    Restart(usize),
+    Late(usize, f64),
+    Withdrawn(usize, bool),
+    /// The paths from some members to some VMs.
+    VmPaths(Vec<usize>, Vec<usize>, path::Fault),
+    /// The paths between a member and others.
+    MemberPaths(usize, Vec<usize>, path::Fault),
+    /// A random fault of the member that is the leader at that time.
+    Leader,
 }
 
-/// The faults in effect.
-#[derive(Debug, Default)]
-pub(crate) struct ActiveFaults {
-    pending_undos: Vec<(Instant, Undo)>,
-    /// Descriptions of all injected faults, in order.
-    pub(crate) descriptions: Vec<String>,
+/// The changes to come, and what they act upon.
+pub(crate) struct FaultPlan<'a> {
+    pub(crate) site: &'a Site,
+    pub(crate) network: &'a Network,
+    pub(crate) members: &'a mut [Member],
+    pub(crate) program: &'a str,
+    began: Instant,
+    pending: Vec<(Instant, Action)>,
+    /// Members whose process was ended and not started since.
+    ended: BTreeSet<usize>,
 }
 
-impl ActiveFaults {
-    /// Injects a random fault that lasts 0.3 to 4 seconds. If all members are killed, the next
-    /// call of [`undo`](Self::undo) restarts them.
-    pub(crate) fn inject(&mut self, rng: &mut StdRng, site: &Site, members: &mut [Member]) {
-        let m = rng.random_range(0..members.len());
-        let v = rng.random_range(0..site.vms.len());
+impl<'a> FaultPlan<'a> {
+    pub(crate) fn new(
+        site: &'a Site,
+        network: &'a Network,
+        members: &'a mut [Member],
+        program: &'a str,
+    ) -> Self {
+        Self {
+            site,
+            network,
+            members,
+            program,
+            began: Instant::now(),
+            pending: Vec::new(),
+            ended: BTreeSet::new(),
+        }
+    }
+
+    /// Adds a random series of faults. Each fault lasts 0.3 to 4 seconds.
+    pub(crate) fn add_series(&mut self, rng: &mut StdRng) {
         let ms = rng.random_range(300..4_000);
-        let (description, undo) = match rng.random_range(0..11) {
-            0 => (
-                signal_member(&members[m], "KILL", "kill"),
-                Undo::StartMember(m),
-            ),
-            1 => (
-                signal_member(&members[m], "STOP", "pause"),
-                Undo::ResumeMember(m),
-            ),
-            2 => (
-                signal_member(&members[m], "TERM", "stop"),
-                Undo::StartMember(m),
-            ),
-            3 => (
-                fault_store_path(&members[m], Fault::Unavailable),
-                Undo::RestoreStorePath(m),
-            ),
-            4 => (
-                fault_store_path(&members[m], Fault::Unresponsive),
-                Undo::RestoreStorePath(m),
-            ),
-            5 => (
-                fault_store_path(&members[m], Fault::WithholdResponse),
-                Undo::RestoreStorePath(m),
-            ),
-            6 => {
-                let faults = [
-                    Faults {
-                        down: true,
-                        ..Faults::default()
-                    },
-                    Faults {
-                        lost_share: 0.3,
-                        ..Faults::default()
-                    },
-                    Faults {
-                        delay_ms: 150,
-                        ..Faults::default()
-                    },
-                ];
-                let faults = faults[rng.random_range(0..3)];
-                site.store.set_faults(faults);
-                (format!("store {faults:?}"), Undo::RepairStore)
+        match rng.random_range(0..13) {
+            0 => self.end_member(rng, "KILL", ms),
+            1 => self.pause_member(rng, ms),
+            2 => self.end_member(rng, "TERM", ms),
+            3 => self.fault_store_paths(rng, ms),
+            4 => self.fault_store(rng, ms),
+            5 => self.crash_vms(rng, ms),
+            6 => self.delay_or_withdraw_vms(rng, ms),
+            7..=9 => self.fault_vm_paths(rng, ms),
+            10 => self.crash_behind_cut(rng, ms),
+            11 => {
+                for n in 0..rng.random_range(2..5) {
+                    self.at(n * rng.random_range(300..1_500), Action::Leader);
+                }
             }
-            7 => {
-                site.vms[v].crash();
-                (format!("VM {v} crashes"), Undo::RestartVm(v))
+            _ => {
+                for m in 0..self.members.len() {
+                    self.at(0, Action::Signal(m, "KILL"));
+                    self.at(ms / 4, Action::Start(m));
+                }
+            }
+        }
+    }
+
+    /// Carries out the actions whose time has come.
+    pub(crate) fn advance(&mut self, rng: &mut StdRng) {
+        let now = Instant::now();
+        let mut due: Vec<_> = self.pending.extract_if(.., |(at, _)| *at <= now).collect();
+        due.sort_by_key(|(at, _)| *at);
+        for (_, action) in due {
+            self.apply(action, rng);
+        }
+    }
+
+    /// Ends all faults and drops the actions to come.
+    pub(crate) fn repair(&mut self) {
+        self.pending.clear();
+        self.network.repair();
+        self.site.store.set_faults(Faults::default());
+        for vm in &self.site.vms {
+            vm.set_late_share(0.0);
+            vm.set_withdrawn(false);
+            if !vm.is_up() {
+                vm.restart();
+            }
+        }
+        for (m, member) in self.members.iter_mut().enumerate() {
+            member.store_proxy.set_fault(Fault::None);
+            member.signal("CONT");
+            if self.ended.contains(&m) {
+                member.start(self.program);
             }
-            8 => {
-                site.vm_proxies[v].set_fault(Fault::Unresponsive);
-                site.vm_proxies[v].silence_open_connections();
-                (format!("VM {v} is cut off"), Undo::RestoreVmPath(v))
+        }
+    }
+
+    fn at(&mut self, after_ms: u64, action: Action) {
+        let at = Instant::now() + Duration::from_millis(after_ms);
+        self.pending.push((at, action));
+    }
+
+    fn member(&self, rng: &mut StdRng) -> usize {
+        rng.random_range(0..self.members.len())
+    }
+
+    fn vm(&self, rng: &mut StdRng) -> usize {
+        rng.random_range(0..self.site.vms.len())
+    }
+
+    fn end_member(&mut self, rng: &mut StdRng, signal: &'static str, ms: u64) {
+        let m = self.member(rng);
+        self.at(0, Action::Signal(m, signal));
+        self.at(ms, Action::Start(m));
+    }
+
+    fn pause_member(&mut self, rng: &mut StdRng, ms: u64) {
+        let m = self.member(rng);
+        self.at(0, Action::Signal(m, "STOP"));
+        self.at(ms, Action::Signal(m, "CONT"));
+    }
+
+    fn fault_store_paths(&mut self, rng: &mut StdRng, ms: u64) {
+        let fault = store_path_fault(rng);
+        for m in some(rng, self.members.len()) {
+            self.at(0, Action::StorePath(m, fault.clone()));
+            self.at(ms, Action::StorePath(m, Fault::None));
+        }
+    }
+
+    fn fault_store(&mut self, rng: &mut StdRng, ms: u64) {
+        let (down, lost_share, delay_ms) =
+            [(true, 0.0, 0), (false, 0.3, 0), (false, 0.0, 200)][rng.random_range(0..3)];
+        let faults = Faults {
+            down,
+            lost_share,
+            delay_ms,
+        };
+        self.at(0, Action::Store(faults));
+        self.at(ms, Action::Store(Faults::default()));
+    }
+
+    fn crash_vms(&mut self, rng: &mut StdRng, ms: u64) {
+        for _ in 0..rng.random_range(1..3) {
+            let v = self.vm(rng);
+            self.at(0, Action::Crash(v));
+            self.at(ms, Action::Restart(v));
+        }
+    }
+
+    fn delay_or_withdraw_vms(&mut self, rng: &mut StdRng, ms: u64) {
+        let withdraw = rng.random_bool(0.5);
+        for v in some(rng, self.site.vms.len()) {
+            let (begin, end) = match withdraw {
+                true => (Action::Withdrawn(v, true), Action::Withdrawn(v, false)),
+                false => (Action::Late(v, 0.2), Action::Late(v, 0.0)),
+            };
+            self.at(0, begin);
+            self.at(ms, end);
+        }
+    }
+
+    fn fault_vm_paths(&mut self, rng: &mut StdRng, ms: u64) {
+        let fault = match rng.random_range(0..8) {
+            0 => path::Fault::SilentToServer,
+            1 => path::Fault::SilentToClient,
+            2 => path::Fault::Silent,
+            3 => path::Fault::Reset,
+            4 => path::Fault::Refused,
+            _ => path::Fault::Lossy(rng.random_range(15..50)),
+        };
+        let (members, vms) = self.sides(rng);
+        self.at(0, Action::VmPaths(members.clone(), vms.clone(), fault));
+        self.at(2 * ms, Action::VmPaths(members, vms, path::Fault::None));
+    }
+
+    /// Cuts VMs off, crashes one behind the cut, and starts it again under its id and address.
+    fn crash_behind_cut(&mut self, rng: &mut StdRng, ms: u64) {
+        let (members, vms) = self.sides(rng);
+        let v = vms[rng.random_range(0..vms.len())];
+        let (cut, healed) = (path::Fault::Silent, path::Fault::None);
+        self.at(0, Action::VmPaths(members.clone(), vms.clone(), cut));
+        self.at(rng.random_range(0..ms), Action::Crash(v));
+        self.at(ms + rng.random_range(0..ms), Action::Restart(v));
+        self.at(2 * ms, Action::VmPaths(members, vms, healed));
+    }
+
+    /// Returns some members and some VMs. The leader is one of the members in most cases.
+    fn sides(&self, rng: &mut StdRng) -> (Vec<usize>, Vec<usize>) {
+        let mut members = some(rng, self.members.len());
+        let leader = self.leader().filter(|m| !members.contains(m));
+        members.extend(leader.filter(|_| rng.random_bool(0.8)));
+        (members, some(rng, self.site.vms.len()))
+    }
+
+    /// Returns the member with the newest leadership claim.
+    fn leader(&self) -> Option<usize> {
+        let claim = self.site.store.last_record("keyed.holder")?;
+        let claim = String::from_utf8_lossy(&claim);
+        let (_, number) = claim.split_once("member-")?;
+        let digits = number.find(|c: char| !c.is_ascii_digit())?;
+        number[..digits].parse().ok()
+    }
+
+    /// Adds a random fault of the leader. One of them cuts it off from the store and from some
+    /// members while it still reaches the VMs.
+    fn fault_leader(&mut self, rng: &mut StdRng) {
+        let Some(m) = self.leader() else { return };
+        let ms = rng.random_range(500..4_000);
+        match rng.random_range(0..5) {
+            0 => {
+                self.at(0, Action::Signal(m, "STOP"));
+                self.at(ms, Action::Signal(m, "CONT"));
             }
-            9 => {
-                site.vms[v].set_late_share(0.2);
-                (
-                    format!("VM {v} executes requests late"),
-                    Undo::ClearVmDelay(v),
-                )
+            n @ (1 | 2) => {
+                self.at(0, Action::Signal(m, ["KILL", "TERM"][n - 1]));
+                self.at(ms, Action::Start(m));
             }
             _ => {
-                members.iter().for_each(|m| m.signal("KILL"));
-                let more = (0..members.len()).map(|m| (Instant::now(), Undo::StartMember(m)));
-                self.pending_undos.extend(more);
-                ("all members are killed".to_owned(), Undo::RepairStore)
+                let others = some(rng, self.members.len());
+                let (cut, healed) = (path::Fault::Silent, path::Fault::None);
+                self.at(0, Action::StorePath(m, store_path_fault(rng)));
+                self.at(0, Action::MemberPaths(m, others.clone(), cut));
+                self.at(ms, Action::MemberPaths(m, others, healed));
+                self.at(ms, Action::StorePath(m, Fault::None));
             }
-        };
-        self.descriptions.push(format!("{description} for {ms} ms"));
-        self.pending_undos
-            .push((Instant::now() + Duration::from_millis(ms), undo));
+        }
     }
 
-    /// Ends the faults whose time is over, or every fault if `all` is set.
-    pub(crate) fn undo(&mut self, all: bool, site: &Site, members: &mut [Member], program: &str) {
-        let now = Instant::now();
-        let due = |(at, _): &mut (Instant, Undo)| all || *at <= now;
-        let due: Vec<(Instant, Undo)> = self.pending_undos.extract_if(.., due).collect();
-        for (_, undo) in due {
-            match undo {
-                Undo::StartMember(m) => members[m].start(program),
-                Undo::ResumeMember(m) => members[m].signal("CONT"),
-                Undo::RestoreStorePath(m) => members[m].store_proxy.set_fault(Fault::None),
-                Undo::RepairStore => site.store.set_faults(Faults::default()),
-                Undo::RestartVm(v) => site.vms[v].restart(),
-                Undo::RestoreVmPath(v) => site.vm_proxies[v].set_fault(Fault::None),
-                Undo::ClearVmDelay(v) => site.vms[v].set_late_share(0.0),
+    fn apply(&mut self, action: Action, rng: &mut StdRng) {
+        let ms = self.began.elapsed().as_millis();
+        println!("fault: {}.{:03} {action:?}", ms / 1_000, ms % 1_000);
+        match action {
+            Action::Signal(m, name) => {
+                if ["KILL", "TERM"].contains(&name) {
+                    self.ended.insert(m);
+                }
+                self.members[m].signal(name);
+            }
+            Action::Start(m) => {
+                if self.ended.remove(&m) {
+                    self.members[m].start(self.program);
+                }
+            }
+            Action::StorePath(m, fault) => {
+                let proxy = &self.members[m].store_proxy;
+                let begins = fault != Fault::None;
+                proxy.set_fault(fault);
+                if begins {
+                    proxy.silence_open_connections();
+                }
+            }
+            Action::Store(faults) => self.site.store.set_faults(faults),
+            Action::Crash(v) => self.site.vms[v].crash(),
+            Action::Restart(v) => self.site.vms[v].restart(),
+            Action::Late(v, share) => self.site.vms[v].set_late_share(share),
+            Action::Withdrawn(v, withdrawn) => self.site.vms[v].set_withdrawn(withdrawn),
+            Action::VmPaths(members, vms, fault) => {
+                self.network.set_vm_fault(&members, &vms, fault);
             }
+            Action::MemberPaths(m, others, fault) => {
+                self.network.set_member_fault(m, &others, fault);
+            }
+            Action::Leader => self.fault_leader(rng),
         }
     }
 }
 
-fn signal_member(m: &Member, name: &str, description: &str) -> String {
-    m.signal(name);
-    format!("{description} {}", m.name())
+/// Returns some random numbers below `count`, at least one.
+fn some(rng: &mut StdRng, count: usize) -> Vec<usize> {
+    let share = rng.random_range(0.1..0.7);
+    let mut picked: Vec<usize> = (0..count).filter(|_| rng.random_bool(share)).collect();
+    picked.truncate(PATH_SIDE_MAX);
+    if picked.is_empty() {
+        picked.push(rng.random_range(0..count));
+    }
+    picked
 }
 
-/// Sets a fault on the member's path to the store, and stops traffic on its open connections.
-fn fault_store_path(m: &Member, fault: Fault) -> String {
-    let description = format!("{} to the store: {fault:?}", m.name());
-    m.store_proxy.set_fault(fault);
-    m.store_proxy.silence_open_connections();
-    description
+fn store_path_fault(rng: &mut StdRng) -> Fault {
+    match rng.random_range(0..4) {
+        0 => Fault::Unavailable,
+        1 => Fault::Unresponsive,
+        2 => Fault::WithholdResponse,
+        _ => Fault::Respond(STORE_REFUSAL.into()),
+    }
 }
--- a/examples/soak/load.rs
+++ b/examples/soak/load.rs
@@ -1,20 +1,30 @@
 //! Callers, which submit jobs, retry refused submissions, and query job states.
+//!
+//! They keep their connections open, also to members that are shutting down.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::time::Duration;
 
 use monsoonnotch_adapter_standins::site::job_body;
 use monsoonnotch_adapter_standins::site::parse_state;
-use monsoonnotch_standins::caller::send_request;
+use monsoonnotch_standins::caller::Connections;
+use monsoonnotch_standins::caller::request;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
 /// Number of times that a caller tries to submit one job.
 const ATTEMPTS_MAX: usize = 4;
+/// Share of accepted jobs that are submitted again.
+const REPEATED_SHARE: f64 = 0.1;
+/// Number of recent jobs of which a caller queries one at a time.
+const RECENT_JOBS: usize = 8;
+/// State of a job that no member knows, in descriptions.
+pub(crate) const NOT_FOUND: &str = "not found";
 /// How long a caller waits for one response, in milliseconds.
 const TIMEOUT_MS: u64 = 3_000;
 
@@ -41,54 +51,101 @@
     pub(crate) queries: u64,
 }
 
-fn headers() -> Vec<(&'static str, String)> {
-    vec![
-        ("authorization", "Bearer key-a".to_owned()),
-        ("x-deadline-ms", TIMEOUT_MS.to_string()),
-    ]
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .expect("no thread panics while holding the lock")
 }
 
-async fn send(addr: SocketAddr, method: &str, id: u64, body: &str) -> Option<(u16, Vec<u8>)> {
-    let headers = headers();
-    let headers: Vec<(&str, &str)> = headers.iter().map(|(k, v)| (*k, v.as_str())).collect();
-    let path = format!("/jobs/{id:016x}");
-    let response = send_request(addr, method, &path, &headers, body);
-    let response = tokio::time::timeout(Duration::from_millis(TIMEOUT_MS), response).await;
-    response
-        .ok()
-        .flatten()
-        .filter(|a| a.complete)
-        .map(|a| (a.status, a.body))
+/// A caller with its connections and the addresses of the members.
+#[derive(Debug)]
+pub(crate) struct Caller {
+    addrs: Vec<SocketAddr>,
+    connections: Connections,
 }
 
-/// Submits one job, at most [`ATTEMPTS_MAX`] times until it is accepted.
-async fn submit(addrs: &[SocketAddr], id: u64, body: &str, rng: &mut StdRng) -> SubmitOutcome {
-    let mut certain = true;
-    for _ in 0..ATTEMPTS_MAX {
-        let addr = addrs[rng.random_range(0..addrs.len())];
-        match send(addr, "POST", id, body).await {
-            Some((200, _)) => return SubmitOutcome::Accepted,
-            Some((503 | 429, _)) => {}
-            _ => certain = false,
+impl Caller {
+    pub(crate) fn new(addrs: Vec<SocketAddr>) -> Self {
+        Self {
+            addrs,
+            connections: Connections::default(),
+        }
+    }
+
+    /// Returns a random member.
+    fn member(&self, rng: &mut StdRng) -> SocketAddr {
+        self.addrs[rng.random_range(0..self.addrs.len())]
+    }
+
+    async fn send(
+        &mut self,
+        addr: SocketAddr,
+        method: &str,
+        id: u64,
+        body: &str,
+    ) -> Option<(u16, Vec<u8>)> {
+        let deadline = TIMEOUT_MS.to_string();
+        let headers = [
+            ("authorization", "Bearer key-a"),
+            ("x-deadline-ms", &deadline),
+        ];
+        let req = request(method, &format!("/jobs/{id:016x}"), &headers, body);
+        let response = self.connections.send(addr, req);
+        let response = tokio::time::timeout(Duration::from_millis(TIMEOUT_MS), response).await;
+        let response = response.ok().flatten().filter(|r| r.complete);
+        response.map(|r| (r.status, r.body))
+    }
+
+    /// Submits one job, at most [`ATTEMPTS_MAX`] times until it is accepted.
+    async fn submit(&mut self, id: u64, body: &str, rng: &mut StdRng) -> SubmitOutcome {
+        let mut certain = true;
+        for _ in 0..ATTEMPTS_MAX {
+            let addr = self.member(rng);
+            match self.send(addr, "POST", id, body).await {
+                Some((200, _)) => return SubmitOutcome::Accepted,
+                Some((503 | 429, _)) => {}
+                _ => certain = false,
+            }
+            tokio::time::sleep(Duration::from_millis(1_000)).await;
+        }
+        match certain {
+            true => SubmitOutcome::Refused,
+            false => SubmitOutcome::Unknown,
+        }
+    }
+
+    /// Returns the state of a job according to one member; `None` without a response.
+    async fn state_at(&mut self, addr: SocketAddr, id: u64) -> Option<String> {
+        match self.send(addr, "GET", id, "").await? {
+            (200, body) => Some(parse_state(&body).unwrap_or_default()),
+            (410, _) => Some(NOT_FOUND.to_owned()),
+            _ => None,
         }
-        tokio::time::sleep(Duration::from_millis(1_000)).await;
     }
-    match certain {
-        true => SubmitOutcome::Refused,
-        false => SubmitOutcome::Unknown,
+
+    /// Returns the state of a job from the first member that responds, or why it is not available.
+    pub(crate) async fn state(&mut self, id: u64) -> String {
+        for addr in self.addrs.clone() {
+            if let Some(state) = self.state_at(addr, id).await {
+                return state;
+            }
+        }
+        "unavailable".to_owned()
     }
 }
 
-/// Runs one caller until `stop`: submits jobs one after the other and checks that members find
-/// those that were accepted.
+/// Runs one caller until `stop`: submits jobs one after the other, sends some again, and checks
+/// that the states of those that were accepted are consistent.
 pub(crate) async fn run(
-    addrs: Vec<SocketAddr>,
+    mut caller: Caller,
     seed: u64,
     outcomes: SubmitOutcomes,
     tally: Arc<Mutex<Tally>>,
     stop: tokio::time::Instant,
 ) {
     let mut rng = StdRng::seed_from_u64(seed);
+    // Accepted jobs, and whether each was seen as completed.
+    let mut accepted: Vec<(u64, bool)> = Vec::new();
     while tokio::time::Instant::now() < stop {
         let id: u64 = rng.random();
         let steps: Vec<u32> = (0..rng.random_range(1..4))
@@ -99,39 +156,44 @@
             rng.random_range(200..3_000),
             rng.random_range(30..900),
         );
-        let outcome = submit(&addrs, id, &body, &mut rng).await;
-        outcomes
-            .lock()
-            .expect("no thread panics while holding the lock")
-            .insert(id, outcome);
+        let outcome = caller.submit(id, &body, &mut rng).await;
+        lock(&outcomes).insert(id, outcome);
         if outcome == SubmitOutcome::Accepted {
-            let addr = addrs[rng.random_range(0..addrs.len())];
-            // The leader reads the journal with a bounded delay, after which it must find the job.
-            tokio::time::sleep(Duration::from_millis(300)).await;
-            let state = send(addr, "GET", id, "").await;
-            let mut tally = tally
-                .lock()
-                .expect("no thread panics while holding the lock");
-            tally.queries += 1;
-            if let Some((410, _)) = state {
-                tally
-                    .violations
-                    .push(format!("accepted job {id:016x} was not found"));
+            accepted.push((id, false));
+            if rng.random_bool(REPEATED_SHARE) {
+                let addr = caller.member(&mut rng);
+                let _ = caller.send(addr, "POST", id, &body).await;
             }
         }
+        // The leader reads the journal with a bounded delay, after which it must find the job.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        if let Some(n) = accepted.len().checked_sub(1) {
+            let job = &mut accepted[n - rng.random_range(0..=n.min(RECENT_JOBS))];
+            let addr = caller.member(&mut rng);
+            let state = caller.state_at(addr, job.0).await;
+            check_state(job, state, &tally);
+        }
         let pause = rng.random_range(20..250);
         tokio::time::sleep(Duration::from_millis(pause)).await;
     }
 }
 
-/// Returns the state of a job from the first member that responds, or why it is not available.
-pub(crate) async fn state(addrs: &[SocketAddr], id: u64) -> String {
-    for addr in addrs {
-        match send(*addr, "GET", id, "").await {
-            Some((200, body)) => return parse_state(&body).unwrap_or_default(),
-            Some((410, _)) => return "not found".to_owned(),
-            _ => {}
-        }
+/// Checks the state of an accepted job. No job fails or is cancelled here, and a completed one
+/// remains so.
+fn check_state(job: &mut (u64, bool), state: Option<String>, tally: &Mutex<Tally>) {
+    let mut tally = lock(tally);
+    tally.queries += 1;
+    let Some(state) = state else { return };
+    let possible = match job.1 {
+        true => state == "completed",
+        false => ["queued", "active", "completed"].contains(&state.as_str()),
+    };
+    if !possible {
+        let violation = format!(
+            "accepted job {:016x}, completed={}, has the state {state:?}",
+            job.0, job.1
+        );
+        tally.violations.push(violation);
     }
-    "unavailable".to_owned()
+    job.1 |= state == "completed";
 }
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -1,30 +1,35 @@
 //! Runs real members against stand-ins of the platform, injects faults, and checks
 //! the scheduler's guarantees from what callers and VMs observe.
 //!
-//! `cargo run --release --example soak -- --seed N --seconds S [--members M] [--vms V]`
+//! `cargo run --release --example soak -- --seed N --seconds S [--members M] [--vms V] [--logs DIR]`
+//!
+//! On a violation, the logs of the members and of the VMs are kept in the folder of logs.
 
 mod faults;
 mod load;
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
 use getopts::Options;
-use monsoonnotch_adapter_standins::member::Member;
+use monsoonnotch_adapter_standins::network::Network;
 use monsoonnotch_adapter_standins::site::Site;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::time::Instant;
 
-use crate::faults::ActiveFaults;
+use crate::faults::FaultPlan;
+use crate::load::Caller;
 use crate::load::SubmitOutcome;
 use crate::load::SubmitOutcomes;
 use crate::load::Tally;
+use crate::load::lock;
 
 /// Number of concurrent callers.
 const CALLERS: u64 = 6;
@@ -37,6 +42,8 @@
     seconds: u64,
     members: usize,
     vms: usize,
+    /// Folder in which logs are kept.
+    logs: PathBuf,
 }
 
 fn args() -> Option<Args> {
@@ -50,6 +57,7 @@
     );
     opts.optopt("", "members", "number of members", "M");
     opts.optopt("", "vms", "number of VMs", "V");
+    opts.optopt("", "logs", "folder for logs of violations", "DIR");
     let raw_args: Vec<String> = std::env::args().skip(1).collect();
     let matches = opts
         .parse(&raw_args)
@@ -67,6 +75,10 @@
         seconds: number("seconds", 15)?,
         members: usize::try_from(number("members", 4)?).ok()?,
         vms: usize::try_from(number("vms", 8)?).ok()?,
+        logs: matches
+            .opt_str("logs")
+            .unwrap_or("target/soak".into())
+            .into(),
     })
 }
 
@@ -87,8 +99,9 @@
         eprintln!("soak: build the program first: cargo build --release");
         return ExitCode::from(2);
     };
-    let dir = std::env::temp_dir().join(format!("soak-{}-{}", args.seed, std::process::id()));
-    std::fs::create_dir_all(&dir).expect("a temporary folder");
+    let dir = format!("{}-{}", args.seed, std::process::id());
+    let dir = std::path::absolute(args.logs.join(dir)).expect("a current folder");
+    std::fs::create_dir_all(&dir).expect("the folder for logs can be created");
     let violations = run(&args, &program, &dir).await;
     for v in &violations {
         println!("violation: {v}");
@@ -110,12 +123,8 @@
 async fn run(args: &Args, program: &str, dir: &Path) -> Vec<String> {
     let mut rng = StdRng::seed_from_u64(args.seed);
     let site = Site::start(args.vms).await;
-    let mut members = Vec::new();
-    for number in 0..args.members {
-        let mut member = Member::new(number, site.store.addr(), dir).await;
-        member.start(program);
-        members.push(member);
-    }
+    let (network, mut members) = Network::start(&site, args.members, dir).await;
+    members.iter_mut().for_each(|m| m.start(program));
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     let addrs: Vec<SocketAddr> = members.iter().map(|m| m.callers).collect();
     let (outcomes, tally) = (
@@ -127,50 +136,44 @@
         .map(|n| {
             let seed = args.seed * 1_000 + n;
             let (outcomes, tally) = (Arc::clone(&outcomes), Arc::clone(&tally));
-            tokio::spawn(load::run(addrs.clone(), seed, outcomes, tally, stop))
+            let caller = Caller::new(addrs.clone());
+            tokio::spawn(load::run(caller, seed, outcomes, tally, stop))
         })
         .collect();
-    let mut active_faults = ActiveFaults::default();
+    let mut plan = FaultPlan::new(&site, &network, &mut members, program);
     let mut next = Instant::now();
     while Instant::now() < stop {
         if Instant::now() >= next {
-            active_faults.inject(&mut rng, &site, &mut members);
+            plan.add_series(&mut rng);
             next += Duration::from_millis(rng.random_range(300..1_800));
         }
-        active_faults.undo(false, &site, &mut members, program);
+        plan.advance(&mut rng);
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    active_faults.undo(true, &site, &mut members, program);
+    plan.repair();
     for caller in callers {
         caller.await.expect("a caller does not panic");
     }
-    let mut violations = wait_for_completion(&addrs, &outcomes).await;
+    let mut caller = Caller::new(addrs);
+    let mut violations = wait_for_completion(&mut caller, &outcomes).await;
+    check_refused(&mut caller, &outcomes, &mut violations).await;
     check(&site, &outcomes, &tally, &mut violations);
-    if !violations.is_empty() {
-        active_faults
-            .descriptions
-            .iter()
-            .for_each(|t| println!("fault: {t}"));
-    }
+    let events = lock(&site.checker).events.join("\n");
+    std::fs::write(dir.join("vms.log"), events).expect("the folder can be written");
     violations
 }
 
 /// Waits until every accepted job has completed. Returns a description of each job that has not
 /// completed within [`COMPLETION_TIMEOUT`].
-async fn wait_for_completion(addrs: &[SocketAddr], outcomes: &SubmitOutcomes) -> Vec<String> {
+async fn wait_for_completion(caller: &mut Caller, outcomes: &SubmitOutcomes) -> Vec<String> {
     let accepted = |(id, h): (&u64, &SubmitOutcome)| (*h == SubmitOutcome::Accepted).then_some(*id);
-    let mut pending: Vec<u64> = {
-        let outcomes = outcomes
-            .lock()
-            .expect("no thread panics while holding the lock");
-        outcomes.iter().filter_map(accepted).collect()
-    };
+    let mut pending: Vec<u64> = lock(outcomes).iter().filter_map(accepted).collect();
     let deadline = Instant::now() + COMPLETION_TIMEOUT;
     let mut states = Vec::new();
     while Instant::now() < deadline && !pending.is_empty() {
         states.clear();
         for id in std::mem::take(&mut pending) {
-            let state = load::state(addrs, id).await;
+            let state = caller.state(id).await;
             if state != "completed" {
                 states.push(format!("accepted job {id:016x} has not completed: {state}"));
                 pending.push(id);
@@ -185,6 +188,22 @@
     }
 }
 
+/// Adds a violation for each refused job that members know.
+async fn check_refused(
+    caller: &mut Caller,
+    outcomes: &SubmitOutcomes,
+    violations: &mut Vec<String>,
+) {
+    let refused = |(id, h): (&u64, &SubmitOutcome)| (*h == SubmitOutcome::Refused).then_some(*id);
+    let refused: Vec<u64> = lock(outcomes).iter().filter_map(refused).collect();
+    for id in refused {
+        let state = caller.state(id).await;
+        if state != load::NOT_FOUND {
+            violations.push(format!("refused job {id:016x} has the state {state:?}"));
+        }
+    }
+}
+
 /// Adds the violations that callers and VMs observed, and prints counts of jobs and task starts.
 fn check(
     site: &Site,
@@ -192,18 +211,10 @@
     tally: &Mutex<Tally>,
     violations: &mut Vec<String>,
 ) {
-    let checker = site
-        .checker
-        .lock()
-        .expect("no thread panics while holding the lock");
-    let tally = tally
-        .lock()
-        .expect("no thread panics while holding the lock");
+    let (checker, tally) = (lock(&site.checker), lock(tally));
     violations.extend(checker.violations.iter().cloned());
     violations.extend(tally.violations.iter().cloned());
-    let outcomes = outcomes
-        .lock()
-        .expect("no thread panics while holding the lock");
+    let outcomes = lock(outcomes);
     for (id, _) in outcomes
         .iter()
         .filter(|(_, h)| **h == SubmitOutcome::Refused)
