--- a/crates/monsoonnotch_jobs/src/scheduler/vms.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/vms.rs
@@ -39,11 +39,20 @@
     /// Latest end of any lease or start validity that was sent to it, in milliseconds on
     /// the VM's clock.
     pub(super) lease_until_ms: u64,
+    /// When every lease has expired that it may have from a predecessor, or from orders
+    /// that were computed from the clock of its previous incarnation.
+    other_leases_expire_at: Time,
     pub(super) polls: super::polls::Polls,
     /// Finished runs up to this completion number were applied.
     pub(super) finished_seen: u64,
     /// The effects of finished runs up to this completion number are stored.
     pub(super) finished_stored: u64,
+    /// Its present incarnation was told to forget finished runs up to this completion
+    /// number, and has answered.
+    pub(super) finished_acknowledged: u64,
+    /// Starts without an answer of the present incarnation, with the time when each was
+    /// last sent. A later incarnation may have executed them.
+    pub(super) unanswered_starts: BTreeMap<RunKey, Time>,
     pub(super) health: Health,
     /// Listed runs that belong to no run of this scheduler.
     pub(super) orphans: Orphans,
@@ -90,7 +99,7 @@
 }
 
 impl Vm {
-    fn new(registration: Registration) -> Self {
+    fn new(registration: Registration, other_leases_expire_at: Time) -> Self {
         Self {
             registration,
             listed: true,
@@ -103,9 +112,12 @@
             runs: BTreeSet::new(),
             clock: None,
             lease_until_ms: 0,
+            other_leases_expire_at,
             polls: super::polls::Polls::default(),
             finished_seen: 0,
             finished_stored: 0,
+            finished_acknowledged: 0,
+            unanswered_starts: BTreeMap::new(),
             health: Health::default(),
             orphans: Orphans::default(),
         }
@@ -115,6 +127,7 @@
         Target {
             addr: self.registration.addr.clone(),
             id: self.registration.id.clone(),
+            min_clock_ms: self.clock.map_or(0, |(_, ms)| ms),
         }
     }
 
@@ -125,15 +138,21 @@
         Some(ms + now.since(at).as_millis())
     }
 
-    /// Returns when every lease sent to it has expired, even if its clock runs slow by
-    /// `drift_milli` thousandths; the maximum time if its clock was never read.
+    /// Returns when every lease that it may have has expired, even if its clock runs slow by
+    /// `drift_milli` thousandths.
     pub(super) fn leases_expire_at(&self, drift_milli: u64) -> Time {
-        let Some((at, ms)) = self.clock else {
-            return Time(u64::MAX);
-        };
-        let left = self.lease_until_ms.saturating_sub(ms);
-        let left = left * 1_000 / (1_000 - drift_milli.min(500));
-        at + Duration::from_millis(left) + CLOCK_SLACK
+        let own = self.clock.map_or(Time::default(), |(at, ms)| {
+            let left = self.lease_until_ms.saturating_sub(ms);
+            lease_end(at, Duration::from_millis(left), drift_milli)
+        });
+        own.max(self.other_leases_expire_at)
+    }
+
+    /// Takes into account that it may have got a lease of `lease` at `now` at the latest, by
+    /// an order that this scheduler did not compute from its clock.
+    pub(super) fn add_other_lease(&mut self, now: Time, lease: Duration, drift_milli: u64) {
+        let end = lease_end(now, lease, drift_milli);
+        self.other_leases_expire_at = self.other_leases_expire_at.max(end);
     }
 
     /// Returns the free capacity.
@@ -159,6 +178,13 @@
     }
 }
 
+/// Returns when a lease that a VM got at `at` or before has expired, even if the VM's clock
+/// runs slow by `drift_milli` thousandths.
+fn lease_end(at: Time, lease: Duration, drift_milli: u64) -> Time {
+    let longest_ms = lease.as_millis() * 1_000 / (1_000 - drift_milli.min(500));
+    at + Duration::from_millis(longest_ms) + CLOCK_SLACK
+}
+
 impl Scheduler {
     /// Applies changed entries of the VM list.
     pub(super) fn apply_vm_changes(&mut self, entries: Vec<(CompactString, Option<Registration>)>) {
@@ -242,7 +268,7 @@
             id: id.clone(),
             ..Registration::default()
         };
-        let mut vm = Vm::new(registration);
+        let mut vm = Vm::new(registration, self.settle_at);
         vm.listed = false;
         self.add_vm(vm)
     }
@@ -255,7 +281,7 @@
     }
 
     fn add_registered_vm(&mut self, registration: Registration) {
-        let key = self.add_vm(Vm::new(registration));
+        let key = self.add_vm(Vm::new(registration, self.settle_at));
         self.placement_needed = true;
         if self.marker.is_some() {
             self.poll_now(key);
@@ -264,15 +290,23 @@
 
     /// Resets the state of a VM for a new incarnation, which numbers its finished runs from
     /// one again. Its runs have to be confirmed again.
+    ///
+    /// Its clock starts anew as well. An order in transit that was computed from the clock of
+    /// the previous incarnation may give the new one the longest lease that VMs grant.
     pub(super) fn reset_incarnation(&mut self, key: VmKey) {
+        let (now, lease_max) = (self.now, self.tuning.lease_max);
+        let drift = self.tuning.drift_milli;
         let Some(vm) = self.vms.get_mut(key) else {
             return;
         };
         vm.answered = false;
         vm.clock = None;
         vm.lease_until_ms = 0;
+        vm.add_other_lease(now, lease_max, drift);
         vm.finished_seen = 0;
         vm.finished_stored = 0;
+        vm.finished_acknowledged = 0;
+        vm.unanswered_starts.clear();
         vm.health = Health::default();
         vm.polls.clear();
         self.set_orphans(key, Orphans::default());
@@ -344,11 +378,10 @@
         let mut expired = Vec::new();
         let mut due = Vec::new();
         for (key, vm) in self.vms.iter() {
+            // Neither a missing entry nor a refused connection shows that a VM has left: the
+            // entries of live VMs are removed while the store is unavailable.
             let leases_expired = vm.polls.unanswered > 0 && now > vm.leases_expire_at(drift);
-            // A draining VM that is unlisted and unresponsive has terminated.
-            let has_left = vm.registration.draining && !vm.listed && vm.polls.unanswered > 1;
-            if (leases_expired || has_left) && !(vm.runs.is_empty() && vm.orphans.needs.is_empty())
-            {
+            if leases_expired && !(vm.runs.is_empty() && vm.orphans.needs.is_empty()) {
                 expired.push(key);
             }
             if vm.polls.is_due(now) {
