--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -3,7 +3,9 @@
 //! `MONSOONNOTCH_SEED` replays the random schedule of one seed; `MONSOONNOTCH_CASES`
 //! sets how many seeds run.
 
+mod approvals;
 mod directed;
+mod leaders;
 mod load;
 mod orders;
 mod random;
