--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -5,6 +5,7 @@
 
 mod approvals;
 mod directed;
+mod incarnations;
 mod leaders;
 mod load;
 mod orders;
