Don't take a run that cannot be decoded as not listed

What callers would see: one task runs twice at the same time, when its VM lists the run in a form that this version cannot read.

Cause: rows of a VM's lists that could not be decoded were skipped without a word, also for the lack of a field that only describes the run (its load, or one that a later version adds), and runs that are not listed are started elsewhere.

An answer with a row that cannot be decoded says that it lacks runs, as one with too many finished runs does: it does not count as evidence that a run is gone, and a warning is logged.

--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -400,7 +400,10 @@
             self.set_orphans(key, orphans);
         }
         if answer.more {
-            return;
+            let id = self.vms.get(key).map_or("", |v| &v.registration.id);
+            let (running, finished) = (answer.running.len(), answer.finished.len());
+            let detail = format!("vm={id} running={running} finished={finished}");
+            return self.warn(0, "vm list incomplete", detail);
         }
         for run in not_listed {
             self.run_not_listed(run, polled_at);
--- a/crates/monsoonnotch_jobs/src/vm/mod.rs
+++ b/crates/monsoonnotch_jobs/src/vm/mod.rs
@@ -89,6 +89,7 @@
     pub running: Vec<RunningRun>,
     /// The finished runs that have not been acknowledged.
     pub finished: Vec<FinishedRun>,
-    /// Whether more finished runs wait than one answer can list.
+    /// Whether the lists lack runs: more finished runs wait than one answer can list, or an
+    /// entry could not be decoded.
     pub more: bool,
 }
