Test that a successor waits for leases that its predecessor may still renew

A leader is killed and the VM with its run becomes unresponsive, which to the successor looks like both being cut off. The task must not start elsewhere within 9.5 s.

a_run_survives_a_store_outage_of_five_seconds counted tasks that had started, not starts, and could not fail by a second start.

--- a/tests/members.rs
+++ b/tests/members.rs
@@ -278,17 +278,16 @@
 }
 
 /// Waits until `count` runs have started at the VMs of a site.
-async fn wait_for_starts(site: &Site, count: usize) {
+async fn wait_for_starts(site: &Site, count: u64) {
     let started = || async { starts(site) == count };
     wait_until("the tasks run", started).await;
 }
 
-fn starts(site: &Site) -> usize {
+/// Returns how often tasks have started at the VMs of a site.
+fn starts(site: &Site) -> u64 {
     let checker = site.checker.lock();
-    checker
-        .expect("no thread panics while it holds the lock")
-        .starts
-        .len()
+    let checker = checker.expect("no thread panics while it holds the lock");
+    checker.starts.values().sum()
 }
 
 /// Guards against two runs of one task under two leaders. The store and the other members are
@@ -339,3 +338,27 @@
     assert_eq!(starts(&site), 1, "the run was lost");
     drop(std::fs::remove_dir_all(dir));
 }
+
+/// Guards against two runs of one task under two leaders. A leader is killed, and the VM with its
+/// run becomes unresponsive at the same time. To the successor this looks like a leader that is cut
+/// off and still renews the lease there, so the task must not start elsewhere before that ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_successor_waits_for_the_leases_that_its_predecessor_may_renew() {
+    let (site, members, dir) = start("waits", 2).await;
+    site.vms[1].crash();
+    let id = "00000000000000f3";
+    submit(members[0].callers, id, &job_body(&[1], 500, 1_000)).await;
+    wait_for_starts(&site, 1).await;
+    site.vms[1].restart();
+    let leads = |m: &Member| !m.log_lines(&["term begins"]).is_empty();
+    let leader = members.iter().position(leads);
+    let leader = leader.expect("one member is the leader");
+    members[leader].signal("KILL");
+    site.vms[0].crash();
+    let successor = &members[1 - leader];
+    wait_until("a member takes over", || async { leads(successor) }).await;
+    tokio::time::sleep(Duration::from_millis(9_500)).await;
+    assert_eq!(starts(&site), 1, "the lease may have been renewed");
+    wait_for_completion(successor.callers, id).await;
+    drop(std::fs::remove_dir_all(dir));
+}
