Count runs of a job whose acceptance lies ahead of the leader's clock

Cause: a job's first occurrence was opened once the leader's clock had reached the time of acceptance, which the member that took the submission had written by its own clock. A successor whose clock was behind knew such a job, but had no stage for it. It stopped its runs as orphans and dropped its finished runs, which it acknowledged to their VMs all the same. When its clock reached that time, all tasks started again.

A job without due times is due at once. A run that a VM lists opens its occurrence and all earlier ones, since the leader that started it found them due. An occurrence can no longer be skipped.

--- a/crates/monsoonnotch_jobs/src/scheduler/job.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/job.rs
@@ -7,6 +7,7 @@
 use super::*;
 use crate::journal::Outcome;
 use crate::journal::StageProgress;
+use crate::plan::StageId;
 use crate::site::Queue;
 
 /// A stage that waits this long is logged, and again each time this period passes.
@@ -215,13 +216,25 @@
         }
     }
 
-    /// Creates the stages of an occurrence.
+    /// Whether an occurrence is left that has not been opened and is due at `unix_ms`.
+    ///
+    /// A job without due times is due at once: the clock of the member that accepted it may be
+    /// ahead.
+    fn next_is_due(&self, unix_ms: u64) -> bool {
+        self.next_occurrence < self.plan.occurrences()
+            && (self.plan.repeats == 0 || self.due_ms(self.next_occurrence) <= unix_ms)
+    }
+
+    /// Creates the stages of an occurrence and of all earlier ones.
     pub(super) fn open_occurrence(&mut self, occurrence: u32) {
-        for (i, step) in (0_u16..).zip(&self.plan.steps) {
-            let stage = || Stage::new(step.count, self.attempt_base);
-            self.stages.entry((occurrence, i)).or_insert_with(stage);
+        let last = occurrence.min(self.plan.occurrences() - 1);
+        for occurrence in self.next_occurrence..=last {
+            for (i, step) in (0_u16..).zip(&self.plan.steps) {
+                let stage = Stage::new(step.count, self.attempt_base);
+                self.stages.insert((occurrence, i), stage);
+            }
         }
-        self.next_occurrence = self.next_occurrence.max(occurrence + 1);
+        self.next_occurrence = self.next_occurrence.max(last + 1);
     }
 
     /// Returns the runs of the job that may still exist.
@@ -319,9 +332,7 @@
         if job.ended() {
             return;
         }
-        while job.next_occurrence < job.plan.occurrences()
-            && job.due_ms(job.next_occurrence) <= unix_ms
-        {
+        while job.next_is_due(unix_ms) {
             job.open_occurrence(job.next_occurrence);
         }
         if job.all_complete() {
@@ -343,6 +354,25 @@
         }
     }
 
+    /// Returns the stage of a run that a VM lists; `None` if the job or the stage is unknown.
+    ///
+    /// Opens the occurrence if it is not due yet: a predecessor started the run, so that it was
+    /// due by that leader's clock.
+    pub(super) fn listed_stage(&mut self, listed: &StageId) -> Option<StageKey> {
+        let job = *self.jobs_by_id.get(&listed.job)?;
+        let key = StageKey {
+            job,
+            occurrence: listed.occurrence,
+            step: listed.step,
+        };
+        let unopened = |j: &&mut Job| !j.ended() && j.next_occurrence <= listed.occurrence;
+        if let Some(job) = self.jobs.get_mut(job).filter(unopened) {
+            job.open_occurrence(listed.occurrence);
+            self.advance(key.job);
+        }
+        self.stage(key).map(|_| key)
+    }
+
     fn mark_ready(&mut self, key: StageKey) {
         let now = self.now;
         let latest_start_ms = self.latest_start_ms(key);
@@ -483,9 +513,7 @@
     /// Opens occurrences that are due and removes jobs that ended long ago.
     pub(super) fn scan_jobs(&mut self) {
         let unix_ms = self.unix_ms;
-        let due = |j: &Job| {
-            j.next_occurrence < j.plan.occurrences() && j.due_ms(j.next_occurrence) <= unix_ms
-        };
+        let due = |j: &Job| j.next_is_due(unix_ms);
         let open = self.open_jobs.iter().copied();
         let due: Vec<JobKey> = open
             .filter(|&k| self.jobs.get(k).is_some_and(due))
--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -413,12 +413,7 @@
     /// Returns the run that a listed task belongs to, adopting runs that a predecessor
     /// started; stops the task and returns `None` if there is none.
     fn match_run(&mut self, vm: VmKey, running: &RunningRun) -> Option<RunKey> {
-        let job = self.jobs_by_id.get(&running.task.stage.job).copied();
-        let stage = job.map(|job| StageKey {
-            job,
-            occurrence: running.task.stage.occurrence,
-            step: running.task.stage.step,
-        });
+        let stage = self.listed_stage(&running.task.stage);
         let task = stage.and_then(|s| self.stage(s)?.tasks.get(running.task.index as usize));
         let Some((stage, task)) = stage.zip(task) else {
             self.stop_orphan(vm, running);
@@ -460,14 +455,9 @@
     }
 
     fn apply_finished_run(&mut self, vm: VmKey, finished: &FinishedRun) {
-        let Some(&job) = self.jobs_by_id.get(&finished.task.stage.job) else {
+        let Some(stage) = self.listed_stage(&finished.task.stage) else {
             return;
         };
-        let stage = StageKey {
-            job,
-            occurrence: finished.task.stage.occurrence,
-            step: finished.task.stage.step,
-        };
         let index = finished.task.index;
         let Some(task) = self.stage(stage).and_then(|s| s.tasks.get(index as usize)) else {
             return;
--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -4,6 +4,7 @@
 //! sets how many seeds run.
 
 mod approvals;
+mod clocks;
 mod directed;
 mod incarnations;
 mod leaders;
