A successor waits for the longest lease of a restarted VM

Callers would see one task run twice after a change of leader.

Cause: a VM that restarts unnoticed takes an order that carries the clock of its previous incarnation as one for the longest lease (max-hold-ms, 10 s). The successor waited for the usual lease only.

Not covered: both at once, an order with an old clock from a predecessor that is cut off and in the last of its 6 s; its lease may end 5.9 s after the wait.

--- a/crates/monsoonnotch_member/src/term/mod.rs
+++ b/crates/monsoonnotch_member/src/term/mod.rs
@@ -20,6 +20,7 @@
 use monsoonnotch_jobs::event::Event;
 use monsoonnotch_jobs::journal;
 use monsoonnotch_jobs::journal::KeyedRecord;
+use monsoonnotch_jobs::tuning::Tuning;
 use monsoonnotch_jobs::vm::Registration;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -196,11 +197,10 @@
             None => tokio::time::sleep(RETRY_PAUSE).await,
         }
     };
-    let lease = Duration::from_millis(cx.settings.scheduler_tuning().lease.as_millis());
     cx.control.send(Input::BeginTerm {
         token,
         config,
-        predecessor_leases: CONFIRMATION_VALID + lease.mul_f64(1.03) + IN_FLIGHT_ORDERS_MAX,
+        predecessor_leases: predecessor_leases(&cx.settings.scheduler_tuning()),
         requested_at,
     });
     let event = |event| cx.control.event(token, event);
@@ -227,6 +227,15 @@
     );
 }
 
+/// Returns how long after the start of a term a lease of a predecessor may last: one that it renewed
+/// while its token still counted as confirmed, or one that a restarted VM granted for the longest
+/// time, because the order carried the clock of its previous incarnation.
+fn predecessor_leases(tuning: &Tuning) -> Duration {
+    let renewed = CONFIRMATION_VALID + Duration::from(tuning.lease);
+    let longest = Duration::from(tuning.lease_max);
+    renewed.max(longest).mul_f64(1.03) + IN_FLIGHT_ORDERS_MAX
+}
+
 /// Reads the newest record of each key in a topic, and repeats the read until it succeeds.
 async fn read_newest(cx: &Cx, topic: &str) -> Newest {
     loop {
