Random schedules with everything that the platform allows at once

It further checks that no task starts after a success that a VM was told to forget, then or later, and no run starts beside a stopping one on its VM.

--- /dev/null
+++ b/crates/monsoonnotch_jobs/tests/promises/checks.rs
@@ -0,0 +1,108 @@
+//! The invariants that are checked whenever a task starts.
+
+use monsoonnotch_jobs::journal;
+use monsoonnotch_jobs::plan::TaskId;
+
+use crate::simulation::Simulation;
+use crate::vm::Began;
+
+impl Simulation {
+    /// Checks the invariants that hold whenever a task starts.
+    pub(crate) fn check(&mut self, task: TaskId, id: &str, began: Began) {
+        let at = format!("task {task:?} on {id} at {} ms", self.now);
+        assert!(began != Began::BesideStopping, "runs twice on one VM: {at}");
+        let vm = &self.vms[id];
+        let used = vm.used();
+        let capacity = vm.registration.capacity;
+        assert!(
+            capacity.fits(&used),
+            "over capacity: {used:?} of {capacity:?}; {at}"
+        );
+        let placements = self
+            .vms
+            .values()
+            .filter(|v| v.up && v.running.contains_key(&task));
+        assert_eq!(placements.count(), 1, "runs twice: {at}");
+        let submission = &self.jobs[&task.stage.job];
+        let step = &submission.plan.steps[usize::from(task.stage.step)];
+        if step.per_vm_max > 0 {
+            let here = vm.running.keys().filter(|t| t.stage == task.stage).count();
+            assert!(
+                here <= step.per_vm_max as usize,
+                "too many tasks of a stage on one VM: {at}"
+            );
+        }
+        for &d in &step.after {
+            let before = &submission.plan.steps[usize::from(d)];
+            let is_done = |&index: &u32| {
+                let mut other = task;
+                other.stage.step = d;
+                other.index = index;
+                self.done.contains(&other)
+            };
+            let count = (0..before.count).filter(is_done).count();
+            // The success of one task of a gang counts as that of the whole gang.
+            let enough = if before.gang {
+                1
+            } else {
+                before.count as usize
+            };
+            assert!(count >= enough, "started before its dependencies: {at}");
+        }
+        self.check_limit(&submission.account.clone(), &at);
+        assert!(
+            !self.stored_done(&task),
+            "started after its success was stored: {at}"
+        );
+        assert!(
+            !self.acknowledged.contains(&task),
+            "started after its success was acknowledged: {at}"
+        );
+        self.started_ms.insert(task, self.now);
+    }
+
+    /// Checks that no task has started after a success that a VM is now told to forget.
+    pub(crate) fn check_acknowledged(&mut self, ended: Vec<(TaskId, u64)>, id: &str) {
+        for (task, ended_ms) in ended {
+            let submission = &self.jobs[&task.stage.job];
+            if submission.plan.steps[usize::from(task.stage.step)].long_lived {
+                continue;
+            }
+            let started_ms = self.started_ms.get(&task).copied().unwrap_or(0);
+            assert!(
+                started_ms <= ended_ms,
+                "started again at {started_ms} ms after its success at {ended_ms} ms, which {id} \
+                 may forget since {} ms: {task:?}",
+                self.now
+            );
+            self.acknowledged.insert(task);
+        }
+    }
+
+    fn check_limit(&self, account: &str, at: &str) {
+        let Some(limit) = self.site.accounts.get(account).map(|a| a.limit.cpu_milli) else {
+            return;
+        };
+        let running = self.vms.values().filter(|v| v.up).flat_map(|v| &v.running);
+        let own = running.filter(|(t, _)| self.jobs[&t.stage.job].account == account);
+        let used: u64 = own.map(|(_, w)| w.allocation.cpu_milli).sum();
+        assert!(
+            limit == 0 || used <= limit,
+            "over the limit: {used} of {limit}; {at}"
+        );
+    }
+
+    /// Returns whether the success of a task is stored in the journal.
+    fn stored_done(&self, task: &TaskId) -> bool {
+        let key = format!("{}.p", task.stage.job);
+        let newest = self.log.iter().rev().find(|s| s.key == key);
+        let Some(journal::Entry::Progressed(_, p)) = newest.and_then(journal::decode_entry) else {
+            return false;
+        };
+        p.outcome == Some(journal::Outcome::Completed)
+            || p.stages.iter().any(|s| {
+                let same = s.step == task.stage.step && s.occurrence == task.stage.occurrence;
+                same && (s.complete || s.done.contains(&task.index))
+            })
+    }
+}
--- a/crates/monsoonnotch_jobs/tests/promises/load.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/load.rs
@@ -4,11 +4,11 @@
 use monsoonnotch_jobs::plan::Step;
 use monsoonnotch_jobs::plan::TaskId;
 
+use crate::faults::Faults;
 use crate::random::cpu;
 use crate::random::fleet;
 use crate::random::site;
 use crate::random::submission;
-use crate::simulation::Faults;
 use crate::simulation::Simulation;
 
 fn run(sim: &mut Simulation, ms: u64) {
--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -3,11 +3,15 @@
 //! `MONSOONNOTCH_SEED` replays the random schedule of one seed; `MONSOONNOTCH_CASES`
 //! sets how many seeds run.
 
+mod adverse;
 mod approvals;
+mod checks;
 mod directed;
+mod faults;
 mod incarnations;
 mod leaders;
 mod load;
+mod network;
 mod orders;
 mod random;
 mod simulation;
--- a/crates/monsoonnotch_jobs/tests/promises/random.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/random.rs
@@ -16,7 +16,7 @@
 use rand::RngExt;
 use rstest::rstest;
 
-use crate::simulation::Faults;
+use crate::faults::Faults;
 use crate::simulation::START_UNIX_MS;
 use crate::simulation::Simulation;
 
@@ -98,7 +98,7 @@
     }
 }
 
-fn random_steps(sim: &mut Simulation) -> Vec<Step> {
+pub(crate) fn random_steps(sim: &mut Simulation) -> Vec<Step> {
     let count = sim.rng.random_range(1..4_u16);
     let step = |i: u16, sim: &mut Simulation| Step {
         count: sim.rng.random_range(1..6),
@@ -117,6 +117,7 @@
         unanswered: [0.0, 0.02, 0.08][(seed % 3) as usize],
         lost: [0.0, 0.03][(seed / 3 % 2) as usize],
         failed: 0.03,
+        ..Faults::default()
     };
     let site = site(
         [0, 40_000][(seed / 2 % 2) as usize],
--- a/crates/monsoonnotch_jobs/tests/promises/simulation.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/simulation.rs
@@ -11,13 +11,9 @@
 use monsoonnotch_core::time::Duration;
 use monsoonnotch_core::time::Time;
 use monsoonnotch_jobs::effect::ApprovalSlotKey;
-use monsoonnotch_jobs::effect::Effect;
 use monsoonnotch_jobs::effect::PollKey;
 use monsoonnotch_jobs::effect::StartOrder;
 use monsoonnotch_jobs::event::Event;
-use monsoonnotch_jobs::event::PollError;
-use monsoonnotch_jobs::event::StartAnswer;
-use monsoonnotch_jobs::event::StopAnswer;
 use monsoonnotch_jobs::journal;
 use monsoonnotch_jobs::journal::KeyedRecord;
 use monsoonnotch_jobs::journal::Submission;
@@ -33,48 +29,55 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::faults::Faults;
+use crate::network::Cut;
+use crate::network::PollRequest;
+use crate::network::Route;
+use crate::vm::Traits;
 use crate::vm::Vm;
-use crate::vm::Work;
 
-/// How long a task of a gang waits for the others to start, in milliseconds.
-const GANG_WAIT_MS: u64 = 3_000;
+/// Time after a successor's claim at which a leader decides nothing any more: the store has
+/// not confirmed its token for so long.
+const CONFIRMATION_VALID_MS: u64 = 6_000;
+/// When a successor counts the leases of its predecessor as expired: after the time above,
+/// a lease with the drift of a VM's clock, and an order in transit.
+const PREDECESSOR_LEASES: Duration = Duration::from_millis(CONFIRMATION_VALID_MS + 4_120 + 400);
 /// Unix time at which the simulation starts, in milliseconds.
 pub(crate) const START_UNIX_MS: u64 = 1_700_000_000_000;
 
-/// The faults to inject, each as a probability per message or run.
-#[derive(Debug, Default, Clone, Copy)]
-pub(crate) struct Faults {
-    /// An order gets no answer; the VM executes it at once or seconds later.
-    pub(crate) unanswered: f64,
-    /// The answer to a status poll is lost.
-    pub(crate) lost: f64,
-    /// A run fails.
-    pub(crate) failed: f64,
-}
-
+/// What happens next in the simulation; members are given by their index.
 #[derive(Debug)]
-enum Msg {
+pub(crate) enum Msg {
     Start(usize, RunKey, Box<StartOrder>, Route),
     Stop(usize, RunKey, TaskId, u64, Route),
-    Poll(usize, PollKey, String, u64, Option<u64>, u64),
-    PollReply(usize, PollKey, String, u64),
+    Poll(usize, PollRequest, Route),
+    PollReply(usize, PollKey, Route),
     Event(usize, Event),
+    /// The first result of a request, either the answer or its timeout, is delivered.
+    Result(usize, u64, Event),
+    /// The records before an index of the log are read.
+    Journal(usize, usize),
+    Append(usize, Vec<KeyedRecord>),
+    BeginTerm(usize),
+    /// The VM list learns whether a VM is up, or removes the entry of one that is.
+    Register(String, bool),
 }
 
-/// The connection that an order is sent over. It breaks when the incarnation that it
-/// leads to ends.
-#[derive(Debug)]
-struct Route {
-    vm: String,
-    started_ms: u64,
-    /// Whether the answer of the VM is lost.
-    unanswered: bool,
-}
-
-struct Member {
-    scheduler: Option<Scheduler>,
-    token: u64,
+pub(crate) struct Member {
+    pub(crate) scheduler: Option<Scheduler>,
+    pub(crate) token: u64,
+    /// Index of the first record of its term.
+    marker: u64,
     frozen_until: u64,
+    /// Number of records of the log that it has read.
+    read_to: usize,
+    /// When the record that was read last arrived, or will arrive.
+    journal_at: u64,
+    /// Until when the store does not answer it.
+    store_cut_until: u64,
+    /// When the next leader claimed.
+    superseded_ms: Option<u64>,
+    killed: bool,
 }
 
 pub(crate) struct Simulation {
@@ -83,18 +86,30 @@
     pub(crate) faults: Faults,
     pub(crate) site: Arc<PublishedConfig>,
     pub(crate) vms: BTreeMap<String, Vm>,
-    members: Vec<Member>,
-    queue: BTreeMap<(u64, u64), Msg>,
+    /// The VM list, without the VMs that are not listed.
+    vm_list: BTreeMap<String, Registration>,
+    pub(crate) members: Vec<Member>,
+    pub(crate) queue: BTreeMap<(u64, u64), Msg>,
     seq: u64,
-    log: Vec<KeyedRecord>,
+    /// Requests without a result, and the number of the last one.
+    pub(crate) open_requests: BTreeSet<u64>,
+    pub(crate) last_request: u64,
+    pub(crate) cuts: Vec<Cut>,
+    /// Start of the incarnation that each member last had a connection to, by VM.
+    pub(crate) connected: BTreeMap<(usize, String), u64>,
+    pub(crate) log: Vec<KeyedRecord>,
     pub(crate) jobs: BTreeMap<JobId, Submission>,
     pub(crate) cancelled: BTreeSet<JobId>,
     /// Tasks that have succeeded on some VM.
-    done: BTreeSet<TaskId>,
+    pub(crate) done: BTreeSet<TaskId>,
+    /// Tasks whose success a VM was told to forget.
+    pub(crate) acknowledged: BTreeSet<TaskId>,
+    /// When the newest run of each task started.
+    pub(crate) started_ms: BTreeMap<TaskId, u64>,
     /// Whether the store accepts appends.
     pub(crate) store_available: bool,
     /// VMs that the newest member cannot reach, and until when.
-    unreachable_until: BTreeMap<String, u64>,
+    pub(crate) unreachable_until: BTreeMap<String, u64>,
     pub(crate) starts: u64,
     /// The time at which each ended job was found to have ended.
     ends: BTreeMap<JobId, u64>,
@@ -109,20 +124,40 @@
         vms: Vec<Registration>,
         faults: Faults,
     ) -> Self {
-        let vms = vms.into_iter().map(|r| (r.id.to_string(), Vm::new(r)));
+        Self::with_vms(seed, site, vms, Traits::default(), faults)
+    }
+
+    pub(crate) fn with_vms(
+        seed: u64,
+        site: PublishedConfig,
+        vms: Vec<Registration>,
+        traits: Traits,
+        faults: Faults,
+    ) -> Self {
+        let vm_list = vms.iter().map(|r| (r.id.to_string(), r.clone())).collect();
+        let vms = vms
+            .into_iter()
+            .map(|r| (r.id.to_string(), Vm::new(r, traits)));
         Self {
             rng: StdRng::seed_from_u64(seed),
             now: 0,
             faults,
             site: Arc::new(site),
             vms: vms.collect(),
+            vm_list,
             members: Vec::new(),
             queue: BTreeMap::new(),
             seq: 0,
+            open_requests: BTreeSet::new(),
+            last_request: 0,
+            cuts: Vec::new(),
+            connected: BTreeMap::new(),
             log: Vec::new(),
             jobs: BTreeMap::new(),
             cancelled: BTreeSet::new(),
             done: BTreeSet::new(),
+            acknowledged: BTreeSet::new(),
+            started_ms: BTreeMap::new(),
             store_available: true,
             unreachable_until: BTreeMap::new(),
             starts: 0,
@@ -136,36 +171,74 @@
         START_UNIX_MS + self.now
     }
 
-    fn post(&mut self, after: u64, msg: Msg) {
+    /// Decides whether something with probability `p` happens.
+    pub(crate) fn chance(&mut self, p: f64) -> bool {
+        p > 0.0 && self.rng.random_bool(p)
+    }
+
+    pub(crate) fn post(&mut self, after: u64, msg: Msg) {
         self.seq += 1;
         self.queue.insert((self.now + after, self.seq), msg);
     }
 
     /// Makes a new member the leader; earlier leaders continue until they are fenced.
     pub(crate) fn claim(&mut self) {
+        let m = self.fence();
+        self.begin_term(m);
+    }
+
+    /// Makes a new member the leader, which takes `ms` to read the journal.
+    pub(crate) fn claim_slowly(&mut self, ms: u64) {
+        let m = self.fence();
+        self.post(ms, Msg::BeginTerm(m));
+    }
+
+    /// Stores the first record of a new term; returns its member.
+    fn fence(&mut self) -> usize {
         let token = self.members.len() as u64 + 1;
-        let has_predecessor = !self.members.is_empty();
-        let settle = if has_predecessor { 5_000 } else { 0 };
+        self.log.push(journal::term_record(token));
+        if let Some(predecessor) = self.members.last_mut() {
+            predecessor.superseded_ms = Some(self.now);
+        }
+        self.members.push(Member {
+            scheduler: None,
+            token,
+            marker: self.log.len() as u64 - 1,
+            frozen_until: 0,
+            read_to: 0,
+            journal_at: 0,
+            store_cut_until: 0,
+            superseded_ms: None,
+            killed: false,
+        });
+        self.announce_records();
+        self.members.len() - 1
+    }
+
+    fn begin_term(&mut self, m: usize) {
+        let settle = match (m, self.faults.timeouts) {
+            (0, _) => Duration::default(),
+            (_, false) => Duration::from_millis(5_000),
+            (_, true) => PREDECESSOR_LEASES,
+        };
         let now = Time(self.now * 1_000);
-        let settle_at = now + Duration::from_millis(settle);
         let site = Arc::clone(&self.site);
-        let mut scheduler = Scheduler::new(token, self.tuning.clone(), site, settle_at);
-        self.log.push(journal::term_record(token));
-        let marker = self.log.len() as u64 - 1;
+        let (token, marker) = (self.members[m].token, self.members[m].marker);
+        let mut scheduler = Scheduler::new(token, self.tuning.clone(), site, now + settle);
         let mut newest = BTreeMap::new();
         for stored in &self.log {
             newest.insert(stored.key.clone(), stored.clone());
         }
         let unix = self.unix();
-        let registrations = self
-            .vms
-            .values()
-            .filter(|v| v.up)
-            .map(|v| v.registration.clone());
+        let up = self.vms.values().filter(|v| v.up);
+        let registrations = match self.faults.timeouts {
+            true => self.vm_list.values().cloned().collect(),
+            false => up.map(|v| v.registration.clone()).collect(),
+        };
         // The store deletes a key whose newest record has no value.
         let kept = newest.into_values().filter(|s| !s.value.is_empty());
         let events = [
-            Event::AllVms(registrations.collect()),
+            Event::AllVms(registrations),
             Event::Journal(kept.map(|s| (0, s)).collect()),
             Event::ApprovalSlotUp(ApprovalSlotKey(0)),
             Event::ApprovalSlotUp(ApprovalSlotKey(1)),
@@ -174,11 +247,9 @@
         for event in events {
             scheduler.handle(event, now, unix);
         }
-        self.members.push(Member {
-            scheduler: Some(scheduler),
-            token,
-            frozen_until: 0,
-        });
+        let member = &mut self.members[m];
+        member.scheduler = Some(scheduler).filter(|_| !member.killed);
+        member.read_to = self.log.len();
     }
 
     /// Makes a VM unreachable for the newest member for `ms`; earlier members reach it.
@@ -186,16 +257,11 @@
         self.unreachable_until.insert(id.to_owned(), self.now + ms);
     }
 
-    fn reaches(&self, m: usize, id: &str) -> bool {
-        let newest = m + 1 == self.members.len();
-        let until = self.unreachable_until.get(id).copied().unwrap_or(0);
-        !newest || self.now >= until
-    }
-
     /// Kills the newest member.
     pub(crate) fn kill(&mut self) {
         if let Some(m) = self.members.last_mut() {
             m.scheduler = None;
+            m.killed = true;
         }
     }
 
@@ -221,13 +287,57 @@
     fn store_record(&mut self, stored: KeyedRecord) {
         let offset = self.log.len() as u64;
         self.log.push(stored.clone());
-        for m in 0..self.members.len() {
+        let records = vec![(offset, stored)];
+        let newest = self.members.len() - 1;
+        if !self.faults.timeouts {
             // An earlier leader reads the journal only up to the first record of the next.
-            if m + 1 == self.members.len() {
-                let event = Event::Journal(vec![(offset, stored.clone())]);
-                self.post(3, Msg::Event(m, event));
+            return self.post(3, Msg::Event(newest, Event::Journal(records)));
+        }
+        for m in 0..=newest {
+            let reported = m == newest || self.faults.reported_to_all;
+            if reported && self.chance(0.7) {
+                let after = self.rng.random_range(2..40);
+                let event = Event::RecordsStored(records.clone());
+                self.post(after, Msg::Event(m, event));
             }
         }
+        self.announce_records();
+    }
+
+    /// Lets each member read the newest records of the journal, in order and with its own
+    /// delay.
+    fn announce_records(&mut self) {
+        if !self.faults.timeouts {
+            return;
+        }
+        for m in 0..self.members.len() {
+            let after = match self.chance(self.faults.journal_late) {
+                true => self.rng.random_range(200..4_000),
+                false => self.rng.random_range(1..10),
+            };
+            let member = &mut self.members[m];
+            member.journal_at = (self.now + after)
+                .max(member.journal_at)
+                .max(member.store_cut_until);
+            let after = member.journal_at - self.now;
+            self.post(after, Msg::Journal(m, self.log.len()));
+        }
+    }
+
+    fn read_journal(&mut self, m: usize, to: usize) {
+        let from = self.members[m].read_to;
+        if self.members[m].scheduler.is_none() || from >= to {
+            return;
+        }
+        self.members[m].read_to = to;
+        let records = (from..to).map(|at| (at as u64, self.log[at].clone()));
+        let event = Event::Journal(records.collect());
+        self.handle(m, event);
+    }
+
+    /// Cuts a member off from the store for `ms`.
+    pub(crate) fn cut_store(&mut self, m: usize, ms: u64) {
+        self.members[m].store_cut_until = self.now + ms;
     }
 
     pub(crate) fn crash(&mut self, id: &str) {
@@ -235,6 +345,12 @@
             return;
         };
         vm.crash();
+        if self.faults.timeouts {
+            self.reset_connections(id);
+            // An entry is removed after three heartbeats of silence.
+            let after = self.rng.random_range(2_000..7_000);
+            self.post(after, Msg::Register(id.to_owned(), true));
+        }
     }
 
     pub(crate) fn restart(&mut self, id: &str) {
@@ -244,12 +360,37 @@
         };
         vm.restart(now);
         vm.registration.started_ms = unix;
+        if self.faults.timeouts {
+            let after = self.rng.random_range(50..5_000);
+            return self.post(after, Msg::Register(id.to_owned(), true));
+        }
+        let vm = &self.vms[id];
         let registration = vm.registration.clone();
         let event = Event::Vms(vec![(registration.id.clone(), Some(registration))]);
         let last = self.members.len() - 1;
         self.post(300, Msg::Event(last, event));
     }
 
+    /// Removes the entry of a VM from the VM list for `ms`.
+    pub(crate) fn withdraw(&mut self, id: &str, ms: u64) {
+        self.post(0, Msg::Register(id.to_owned(), false));
+        self.post(ms, Msg::Register(id.to_owned(), true));
+    }
+
+    fn register(&mut self, id: String, listed: bool) {
+        let vm = self.vms.get(&id).filter(|v| listed && v.up);
+        let entry = vm.map(|v| v.registration.clone());
+        match &entry {
+            Some(entry) => self.vm_list.insert(id.clone(), entry.clone()),
+            None => self.vm_list.remove(&id),
+        };
+        for m in 0..self.members.len() {
+            let after = self.rng.random_range(1..300);
+            let event = Event::Vms(vec![(id.as_str().into(), entry.clone())]);
+            self.post(after, Msg::Event(m, event));
+        }
+    }
+
     /// Advances the simulation by a millisecond.
     pub(crate) fn step(&mut self) {
         self.now += 1;
@@ -275,27 +416,10 @@
         }
     }
 
-    /// Answers the polls that a VM holds open, because a run has finished there.
-    fn answer_waiting_polls(&mut self, id: &str) {
-        let now = self.now;
-        let waiting: Vec<(u64, u64)> = self
-            .queue
-            .iter()
-            .filter_map(|(k, msg)| match msg {
-                Msg::PollReply(_, _, vm, _) if vm == id && k.0 > now => Some(*k),
-                _ => None,
-            })
-            .collect();
-        for key in waiting {
-            if let Some(msg) = self.queue.remove(&key) {
-                self.post(0, msg);
-            }
-        }
-    }
-
     fn decide(&mut self, m: usize) {
         let (now, unix) = (Time(self.now * 1_000), self.unix());
         let newest = m + 1 == self.members.len();
+        let timeouts = self.faults.timeouts;
         let member = &mut self.members[m];
         if self.now < member.frozen_until {
             return;
@@ -305,6 +429,15 @@
         if member.frozen_until > 0 && !newest {
             member.scheduler = None;
         }
+        if timeouts {
+            member.frozen_until = 0;
+        }
+        let unconfirmed = member
+            .superseded_ms
+            .is_some_and(|at| self.now > at + CONFIRMATION_VALID_MS);
+        if timeouts && unconfirmed {
+            return;
+        }
         let Some(scheduler) = &mut member.scheduler else {
             return;
         };
@@ -313,101 +446,11 @@
         }
     }
 
-    fn execute(&mut self, m: usize, effect: Effect) {
-        let unanswered = self.rng.random_bool(self.faults.unanswered);
-        let after = match unanswered && self.rng.random_bool(0.7) {
-            true => self.rng.random_range(2_000..8_000),
-            false => 1,
-        };
-        match effect {
-            Effect::Start { run, to, order } => {
-                let msg = Msg::Start(m, run, order, self.route(&to.id, unanswered));
-                self.post(after, msg);
-                self.timeout(
-                    unanswered,
-                    m,
-                    Event::Started {
-                        run,
-                        answer: StartAnswer::Unknown,
-                    },
-                );
-            }
-            Effect::Stop {
-                run,
-                to,
-                task,
-                attempt,
-            } => {
-                let msg = Msg::Stop(m, run, task, attempt, self.route(&to.id, unanswered));
-                self.post(after, msg);
-                self.timeout(
-                    unanswered,
-                    m,
-                    Event::Stopped {
-                        run,
-                        answer: StopAnswer::Unknown,
-                    },
-                );
-            }
-            Effect::Poll {
-                key,
-                to,
-                acknowledged,
-                lease_until_ms,
-                wait,
-            } => {
-                let id = to.id.to_string();
-                let wait = wait.as_millis();
-                self.post(1, Msg::Poll(m, key, id, acknowledged, lease_until_ms, wait));
-            }
-            Effect::RequestApproval {
-                key, stage, vms, ..
-            } => {
-                // Two of three VMs may run a stage; the same ones for each request.
-                let number = |v: &str| v[1..].parse::<u64>().expect("a VM's number");
-                let allowed = vms
-                    .iter()
-                    .filter(|v| !(stage.job.0 + number(v)).is_multiple_of(3));
-                let allowed = allowed.map(|v| (v.clone(), "ticket".into())).collect();
-                let event = Event::Approved {
-                    key,
-                    allowed: Some(allowed),
-                };
-                self.post(20, Msg::Event(m, event));
-            }
-            Effect::Append(records) => self.append(m, records),
-            Effect::StepDown => self.members[m].scheduler = None,
-            Effect::Log(entry) => {
-                println!(
-                    "{} m{m} {:016x} {} {}",
-                    self.now, entry.job, entry.event, entry.detail
-                );
-            }
-            Effect::Reply { .. } => {}
+    pub(crate) fn append(&mut self, m: usize, records: Vec<KeyedRecord>) {
+        if self.faults.timeouts {
+            let after = self.append_delay();
+            return self.post(after, Msg::Append(m, records));
         }
-    }
-
-    fn route(&self, id: &str, unanswered: bool) -> Route {
-        Route {
-            vm: id.to_owned(),
-            started_ms: self.vms[id].registration.started_ms,
-            unanswered,
-        }
-    }
-
-    /// Returns the VM that a route leads to, if it is up and still the same incarnation.
-    fn route_target(&mut self, route: &Route) -> Option<&mut Vm> {
-        let vm = self.vms.get_mut(&route.vm)?;
-        (vm.up && vm.registration.started_ms == route.started_ms).then_some(vm)
-    }
-
-    fn timeout(&mut self, unanswered: bool, m: usize, event: Event) {
-        if unanswered {
-            self.post(400, Msg::Event(m, event));
-        }
-    }
-
-    fn append(&mut self, m: usize, records: Vec<KeyedRecord>) {
         if !self.store_available {
             return self.post(40, Msg::Event(m, Event::Appended { stored: false }));
         }
@@ -418,203 +461,67 @@
         }
     }
 
-    fn deliver(&mut self, msg: Msg) {
-        let now = self.now;
-        match msg {
-            Msg::Event(m, event) => {
-                let (time, unix) = (Time(now * 1_000), self.unix());
-                let frozen = self.members[m].frozen_until;
-                if now < frozen {
-                    return self.post(frozen - now, Msg::Event(m, event));
-                }
-                if let Some(scheduler) = &mut self.members[m].scheduler {
-                    scheduler.handle(event, time, unix);
-                }
-            }
-            Msg::Start(m, run, order, route) => self.start(m, run, &order, &route),
-            Msg::Stop(m, run, task, attempt, route) => {
-                let token = self.members[m].token;
-                let reached = self.reaches(m, &route.vm);
-                let Some(vm) = self.route_target(&route).filter(|_| reached) else {
-                    let answer = StopAnswer::Unknown;
-                    return self.post(400, Msg::Event(m, Event::Stopped { run, answer }));
-                };
-                let answer = vm.stop(task, attempt, token);
-                self.answer_waiting_polls(&route.vm);
-                if !route.unanswered {
-                    self.post(1, Msg::Event(m, Event::Stopped { run, answer }));
-                }
-            }
-            Msg::Poll(m, key, id, acknowledged, until, wait) => {
-                let token = self.members[m].token;
-                let unresponsive = Event::Polled {
-                    key,
-                    answer: Err(PollError::Unresponsive),
-                };
-                let lost = self.rng.random_bool(self.faults.lost);
-                let reached = self.reaches(m, &id);
-                let Some(vm) = self.vms.get_mut(&id).filter(|v| v.up && reached) else {
-                    return self.post(700, Msg::Event(m, unresponsive));
-                };
-                if let Err(e) = vm.renew_lease(token, acknowledged, until) {
-                    return self.post(
-                        1,
-                        Msg::Event(
-                            m,
-                            Event::Polled {
-                                key,
-                                answer: Err(e),
-                            },
-                        ),
-                    );
-                }
-                let wait = if vm.finished.is_empty() { wait } else { 0 };
-                let started_ms = vm.registration.started_ms;
-                if lost {
-                    return self.post(700, Msg::Event(m, unresponsive));
-                }
-                self.post(wait, Msg::PollReply(m, key, id, started_ms));
-            }
-            Msg::PollReply(m, key, id, started_ms) => {
-                let vm = self
-                    .vms
-                    .get(&id)
-                    .filter(|v| v.up && v.registration.started_ms == started_ms);
-                let answer = vm
-                    .map(|v| v.poll_answer(now))
-                    .ok_or(PollError::Unresponsive);
-                self.post(1, Msg::Event(m, Event::Polled { key, answer }));
-            }
+    fn append_delay(&mut self) -> u64 {
+        match self.chance(self.faults.append_late) {
+            true => self.rng.random_range(200..3_000),
+            false => 2,
         }
     }
 
-    fn start(&mut self, m: usize, run: RunKey, order: &StartOrder, route: &Route) {
-        let token = self.members[m].token;
-        let now = self.now;
-        let submission = &self.jobs[&order.task.stage.job];
-        let step = submission.plan.steps[usize::from(order.task.stage.step)].clone();
-        let fails = self.rng.random_bool(self.faults.failed);
-        let took = step.estimate_ms * self.rng.random_range(5..15) / 10;
-        let work = Work {
-            attempt: order.attempt,
-            allocation: step.allocation(),
-            ends_ms: match step.long_lived || step.gang {
-                true => u64::MAX,
-                false => now + took.max(1),
-            },
-            gang_deadline_ms: step.gang.then_some(now + GANG_WAIT_MS),
-            outcome: if fails {
-                RunOutcome::Failed
-            } else {
-                RunOutcome::Done
-            },
-        };
-        let reached = self.reaches(m, &route.vm);
-        let Some(vm) = self.route_target(route).filter(|_| reached) else {
-            let answer = StartAnswer::Unknown;
-            return self.post(400, Msg::Event(m, Event::Started { run, answer }));
-        };
-        let (answer, began) = vm.start(order.task, order.expires_ms, token, work, now);
-        if began {
-            self.starts += 1;
-            self.check(order.task, &route.vm);
-            if step.gang {
-                self.start_gang_work(order, step.count, now + took.max(1));
-            }
+    /// Stores records in the timeouts mode. While the store does not answer, the member
+    /// repeats the append, or learns that nothing was stored.
+    fn store_append(&mut self, m: usize, records: Vec<KeyedRecord>) {
+        let lost = self.now < self.members[m].store_cut_until;
+        if lost || !self.store_available {
+            let event = Event::Appended { stored: false };
+            return match self.rng.random_bool(0.1) {
+                true => self.post(40, Msg::Event(m, event)),
+                false => self.post(100, Msg::Append(m, records)),
+            };
         }
-        if !route.unanswered {
-            self.post(1, Msg::Event(m, Event::Started { run, answer }));
+        if m + 1 == self.members.len() {
+            let offsets = self.log.len() as u64..;
+            self.log.extend(records.iter().cloned());
+            let after = self.append_delay();
+            // The writer of a term also reports what it stored.
+            let reported = Event::RecordsStored(offsets.zip(records).collect());
+            self.post(after, Msg::Event(m, reported));
+            self.post(after, Msg::Event(m, Event::Appended { stored: true }));
+            self.announce_records();
         }
     }
 
-    /// Sets the end of the work of a gang once all its tasks have started in one attempt.
-    fn start_gang_work(&mut self, order: &StartOrder, count: u32, ends_ms: u64) {
-        let stage = order.task.stage;
-        let running = self.vms.values_mut().filter(|v| v.up);
-        let running = running.flat_map(|v| v.running.iter_mut());
-        let gang = running.filter(|(t, w)| t.stage == stage && w.attempt == order.attempt);
-        let mut gang: Vec<&mut Work> = gang.map(|(_, w)| w).collect();
-        if gang.len() == count as usize {
-            for work in &mut gang {
-                work.ends_ms = ends_ms;
-                work.gang_deadline_ms = None;
-            }
+    fn handle(&mut self, m: usize, event: Event) {
+        let now = self.now;
+        let (time, unix) = (Time(now * 1_000), self.unix());
+        let frozen = self.members[m].frozen_until;
+        if now < frozen {
+            return self.post(frozen - now, Msg::Event(m, event));
         }
-    }
-
-    /// Checks the invariants that hold whenever a task starts.
-    fn check(&mut self, task: TaskId, id: &str) {
-        let at = format!("task {task:?} on {id} at {} ms", self.now);
-        let vm = &self.vms[id];
-        let used = vm.used();
-        let capacity = vm.registration.capacity;
-        assert!(
-            capacity.fits(&used),
-            "over capacity: {used:?} of {capacity:?}; {at}"
-        );
-        let placements = self
-            .vms
-            .values()
-            .filter(|v| v.up && v.running.contains_key(&task));
-        assert_eq!(placements.count(), 1, "runs twice: {at}");
-        let submission = &self.jobs[&task.stage.job];
-        let step = &submission.plan.steps[usize::from(task.stage.step)];
-        if step.per_vm_max > 0 {
-            let here = vm.running.keys().filter(|t| t.stage == task.stage).count();
-            assert!(
-                here <= step.per_vm_max as usize,
-                "too many tasks of a stage on one VM: {at}"
-            );
-        }
-        for &d in &step.after {
-            let before = &submission.plan.steps[usize::from(d)];
-            let is_done = |&index: &u32| {
-                let mut other = task;
-                other.stage.step = d;
-                other.index = index;
-                self.done.contains(&other)
-            };
-            let count = (0..before.count).filter(is_done).count();
-            // The success of one task of a gang counts as that of the whole gang.
-            let enough = if before.gang {
-                1
-            } else {
-                before.count as usize
-            };
-            assert!(count >= enough, "started before its dependencies: {at}");
+        if let Some(scheduler) = &mut self.members[m].scheduler {
+            scheduler.handle(event, time, unix);
         }
-        self.check_limit(&submission.account.clone(), &at);
-        assert!(
-            !self.stored_done(&task),
-            "started after its success was stored: {at}"
-        );
     }
 
-    fn check_limit(&self, account: &str, at: &str) {
-        let Some(limit) = self.site.accounts.get(account).map(|a| a.limit.cpu_milli) else {
-            return;
-        };
-        let running = self.vms.values().filter(|v| v.up).flat_map(|v| &v.running);
-        let own = running.filter(|(t, _)| self.jobs[&t.stage.job].account == account);
-        let used: u64 = own.map(|(_, w)| w.allocation.cpu_milli).sum();
-        assert!(
-            limit == 0 || used <= limit,
-            "over the limit: {used} of {limit}; {at}"
-        );
-    }
-
-    /// Returns whether the success of a task is stored in the journal.
-    fn stored_done(&self, task: &TaskId) -> bool {
-        let key = format!("{}.p", task.stage.job);
-        let newest = self.log.iter().rev().find(|s| s.key == key);
-        let Some(journal::Entry::Progressed(_, p)) = newest.and_then(journal::decode_entry) else {
-            return false;
-        };
-        p.outcome == Some(journal::Outcome::Completed)
-            || p.stages.iter().any(|s| {
-                let same = s.step == task.stage.step && s.occurrence == task.stage.occurrence;
-                same && (s.complete || s.done.contains(&task.index))
-            })
+    fn deliver(&mut self, msg: Msg) {
+        match msg {
+            Msg::Event(m, event) => self.handle(m, event),
+            Msg::Result(m, request, event) => {
+                if self.open_requests.remove(&request) {
+                    self.handle(m, event);
+                }
+            }
+            Msg::Journal(m, to) => self.read_journal(m, to),
+            Msg::Append(m, records) => self.store_append(m, records),
+            Msg::BeginTerm(m) => self.begin_term(m),
+            Msg::Register(id, listed) => self.register(id, listed),
+            Msg::Start(m, run, order, route) => self.deliver_start(m, run, order, route),
+            Msg::Stop(m, run, task, attempt, route) => {
+                self.deliver_stop(m, run, task, attempt, route);
+            }
+            Msg::Poll(m, poll, route) => self.deliver_poll(m, poll, route),
+            Msg::PollReply(m, key, route) => self.deliver_poll_reply(m, key, &route),
+        }
     }
 
     /// Returns the number and the total size in bytes of the records that the next leader
