Stop a run with an unanswered send after its VM has restarted

What callers would see: one task runs twice, when a start had no answer, its repetition was answered, and the VM restarted before the first copy arrived.

Cause: after a restart, a running task that the VM does not list was dropped without a stop, although an earlier send of its start had no answer and may reach the new incarnation, which remembers no attempt.

Such a run is now uncertain, so that it is stopped before its task starts again.

--- a/crates/monsoonnotch_jobs/src/scheduler/runs.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/runs.rs
@@ -212,6 +212,11 @@
             return;
         };
         match &mut run.state {
+            // An earlier send may still reach the new incarnation.
+            State::Running { .. } if run.sends > 1 => {
+                run.state = State::Uncertain;
+                run.sent_at = now;
+            }
             State::Running { since } => *since = now,
             State::Uncertain => run.sent_at = now,
             State::Stopping { answered_at, .. } => *answered_at = None,
--- a/crates/monsoonnotch_jobs/tests/promises/incarnations.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/incarnations.rs
@@ -50,7 +50,7 @@
 
 /// A poll answer of the incarnation that started at `started_ms`; it lists the first attempt
 /// at each of `tasks` as running.
-fn listing(started_ms: u64, tasks: &[TaskId]) -> PollAnswer {
+pub(crate) fn listing(started_ms: u64, tasks: &[TaskId]) -> PollAnswer {
     let row = |task: &TaskId| RunningRun {
         task: *task,
         attempt: 1,
@@ -66,7 +66,7 @@
 }
 
 /// Starts a job with one task and returns its task and the id of its VM.
-fn start_running(scheduler: &mut Scheduler) -> (TaskId, String) {
+pub(crate) fn start_running(scheduler: &mut Scheduler) -> (TaskId, String) {
     let fx = deliver(scheduler, 100, Event::Journal(vec![(1, job_of_one_task())]));
     let started = fx.iter().find_map(|e| match e {
         Effect::Start { run, to, order } => Some((*run, order.task, to.id.to_string())),
@@ -80,7 +80,7 @@
 
 /// Advances the time while `poll` gives the result of each poll in `fx`, and of those that
 /// follow, by the VM's id and the time; `None` if the VM holds the poll open.
-fn run_polls(
+pub(crate) fn run_polls(
     scheduler: &mut Scheduler,
     mut fx: Vec<Effect>,
     ms: Range<u64>,
@@ -106,7 +106,7 @@
 }
 
 /// Delivers the result of the poll that waits at a VM since the start of the test.
-fn end_pending(
+pub(crate) fn end_pending(
     scheduler: &mut Scheduler,
     ms: u64,
     waiting: &[PollKey],
@@ -120,7 +120,12 @@
 
 /// Makes the polls of a VM fail during `ms`, also those in `fx`; other VMs hold their polls
 /// open.
-fn cut_off(scheduler: &mut Scheduler, fx: Vec<Effect>, vm: &str, ms: Range<u64>) -> Vec<Effect> {
+pub(crate) fn cut_off(
+    scheduler: &mut Scheduler,
+    fx: Vec<Effect>,
+    vm: &str,
+    ms: Range<u64>,
+) -> Vec<Effect> {
     run_polls(scheduler, fx, ms, |id, _| {
         (id == vm).then_some(Err(PollError::Unresponsive))
     })
@@ -310,7 +315,7 @@
     assert_eq!(starts(&fx).len(), 1);
 }
 
-fn stops(fx: &[Effect]) -> Vec<RunKey> {
+pub(crate) fn stops(fx: &[Effect]) -> Vec<RunKey> {
     let key = |e: &Effect| match e {
         Effect::Stop { run, .. } => Some(*run),
         _ => None,
@@ -410,7 +415,7 @@
 }
 
 /// Registers the second incarnation of a VM, which lists no run, at 1,310 ms.
-fn restart_empty(scheduler: &mut Scheduler, vm: &str, until: u64) -> Vec<Effect> {
+pub(crate) fn restart_empty(scheduler: &mut Scheduler, vm: &str, until: u64) -> Vec<Effect> {
     let restarted = Registration {
         started_ms: RESTARTED_UNIX_MS,
         ..registration(vm)
--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -15,5 +15,6 @@
 mod network;
 mod orders;
 mod random;
+mod restarts;
 mod simulation;
 mod vm;
