Let the leases of a VM run out when its start time is below the known one

What callers would see: a task that never starts again. The VM is polled every 40 ms, and each look at a VM has a price.

Cause: an answer of an incarnation that started before the known one was taken for an old answer and the VM polled again at once. Polls of an earlier incarnation are discarded at the restart, so the VM has restarted after its time of day stepped back. Its answers were never applied and never counted as missing, so that its leases did not expire.

Such an answer counts as none.

--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -238,6 +238,14 @@
         let Some(pending) = vm.polls.pending.remove(&key.seq) else {
             return;
         };
+        // Polls of an earlier incarnation were discarded at the restart, so this one restarted
+        // with a time of day that was behind, and its numbers and clock are not the known ones.
+        let started_ms = vm.registration.started_ms;
+        let is_earlier = |a: &PollAnswer| a.started_ms.is_some_and(|ms| ms < started_ms);
+        let answer = match answer {
+            Ok(a) if is_earlier(&a) => Err(PollError::Unresponsive),
+            answer => answer,
+        };
         let overtaken = match answer {
             Ok(_) => vm.polls.mark_answered(key.seq, now),
             Err(_) => 0,
@@ -293,16 +301,13 @@
         let Some(vm) = self.vms.get_mut(key) else {
             return;
         };
-        if let Some(started_ms) = answer.started_ms {
-            if started_ms < vm.registration.started_ms {
-                return self.poll_soon(key);
-            }
-            if started_ms > vm.registration.started_ms {
-                let known = vm.registration.started_ms > 0;
-                vm.registration.started_ms = started_ms;
-                if known {
-                    return self.reset_incarnation(key);
-                }
+        if let Some(started_ms) = answer.started_ms
+            && started_ms > vm.registration.started_ms
+        {
+            let known = vm.registration.started_ms > 0;
+            vm.registration.started_ms = started_ms;
+            if known {
+                return self.reset_incarnation(key);
             }
         }
         let unanswered = std::mem::take(&mut vm.polls.unanswered);
