Wait for the log line of a refusal before it is checked

logs_trace_a_refused_request failed twice beside builds (load 30 to 38): the line was not there right after the response (index 0 of no lines). A member writes its log in a thread of its own. The test waits for the line and checks the same of it as before.

--- a/tests/members.rs
+++ b/tests/members.rs
@@ -156,6 +156,9 @@
     let addr = members[0].callers;
     let (status, _) = send(addr, "POST", id, "key-a", &job_body(&[1], 500, 10)).await;
     assert_eq!(status, 503);
+    // The log is written by a thread of its own.
+    let logged = || async { !members[0].log_lines(&[id, "NotRun"]).is_empty() };
+    wait_until("the refusal is logged", logged).await;
     let lines = members[0].log_lines(&[id, "NotRun"]);
     assert!(lines[0].contains("\"store_lost_ms\""), "{lines:?}");
     assert!(
