--- a/crates/monsoonnotch_jobs/tests/promises/adverse.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/adverse.rs
@@ -300,3 +300,17 @@
         },
     );
 }
+
+/// Guards against a task that runs again after its success: a poll that was sent before a VM
+/// restarted reaches the new incarnation, and makes it forget finished runs that it has not
+/// listed.
+#[rstest]
+#[case(164)]
+#[case(434)]
+fn an_acknowledgement_in_transit_does_not_reach_a_restarted_vm(#[case] seed: u64) {
+    let troubles = Troubles {
+        vms: true,
+        ..Troubles::default()
+    };
+    run_schedule(seed, troubles);
+}
