Wait for the last conflict before the history of a race is checked

The test read the history right after the last race; a conflict that the other entry appended may arrive with that entry's next read of the log. All assertions stay; the test waits until the history has every outcome.

--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -32,6 +32,14 @@
     for round in 0..RACES {
         run_race(&entries, round).await;
     }
+    // A conflict that the other entry appended arrives with the next read of the log.
+    wait_until("the history has every change and conflict", || async {
+        let history = entries[1].ctl_json(&["config", "log"]);
+        let decided = |p: &serde_json::Value| !p["outcome"].is_null();
+        let history = history.as_array().expect("a list");
+        history.iter().filter(|p| decided(p)).count() > 2 * RACES as usize
+    })
+    .await;
     let history = entries[1].ctl_json(&["config", "log"]);
     let history = history.as_array().expect("a list");
     let count = |outcome: &str| {
