Keep runs and room on VMs that may have restarted under their id unnoticed

An unanswered start may reach an incarnation that nothing has announced. Its clock starts anew, so it grants the longest lease; the leader dropped the run after the usual one. expire_leases now keeps a run whose start had no answer until the longest lease after its last send. Runs that were confirmed still go after the usual lease, so that only starts in flight at a crash wait longer.

A poll that was sent before a restart may reach the new incarnation and make it forget finished runs that no poll has listed. Nothing in a request tells incarnations apart, so nothing is started on a restarted VM until 10 s after the last acknowledging poll without an answer. Only VMs that restart under their id rest, and only if such a poll had no answer.

--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -88,15 +88,25 @@
     last_answered: u64,
     /// Whether the next poll is deferred until finished runs are stored.
     deferred: bool,
+    /// When the newest poll that acknowledges finished runs and failed was sent.
+    failed_acknowledgement: Option<Time>,
 }
 
 impl Polls {
     /// Discards the pending polls of the previous incarnation.
     pub(super) fn clear(&mut self) {
+        self.failed_acknowledgement = self.acknowledging_since();
         self.pending.clear();
         self.deferred = false;
     }
 
+    /// Returns when the newest poll without an answer was sent that acknowledges finished runs.
+    pub(super) fn acknowledging_since(&self) -> Option<Time> {
+        let pending = self.pending.values().filter(|s| s.acknowledged > 0);
+        let pending = pending.map(|s| s.sent_at).max();
+        pending.max(self.failed_acknowledgement)
+    }
+
     /// Whether the next poll should be sent now.
     pub(super) fn is_due(&self, now: Time) -> bool {
         let lost = |s: &PendingPoll| now > s.sent_at + POLL_TIMEOUT;
@@ -248,6 +258,11 @@
         };
         let overtaken = match answer {
             Ok(_) => vm.polls.mark_answered(key.seq, now),
+            Err(_) if pending.acknowledged > 0 => {
+                let failed = &mut vm.polls.failed_acknowledgement;
+                *failed = (*failed).max(Some(pending.sent_at));
+                0
+            }
             Err(_) => 0,
         };
         (0..overtaken).for_each(|_| self.unanswered_orders.record(now));
--- a/crates/monsoonnotch_jobs/src/scheduler/vms.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/vms.rs
@@ -4,6 +4,8 @@
 use crate::effect::Target;
 use crate::vm::Registration;
 
+/// Longest time for which a request that had no answer may still arrive.
+const IN_TRANSIT_MAX: Duration = Duration::from_secs(10);
 /// Slack for message delay and clock granularity.
 const CLOCK_SLACK: Duration = Duration::from_millis(60);
 /// Consecutive failures of starts or runs after which a VM is quarantined.
@@ -308,6 +310,11 @@
         vm.finished_acknowledged = 0;
         vm.unanswered_starts.clear();
         vm.health = Health::default();
+        // A poll in transit may make the new incarnation forget finished runs that it has not
+        // listed, so nothing is started there until it has arrived.
+        if let Some(sent_at) = vm.polls.acknowledging_since() {
+            vm.health.quarantined_until = sent_at + IN_TRANSIT_MAX;
+        }
         vm.polls.clear();
         self.set_orphans(key, Orphans::default());
         let Some(vm) = self.vms.get_mut(key) else {
@@ -396,12 +403,28 @@
         }
     }
 
+    /// Drops the runs of a VM whose leases have expired.
+    ///
+    /// A start without an answer may have reached an incarnation that nothing has announced. Its
+    /// clock starts anew, so that it grants the longest lease, and the run is kept for that long.
     fn expire_leases(&mut self, key: VmKey) {
+        let (now, lease_max) = (self.now, self.tuning.lease_max);
+        let drift = self.tuning.drift_milli;
         let Some(vm) = self.vms.get(key) else { return };
-        let (id, runs) = (vm.registration.id.clone(), vm.runs.clone());
+        let may_run = |run: &&RunKey| {
+            let sent = vm.unanswered_starts.get(run);
+            sent.is_some_and(|&sent| now <= lease_end(sent, lease_max, drift))
+        };
+        let (kept, lost): (BTreeSet<RunKey>, BTreeSet<RunKey>) =
+            vm.runs.iter().partition(|run| may_run(run));
+        if lost.is_empty() && vm.orphans.needs.is_empty() {
+            return;
+        }
+        let id = vm.registration.id.clone();
         self.set_orphans(key, Orphans::default());
-        self.warn(0, "leases expired", format!("vm={id} runs={}", runs.len()));
-        for run in runs {
+        let detail = format!("vm={id} runs={} kept={}", lost.len(), kept.len());
+        self.warn(0, "leases expired", detail);
+        for run in lost {
             self.lose_run(run, "lease expired");
         }
     }
