--- /dev/null
+++ b/crates/monsoonnotch_jobs/src/delegation/mod.rs
@@ -0,0 +1,497 @@
+//! Delegation of orders to executors: followers that carry out the leader's calls to VMs.
+//!
+//! The leader decides alone, and delegates the orders to the VMs of a failure domain to an
+//! executor there, in batches. The connections to VMs and most of the traffic thus leave the
+//! leader. An executor decides nothing: it sends each order once, under the leader's token.
+//!
+//! An order without an outcome in time counts as unanswered, like one that the leader sent
+//! itself: it may still be carried out. Polls fail only after the leader has polled the VM
+//! itself, so that a VM is not unresponsive because its executor is.
+
+mod order;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::effect::PollKey;
+use crate::effect::Target;
+use crate::event::PollError;
+use crate::event::StartAnswer;
+use crate::event::StopAnswer;
+use crate::prelude::*;
+use crate::scheduler::RunKey;
+use crate::vm::PollAnswer;
+
+pub use self::order::Batch;
+pub use self::order::Call;
+pub use self::order::Outcome;
+
+/// Pause between batches to the executors, in which orders gather.
+const BATCH_PAUSE: Duration = Duration::from_millis(4);
+/// Number of queued orders for one executor that are sent without a pause.
+const BATCH_ORDERS_MAX: usize = 64;
+/// Interval between scans for overdue orders and silent executors.
+const SCAN_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for the way to the executor and back, including the pauses between batches.
+const LINK_MARGIN: Duration = Duration::from_millis(120);
+/// Silence after which an executor gets no orders; it sends heartbeats at 200 ms.
+const SILENCE_MAX: Duration = Duration::from_millis(450);
+/// Number of consecutive overdue orders after which an executor is suspended.
+const OVERDUE_MAX: u32 = 8;
+/// How long an executor gets no orders after it was silent or late.
+const SUSPENSION: Duration = Duration::from_millis(2_000);
+/// How long the leader calls a VM itself after an executor got no answer from it.
+const DIRECT_PERIOD: Duration = Duration::from_millis(3_000);
+/// Time after the last order for a VM from which the VM no longer counts.
+const VM_FORGOTTEN_AFTER: Duration = Duration::from_secs(10);
+
+/// Limits of the delegation.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Number of VMs from which orders are delegated.
+    pub vms_min: usize,
+    /// CPU capacity that an executor needs, in cores.
+    pub cores_min: f64,
+    /// Number of executors in each failure domain.
+    pub executors_per_domain: usize,
+}
+
+/// What the caller has to do.
+#[derive(Debug, Default)]
+pub struct Actions {
+    /// Batches of orders to send, by the link of the executor.
+    pub batches: BTreeMap<u64, Batch>,
+    /// Effects that the leader executes itself.
+    pub direct: Vec<Effect>,
+    /// Events for the scheduler.
+    pub events: Vec<Event>,
+    /// Executors that were suspended, by link.
+    pub suspended: Vec<u64>,
+}
+
+#[derive(Debug)]
+struct Executor {
+    domain: CompactString,
+    cores: f64,
+    /// When a frame was last received from it.
+    heard_at: Time,
+    /// It gets no orders before this time.
+    suspended_until: Time,
+    /// Number of overdue orders since its last outcome.
+    overdue: u32,
+}
+
+/// An order without an outcome.
+#[derive(Debug)]
+struct PendingOrder {
+    link: u64,
+    deadline: Time,
+    vm: CompactString,
+    expected: Expected,
+}
+
+/// The event that the outcome of an order leads to.
+#[derive(Debug)]
+enum Expected {
+    Start(RunKey),
+    Stop(RunKey),
+    Poll(Box<PollCall>),
+}
+
+/// A delegated poll, kept so that the leader can send it itself.
+#[derive(Debug, Clone)]
+struct PollCall {
+    key: PollKey,
+    to: Target,
+    acknowledged: u64,
+    lease_until_ms: Option<u64>,
+    timeout: Duration,
+    sent_at: Time,
+}
+
+impl PollCall {
+    /// Returns the poll as an effect that the VM answers at once.
+    fn into_effect(self) -> Effect {
+        Effect::Poll {
+            key: self.key,
+            to: self.to,
+            acknowledged: self.acknowledged,
+            lease_until_ms: self.lease_until_ms,
+            wait: Duration::default(),
+            timeout: self.timeout,
+        }
+    }
+}
+
+/// How a VM is called.
+#[derive(Debug, Default)]
+struct VmRoute {
+    last_order_at: Time,
+    /// Until when the leader calls it itself.
+    direct_until: Time,
+    /// When the leader last polled it itself beside a delegated poll.
+    polled_directly_at: Option<Time>,
+    /// Number of delegated polls without an outcome.
+    polls: u32,
+}
+
+/// The orders that the leader has delegated, and its executors.
+#[derive(Debug)]
+pub struct Delegation {
+    limits: Limits,
+    token: u64,
+    next_seq: u64,
+    executors: BTreeMap<u64, Executor>,
+    /// Links of the executors that get orders, by failure domain.
+    routes: BTreeMap<CompactString, Vec<u64>>,
+    vms: BTreeMap<CompactString, VmRoute>,
+    queued: BTreeMap<u64, Batch>,
+    pending: BTreeMap<u64, PendingOrder>,
+    deadlines: BTreeSet<(Time, u64)>,
+    next_batch_at: Time,
+    next_scan_at: Time,
+}
+
+impl Delegation {
+    /// Creates a delegation without executors.
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            token: 0,
+            next_seq: 0,
+            executors: BTreeMap::new(),
+            routes: BTreeMap::new(),
+            vms: BTreeMap::new(),
+            queued: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            next_batch_at: Time::default(),
+            next_scan_at: Time::default(),
+        }
+    }
+
+    /// Adds a follower that carries out orders.
+    pub fn executor_joined(&mut self, link: u64, domain: CompactString, cores: f64, now: Time) {
+        let executor = Executor {
+            domain,
+            cores,
+            heard_at: now,
+            suspended_until: now,
+            overdue: 0,
+        };
+        self.executors.insert(link, executor);
+        self.update_routes(now);
+    }
+
+    /// Removes an executor; its orders without an outcome may still be carried out.
+    pub fn executor_left(&mut self, link: u64, now: Time) -> Actions {
+        let mut actions = Actions::default();
+        self.executors.remove(&link);
+        self.update_routes(now);
+        self.fail_orders_of(link, now, &mut actions);
+        actions
+    }
+
+    /// Suspends an executor whose link takes no more orders.
+    pub fn link_failed(&mut self, link: u64, now: Time) -> Actions {
+        let mut actions = Actions::default();
+        self.suspend(link, now, &mut actions);
+        self.update_routes(now);
+        actions
+    }
+
+    /// Returns the token of the term whose orders are delegated.
+    pub fn token(&self) -> u64 {
+        self.token
+    }
+
+    /// Records that a frame was received from an executor.
+    pub fn heard(&mut self, link: u64, now: Time) {
+        if let Some(executor) = self.executors.get_mut(&link) {
+            executor.heard_at = now;
+        }
+    }
+
+    /// Queues a call to a VM for an executor.
+    ///
+    /// Returns the effect if the leader has to execute it itself.
+    pub fn delegate(&mut self, token: u64, effect: Effect, now: Time) -> Option<Effect> {
+        if token != self.token {
+            self.token = token;
+            self.queued.clear();
+            self.pending.clear();
+            self.deadlines.clear();
+            self.vms.clear();
+        }
+        let (to, expected, call_max) = match &effect {
+            Effect::Start { run, to, order } => (to, Expected::Start(*run), order.timeout),
+            Effect::Stop {
+                run, to, timeout, ..
+            } => (to, Expected::Stop(*run), *timeout),
+            Effect::Poll {
+                key,
+                to,
+                acknowledged,
+                lease_until_ms,
+                wait,
+                timeout,
+            } => {
+                let poll = PollCall {
+                    key: *key,
+                    to: to.clone(),
+                    acknowledged: *acknowledged,
+                    lease_until_ms: *lease_until_ms,
+                    timeout: *timeout,
+                    sent_at: now,
+                };
+                (to, Expected::Poll(Box::new(poll)), *wait + *timeout)
+            }
+            _ => return Some(effect),
+        };
+        let is_poll = matches!(expected, Expected::Poll(_));
+        let Some(link) = self.route(to, is_poll, now) else {
+            return Some(effect);
+        };
+        self.next_seq += 1;
+        let seq = self.next_seq;
+        let batch = self.queued.entry(link).or_default();
+        batch.token = token;
+        if !batch.add(seq, &effect) {
+            return Some(effect);
+        }
+        if batch.len() >= BATCH_ORDERS_MAX {
+            self.next_batch_at = now;
+        }
+        let deadline = now + call_max + LINK_MARGIN;
+        let vm = to.id.clone();
+        if is_poll && let Some(route) = self.vms.get_mut(&vm) {
+            route.polls += 1;
+        }
+        let pending = PendingOrder {
+            link,
+            deadline,
+            vm,
+            expected,
+        };
+        self.pending.insert(seq, pending);
+        self.deadlines.insert((deadline, seq));
+        None
+    }
+
+    /// Returns the executor for a VM; `None` if the leader calls the VM itself.
+    fn route(&mut self, to: &Target, is_poll: bool, now: Time) -> Option<u64> {
+        let known = self.vms.len();
+        let vm = self.vms.entry(to.id.clone()).or_default();
+        vm.last_order_at = now;
+        if is_poll && vm.polls > 0 {
+            // A further poll is sent because the pending one is late.
+            vm.direct_until = now + DIRECT_PERIOD;
+            vm.polled_directly_at = Some(now);
+        }
+        if known < self.limits.vms_min || now < vm.direct_until {
+            return None;
+        }
+        let links = self.routes.get(&to.domain)?;
+        let hash = to.id.bytes().fold(0_usize, |h, b| {
+            h.wrapping_mul(31).wrapping_add(usize::from(b))
+        });
+        links.get(hash % links.len().max(1)).copied()
+    }
+
+    /// Applies the outcomes of orders; outcomes of unknown orders are late and have no effect.
+    ///
+    /// # Errors
+    ///
+    /// Returns the number of the order if an outcome is of another kind than its order.
+    pub fn completed(
+        &mut self,
+        link: u64,
+        outcomes: Vec<(u64, Outcome)>,
+        now: Time,
+    ) -> Result<Actions, u64> {
+        let mut actions = Actions::default();
+        self.heard(link, now);
+        if let Some(executor) = self.executors.get_mut(&link) {
+            executor.overdue = 0;
+        }
+        for (seq, outcome) in outcomes {
+            let is_own = self.pending.get(&seq).is_some_and(|p| p.link == link);
+            if !is_own {
+                continue;
+            }
+            let Some(pending) = self.take_pending(seq) else {
+                continue;
+            };
+            let event = match (pending.expected, outcome) {
+                (Expected::Start(run), Outcome::Started(answer)) => {
+                    if matches!(answer, StartAnswer::Unknown | StartAnswer::NotSent) {
+                        self.call_directly(&pending.vm, now);
+                    }
+                    Event::Started { run, answer }
+                }
+                (Expected::Stop(run), Outcome::Stopped(answer)) => {
+                    if answer == StopAnswer::Unknown {
+                        self.call_directly(&pending.vm, now);
+                    }
+                    Event::Stopped { run, answer }
+                }
+                (Expected::Poll(poll), Outcome::Polled(rows)) => Event::Polled {
+                    key: poll.key,
+                    answer: Ok(PollAnswer::from(rows)),
+                },
+                (Expected::Poll(poll), Outcome::PollFailed(PollError::Unresponsive)) => {
+                    self.poll_directly(*poll, now, &mut actions);
+                    continue;
+                }
+                (Expected::Poll(poll), Outcome::PollFailed(e)) => Event::Polled {
+                    key: poll.key,
+                    answer: Err(e),
+                },
+                _ => return Err(seq),
+            };
+            actions.events.push(event);
+        }
+        Ok(actions)
+    }
+
+    /// Returns the batches that are due, and handles overdue orders and silent executors.
+    pub fn tick(&mut self, now: Time) -> Actions {
+        let mut actions = Actions::default();
+        if now >= self.next_scan_at {
+            self.next_scan_at = now + SCAN_INTERVAL;
+            self.suspend_silent(now, &mut actions);
+            self.expire_orders(now, &mut actions);
+            self.vms
+                .retain(|_, vm| vm.polls > 0 || now < vm.last_order_at + VM_FORGOTTEN_AFTER);
+            self.update_routes(now);
+        }
+        if now >= self.next_batch_at && !self.queued.is_empty() {
+            self.next_batch_at = now + BATCH_PAUSE;
+            actions.batches = std::mem::take(&mut self.queued);
+            actions.batches.values_mut().for_each(Batch::sort);
+        }
+        actions
+    }
+
+    /// Returns when [`Self::tick`] must be called next; `None` if nothing is pending.
+    pub fn wake_at(&self) -> Option<Time> {
+        if !self.queued.is_empty() {
+            return Some(self.next_batch_at.min(self.next_scan_at));
+        }
+        (!self.pending.is_empty()).then_some(self.next_scan_at)
+    }
+
+    fn take_pending(&mut self, seq: u64) -> Option<PendingOrder> {
+        let pending = self.pending.remove(&seq)?;
+        self.deadlines.remove(&(pending.deadline, seq));
+        if matches!(pending.expected, Expected::Poll(_))
+            && let Some(vm) = self.vms.get_mut(&pending.vm)
+        {
+            vm.polls = vm.polls.saturating_sub(1);
+        }
+        Some(pending)
+    }
+
+    fn call_directly(&mut self, vm: &CompactString, now: Time) {
+        self.vms.entry(vm.clone()).or_default().direct_until = now + DIRECT_PERIOD;
+    }
+
+    /// Lets the leader repeat a poll that an executor got no answer to. If the leader has polled
+    /// the VM itself since, the poll has failed.
+    fn poll_directly(&mut self, poll: PollCall, now: Time, actions: &mut Actions) {
+        let vm = poll.to.id.clone();
+        let polled_at = self.vms.get(&vm).and_then(|v| v.polled_directly_at);
+        self.call_directly(&vm, now);
+        match polled_at.is_some_and(|at| at >= poll.sent_at) {
+            true => actions.events.push(Event::Polled {
+                key: poll.key,
+                answer: Err(PollError::Unresponsive),
+            }),
+            false => actions.direct.push(poll.into_effect()),
+        }
+    }
+
+    /// Ends an order whose outcome is unknown.
+    fn fail_order(&mut self, seq: u64, now: Time, actions: &mut Actions) {
+        let Some(pending) = self.take_pending(seq) else {
+            return;
+        };
+        match pending.expected {
+            Expected::Start(run) => {
+                self.call_directly(&pending.vm, now);
+                let answer = StartAnswer::Unknown;
+                actions.events.push(Event::Started { run, answer });
+            }
+            Expected::Stop(run) => {
+                self.call_directly(&pending.vm, now);
+                let answer = StopAnswer::Unknown;
+                actions.events.push(Event::Stopped { run, answer });
+            }
+            Expected::Poll(poll) => self.poll_directly(*poll, now, actions),
+        }
+    }
+
+    fn fail_orders_of(&mut self, link: u64, now: Time, actions: &mut Actions) {
+        self.queued.remove(&link);
+        let own = self.pending.iter().filter(|(_, p)| p.link == link);
+        let own: Vec<u64> = own.map(|(&seq, _)| seq).collect();
+        for seq in own {
+            self.fail_order(seq, now, actions);
+        }
+    }
+
+    fn expire_orders(&mut self, now: Time, actions: &mut Actions) {
+        while let Some(&(deadline, seq)) = self.deadlines.first()
+            && now >= deadline
+        {
+            let link = self.pending.get(&seq).map(|p| p.link);
+            self.fail_order(seq, now, actions);
+            let executor = link.and_then(|l| self.executors.get_mut(&l));
+            if let Some(executor) = executor {
+                executor.overdue += 1;
+            }
+        }
+    }
+
+    /// Suspends executors that are silent or late, and ends their orders.
+    fn suspend_silent(&mut self, now: Time, actions: &mut Actions) {
+        let late = |e: &Executor| now > e.heard_at + SILENCE_MAX || e.overdue >= OVERDUE_MAX;
+        let late = self.executors.iter().filter(|(_, e)| late(e));
+        let late: Vec<u64> = late.map(|(&link, _)| link).collect();
+        for link in late {
+            self.suspend(link, now, actions);
+        }
+    }
+
+    fn suspend(&mut self, link: u64, now: Time, actions: &mut Actions) {
+        let Some(executor) = self.executors.get_mut(&link) else {
+            return;
+        };
+        executor.overdue = 0;
+        let was_used = self.routes.values().flatten().any(|&l| l == link);
+        if now >= executor.suspended_until && was_used {
+            actions.suspended.push(link);
+        }
+        executor.suspended_until = now + SUSPENSION;
+        self.fail_orders_of(link, now, actions);
+    }
+
+    /// Chooses the strongest executors of each failure domain.
+    fn update_routes(&mut self, now: Time) {
+        self.routes.clear();
+        let usable = self.executors.iter().filter(|(_, e)| {
+            now >= e.suspended_until
+                && now <= e.heard_at + SILENCE_MAX
+                && e.cores >= self.limits.cores_min
+        });
+        for (&link, executor) in usable {
+            let links = self.routes.entry(executor.domain.clone()).or_default();
+            links.push(link);
+        }
+        for links in self.routes.values_mut() {
+            let cores = |link: &u64| self.executors.get(link).map_or(0.0, |e| e.cores);
+            links.sort_by(|a, b| cores(b).total_cmp(&cores(a)).then(a.cmp(b)));
+            links.truncate(self.limits.executors_per_domain);
+        }
+    }
+}
--- a/crates/monsoonnotch_jobs/src/effect/mod.rs
+++ b/crates/monsoonnotch_jobs/src/effect/mod.rs
@@ -47,6 +47,8 @@
     pub addr: CompactString,
     /// The VM's id.
     pub id: CompactString,
+    /// The failure domain that the VM is in.
+    pub domain: CompactString,
     /// The VM's clock when it was last read, in milliseconds; zero if it was never read. A
     /// response with a lower clock comes from a later incarnation.
     pub min_clock_ms: u64,
@@ -103,6 +105,8 @@
         task: TaskId,
         /// The attempt at the task.
         attempt: u64,
+        /// How long to wait for the VM's answer.
+        timeout: Duration,
     },
     /// Polls the status of a VM and renews its lease.
     Poll {
@@ -118,6 +122,8 @@
         lease_until_ms: Option<u64>,
         /// How long the VM may hold the poll open until a run finishes.
         wait: Duration,
+        /// How long to wait for the VM's answer beyond `wait`.
+        timeout: Duration,
     },
     /// Sends a request to the approval service: which VMs may run a stage.
     RequestApproval {
--- a/crates/monsoonnotch_jobs/src/event/mod.rs
+++ b/crates/monsoonnotch_jobs/src/event/mod.rs
@@ -107,7 +107,7 @@
 }
 
 /// The reason why a status poll failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum PollError {
     /// The VM has seen a higher token.
     Fenced,
@@ -118,7 +118,7 @@
 }
 
 /// A VM's answer to a start order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum StartAnswer {
     /// The run is running.
     Running,
@@ -146,7 +146,7 @@
 }
 
 /// A VM's answer to a stop order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum StopAnswer {
     /// The run is stopping, has ended, or will never start.
     Accepted,
--- a/crates/monsoonnotch_jobs/src/scheduler/job.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/job.rs
@@ -152,6 +152,8 @@
     Room,
     /// A broken gang still has runs, or its restart pause is not over.
     Gang,
+    /// Too many starts have no answer yet, because this member is saturated.
+    Saturated,
 }
 
 /// One task of a stage.
@@ -487,7 +489,8 @@
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
-        job.ended_at.get_or_insert(now);
+        let ended_at = *job.ended_at.get_or_insert(now);
+        self.ended_jobs.insert((ended_at, key));
         self.open_jobs.remove(&key);
         let mut positions = Vec::new();
         let mut runs = Vec::new();
@@ -522,14 +525,18 @@
             self.advance(key);
         }
         self.log_long_waits();
+        self.remove_old_jobs();
+    }
+
+    /// Removes the jobs that ended long ago and have no runs.
+    fn remove_old_jobs(&mut self) {
         let (now, keep) = (self.now, self.tuning.keep_ended);
-        let old = |j: &Job| {
-            let runs = j.stages.values().any(|s| s.runs().next().is_some());
-            !runs && j.ended_at.is_some_and(|t| now > t + keep)
-        };
-        let old = self.jobs.iter().filter(|(_, j)| old(j));
-        let old: Vec<(JobKey, JobId)> = old.map(|(k, j)| (k, j.id)).collect();
-        for (key, id) in old {
+        let old = self.ended_jobs.iter().take_while(|(t, _)| now > *t + keep);
+        let old = old.filter_map(|&(t, k)| Some((t, k, self.jobs.get(k)?)));
+        let old = old.filter(|(_, _, j)| j.runs().next().is_none());
+        let old: Vec<(Time, JobKey, JobId)> = old.map(|(t, k, j)| (t, k, j.id)).collect();
+        for (ended_at, key, id) in old {
+            self.ended_jobs.remove(&(ended_at, key));
             self.jobs.remove(key);
             self.jobs_by_id.remove(&id);
             self.flush.remove_job(key, id);
--- a/crates/monsoonnotch_jobs/src/scheduler/mod.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 //! only send of its start was refused, a stop was answered and a later poll does not
 //! list it, or every lease under which it could run has expired.
 
+mod answer_times;
 mod approvals;
 mod completions;
 mod drain;
@@ -40,6 +41,9 @@
 const PLACEMENT_PAUSE: Duration = Duration::from_millis(2);
 /// Number of stages in the ready queue that adds one [`PLACEMENT_PAUSE`].
 const STAGES_PER_PLACEMENT_PAUSE: u64 = 16;
+/// Number of VMs that adds one millisecond to the pause between placement passes. A pass looks at
+/// each of them.
+const VMS_PER_PLACEMENT_MS: usize = 256;
 /// Pause between placement passes when no event occurs. It is close to the shortest
 /// of the waits that end by time alone.
 const PLACEMENT_RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -69,6 +73,8 @@
     cancelled_before_submission: BTreeSet<JobId>,
     /// Jobs that have not ended.
     open_jobs: BTreeSet<JobKey>,
+    /// Jobs that have ended and are still kept, by the time at which they ended.
+    ended_jobs: BTreeSet<(Time, JobKey)>,
     vms: Arena<VmKey, vms::Vm>,
     vms_by_id: BTreeMap<CompactString, VmKey>,
     runs: BTreeMap<RunKey, runs::Run>,
@@ -88,6 +94,8 @@
     queue_stats: BTreeMap<CompactString, job::QueueStats>,
     /// Recent rate of orders that responsive VMs left unanswered.
     unanswered_orders: polls::UnansweredRate,
+    /// How long VMs take to answer.
+    answer_times: answer_times::AnswerTimes,
     next_scan: Time,
     next_placement: Time,
     next_retry: Time,
@@ -117,6 +125,7 @@
             jobs_by_id: BTreeMap::new(),
             cancelled_before_submission: BTreeSet::new(),
             open_jobs: BTreeSet::new(),
+            ended_jobs: BTreeSet::new(),
             vms: Arena::default(),
             vms_by_id: BTreeMap::new(),
             runs: BTreeMap::new(),
@@ -130,6 +139,7 @@
             flush: flush::Flush::default(),
             queue_stats: BTreeMap::new(),
             unanswered_orders: polls::UnansweredRate::default(),
+            answer_times: answer_times::AnswerTimes::default(),
             next_scan: Time::default(),
             next_placement: Time::default(),
             next_retry: Time::default(),
@@ -182,8 +192,10 @@
             if self.placement_needed && now >= self.next_placement {
                 self.placement_needed = false;
                 let queued = u64::try_from(self.ready_queue.len()).unwrap_or(0);
-                self.next_placement =
-                    now + PLACEMENT_PAUSE.times(queued / STAGES_PER_PLACEMENT_PAUSE);
+                let vms_ms = u64::try_from(self.vms.len() / VMS_PER_PLACEMENT_MS).unwrap_or(0);
+                self.next_placement = now
+                    + PLACEMENT_PAUSE.times(queued / STAGES_PER_PLACEMENT_PAUSE)
+                    + Duration::from_millis(vms_ms);
                 self.place_ready_stages();
             }
             self.flush_progress();
--- a/crates/monsoonnotch_jobs/src/scheduler/placement.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/placement.rs
@@ -58,8 +58,13 @@
         let settled = self.settled();
         self.uncertain_usage = self.sum_uncertain_usage();
         self.urgent_demand = self.sum_urgent_demand();
+        let mut admitted = self.starts_admitted();
         let queued: Vec<(Rank, StageKey)> = self.ready_queue.iter().copied().collect();
         for (rank, key) in queued {
+            if admitted == 0 {
+                self.set_blocked(key, Blocked::Saturated);
+                continue;
+            }
             let Some(job) = self.jobs.get(key.job) else {
                 continue;
             };
@@ -70,7 +75,8 @@
                 continue;
             }
             let mut left = capacity.get(&pool).copied().unwrap_or_default();
-            self.place_stage(rank, key, &waiting, &mut left);
+            let placed = self.place_stage(rank, key, &waiting, &mut left);
+            admitted = admitted.saturating_sub(placed);
             capacity.insert(pool, left);
         }
     }
@@ -95,9 +101,14 @@
             .iter()
             .filter(|(_, vm)| vm.is_schedulable(self.now))
         {
-            let capacity = capacities.entry(vm.registration.pool.clone()).or_default();
-            capacity.free += vm.free().cpu_milli;
-            capacity.total += vm.registration.capacity.cpu_milli;
+            let pool = &vm.registration.pool;
+            if !capacities.contains_key(pool) {
+                capacities.insert(pool.clone(), PoolCapacity::default());
+            }
+            if let Some(capacity) = capacities.get_mut(pool) {
+                capacity.free += vm.free().cpu_milli;
+                capacity.total += vm.registration.capacity.cpu_milli;
+            }
         }
         capacities
     }
@@ -116,15 +127,17 @@
         }
     }
 
+    /// Starts waiting tasks of a stage, and requests approvals; returns how many were started.
     fn place_stage(
         &mut self,
         rank: Rank,
         key: StageKey,
         waiting: &[u32],
         capacity: &mut PoolCapacity,
-    ) {
+    ) -> usize {
         if let Some(reason) = self.blocked_before_placement(rank, key, capacity) {
-            return self.set_blocked(key, reason);
+            self.set_blocked(key, reason);
+            return 0;
         }
         let approval = self.approval_of(key);
         let candidates = self.candidates(key, approval.is_some());
@@ -145,6 +158,7 @@
         {
             self.request_approval(key, approval);
         }
+        placed
     }
 
     /// Returns the reason why not even one task of a stage can start, whichever VM has
--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -12,6 +12,11 @@
 use crate::vm::RunOutcome;
 use crate::vm::RunningRun;
 
+/// Shortest timeout of a poll beyond its wait.
+const POLL_MARGIN: Duration = Duration::from_millis(700);
+/// Timeout of a poll beyond its wait while this member is saturated. Finished runs count as
+/// listed once a VM has sent an answer, so that late answers are read as well.
+const SATURATED_POLL_MARGIN: Duration = Duration::from_millis(2_500);
 /// Pause before the next poll of a VM that did not answer; grows with every further one.
 const POLL_RETRY: Duration = Duration::from_millis(150);
 /// Weight with which each poll of a VM without runs moves its slowness back to normal.
@@ -19,7 +24,7 @@
 /// Longest pause before the next poll of a VM that does not answer.
 const POLL_RETRY_MAX: Duration = Duration::from_millis(1_000);
 /// Age after which a poll without a result counts as lost and the next one is sent.
-const POLL_TIMEOUT: Duration = Duration::from_millis(3_500);
+const POLL_TIMEOUT: Duration = Duration::from_millis(4_500);
 /// Time beyond its wait after which an answer is overdue and a hedged poll is sent. A VM
 /// answers in 2 ms, but a leader that is short of CPU processes the answer later.
 const OVERDUE_AFTER: Duration = Duration::from_millis(120);
@@ -140,6 +145,10 @@
     /// not noticed late.
     pub(super) fn hedge_overdue_polls(&mut self) {
         let now = self.now;
+        // Further polls would be as late, and add to the load.
+        if self.answer_times.is_saturated(now) {
+            return;
+        }
         let overdue = |vm: &vms::Vm| vm.polls.unanswered == 0 && vm.polls.is_overdue(now);
         let late = self.vms.iter().filter(|(_, vm)| overdue(vm));
         let late: Vec<VmKey> = late
@@ -189,6 +198,10 @@
             true => UNANSWERED_POLL_WAIT,
             false => self.tuning.poll_wait,
         };
+        let timeout = match self.answer_times.is_saturated(now) {
+            true => SATURATED_POLL_MARGIN,
+            false => self.answer_times.timeout(POLL_MARGIN),
+        };
         let Some(vm) = self.vms.get_mut(key) else {
             return;
         };
@@ -235,6 +248,7 @@
             acknowledged,
             lease_until_ms: until,
             wait,
+            timeout,
         };
         self.effects.push(effect);
     }
@@ -265,6 +279,9 @@
             }
             Err(_) => 0,
         };
+        if answer.is_ok() && pending.wait == Duration::default() {
+            self.answer_times.record(now.since(pending.sent_at), now);
+        }
         (0..overtaken).for_each(|_| self.unanswered_orders.record(now));
         match answer {
             Ok(answer) => self.apply_poll_answer(key.vm, pending, answer),
--- a/crates/monsoonnotch_jobs/src/scheduler/replay.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/replay.rs
@@ -281,6 +281,7 @@
         };
         let key = self.jobs.insert(job);
         self.jobs_by_id.insert(id, key);
+        self.ended_jobs.insert((self.now, key));
     }
 
     /// Starts scheduling, once the journal has been read up to this term's first record.
--- a/crates/monsoonnotch_jobs/src/scheduler/starts.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/starts.rs
@@ -71,6 +71,7 @@
             return;
         };
         let timeout = START_TIMEOUTS[(run.sends as usize).min(START_TIMEOUTS.len() - 1)];
+        let timeout = self.answer_times.timeout(timeout);
         run.sends += 1;
         let (stage, index, vm) = (run.stage, run.index, run.vm);
         let (attempt, ticket) = (run.attempt, run.ticket.clone());
@@ -112,10 +113,16 @@
         };
         let (vm, stage, index) = (run.vm, run.stage, run.index);
         let starting = matches!(run.state, State::Starting | State::Uncertain);
+        let (only_send, sent_at) = (run.sends == 1, run.sent_at);
         let answered = !matches!(
             answer,
             StartAnswer::Unknown | StartAnswer::NotSent | StartAnswer::OtherIncarnation
         );
+        // The answer to one of several sends does not show which one was answered.
+        let is_responsive = self.vms.get(vm).is_some_and(|v| v.polls.unanswered == 0);
+        if only_send && (answered || is_responsive && answer == StartAnswer::Unknown) {
+            self.answer_times.record(now.since(sent_at), now);
+        }
         if answered && let Some(row) = self.vms.get_mut(vm) {
             row.unanswered_starts.remove(&key);
         }
--- a/crates/monsoonnotch_jobs/src/scheduler/stops.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/stops.rs
@@ -5,6 +5,9 @@
 use crate::event::StopAnswer;
 use crate::vm::RunningRun;
 
+/// Shortest timeout of a stop. A VM answers in 2 ms, but a leader that is short of CPU
+/// processes the answer later.
+const STOP_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time after which an unanswered stop is sent again, longer than the timeout of an
 /// order. It doubles with every further stop, up to [`STOP_RETRY_MAX`].
 const STOP_RETRY: Duration = Duration::from_millis(450);
@@ -30,11 +33,13 @@
             running.attempt
         );
         self.warn(running.task.stage.job.0, "orphan stopped", detail);
+        let timeout = self.answer_times.timeout(STOP_TIMEOUT);
         self.effects.push(Effect::Stop {
             run,
             to,
             task: running.task,
             attempt: running.attempt,
+            timeout,
         });
     }
 
@@ -64,7 +69,7 @@
     /// Stops a run or prevents its start.
     pub(super) fn stop_run(&mut self, key: RunKey, why: &'static str) {
         let now = self.now;
-        let Some(run) = self.runs.get_mut(&key) else {
+        let Some(run) = self.runs.get(&key) else {
             return;
         };
         let mut prior_sends = 0;
@@ -81,7 +86,7 @@
             ..
         } = run.state
         {
-            if answered_at.is_some() || now < stop_retry_at(sent_at, sends) {
+            if answered_at.is_some() || now < self.stop_retry_at(sent_at, sends) {
                 return;
             }
             prior_sends = sends;
@@ -90,23 +95,29 @@
             return;
         };
         let to = vm.target();
-        run.state = State::Stopping {
+        let state = State::Stopping {
             answered_at: None,
             sent_at: now,
             vm_started_ms: vm.registration.started_ms,
             sends: prior_sends + 1,
         };
+        let Some(run) = self.runs.get_mut(&key) else {
+            return;
+        };
+        run.state = state;
         let (attempt, stage, index) = (run.attempt, run.stage, run.index);
         let task = self.task_id(stage, index);
         let Some(run) = self.runs.get(&key) else {
             return;
         };
         let detail = format!("{} why={why:?}", self.describe_run(run));
+        let timeout = self.answer_times.timeout(STOP_TIMEOUT);
         self.effects.push(Effect::Stop {
             run: key,
             to,
             task,
             attempt,
+            timeout,
         });
         self.log(task.stage.job.0, "run stopped", detail);
     }
@@ -158,20 +169,24 @@
                     sent_at,
                     sends,
                     ..
-                } => answered_at.is_none() && now >= stop_retry_at(sent_at, sends),
+                } => answered_at.is_none() && now >= self.stop_retry_at(sent_at, sends),
                 State::Uncertain => now >= run.sent_at + STOP_RETRY,
                 State::Planned | State::Inherited | State::Starting | State::Running { .. } => {
                     false
                 }
             };
-            let vm = self.vms.get(run.vm);
-            let unanswered = vm.is_some_and(|v| !v.answered);
-            if run.state == State::Inherited && unanswered && now >= self.settle_at {
-                expired.push(key);
+            if run.state == State::Inherited && now >= self.settle_at {
+                let vm = self.vms.get(run.vm);
+                if vm.is_some_and(|v| !v.answered) {
+                    expired.push(key);
+                }
             }
             // An unresponsive VM gets no stops; its runs end when its leases expire.
-            let unresponsive = vm.is_some_and(|v| v.polls.unanswered > 1);
-            if due && !unresponsive {
+            let responsive = || {
+                let vm = self.vms.get(run.vm);
+                vm.is_none_or(|v| v.polls.unanswered <= 1)
+            };
+            if due && responsive() {
                 again.push(key);
             }
         }
@@ -182,10 +197,11 @@
             self.lose_run(key, "lease of the predecessor expired");
         }
     }
-}
 
-/// Returns when a stop that was sent `sends` times is sent again.
-fn stop_retry_at(sent_at: Time, sends: u32) -> Time {
-    let factor = 1 << sends.saturating_sub(1).min(4);
-    sent_at + STOP_RETRY.times(factor).min(STOP_RETRY_MAX)
+    /// Returns when a stop that was sent `sends` times is sent again.
+    fn stop_retry_at(&self, sent_at: Time, sends: u32) -> Time {
+        let factor = 1 << sends.saturating_sub(1).min(4);
+        let pause = STOP_RETRY.times(factor).min(STOP_RETRY_MAX);
+        sent_at + self.answer_times.timeout(STOP_RETRY).max(pause)
+    }
 }
--- a/crates/monsoonnotch_jobs/src/scheduler/vms.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/vms.rs
@@ -8,6 +8,9 @@
 const IN_TRANSIT_MAX: Duration = Duration::from_secs(10);
 /// Slack for message delay and clock granularity.
 const CLOCK_SLACK: Duration = Duration::from_millis(60);
+/// Time beyond the leases of an unresponsive VM for which its runs are kept while this member is
+/// saturated.
+const SATURATED_GRACE: Duration = Duration::from_secs(12);
 /// Consecutive failures of starts or runs after which a VM is quarantined.
 const QUARANTINE_AFTER_FAILURES: u32 = 3;
 /// Slowness above which a VM gets new tasks only if no other VM has free capacity. Run
@@ -129,6 +132,7 @@
         Target {
             addr: self.registration.addr.clone(),
             id: self.registration.id.clone(),
+            domain: self.registration.domain.clone(),
             min_clock_ms: self.clock.map_or(0, |(_, ms)| ms),
         }
     }
@@ -382,12 +386,20 @@
     /// are due.
     pub(super) fn scan_vms(&mut self) {
         let (now, drift) = (self.now, self.tuning.drift_milli);
+        let saturated = self.answer_times.is_saturated(now);
         let mut expired = Vec::new();
         let mut due = Vec::new();
         for (key, vm) in self.vms.iter() {
             // Neither a missing entry nor a refused connection shows that a VM has left: the
             // entries of live VMs are removed while the store is unavailable.
-            let leases_expired = vm.polls.unanswered > 0 && now > vm.leases_expire_at(drift);
+            // Late answers may have listed its runs as finished.
+            let expire_at = vm.leases_expire_at(drift)
+                + if saturated {
+                    SATURATED_GRACE
+                } else {
+                    Duration::default()
+                };
+            let leases_expired = vm.polls.unanswered > 0 && now > expire_at;
             if leases_expired && !(vm.runs.is_empty() && vm.orphans.needs.is_empty()) {
                 expired.push(key);
             }
--- a/crates/monsoonnotch_jobs/src/vm/mod.rs
+++ b/crates/monsoonnotch_jobs/src/vm/mod.rs
@@ -46,7 +46,7 @@
 }
 
 /// The way in which a run ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum RunOutcome {
     /// The run succeeded.
     Done,
--- a/crates/monsoonnotch_jobs/tests/promises/checks.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/checks.rs
@@ -6,6 +6,10 @@
 use crate::simulation::Simulation;
 use crate::vm::Began;
 
+/// Time after which the success of a run counts as known once its VM has listed it without a
+/// fault near, in milliseconds.
+const LISTED_SLACK_MS: u64 = 100;
+
 impl Simulation {
     /// Checks the invariants that hold whenever a task starts.
     pub(crate) fn check(&mut self, task: TaskId, id: &str, began: Began) {
@@ -58,6 +62,11 @@
             !self.acknowledged.contains(&task),
             "started after its success was acknowledged: {at}"
         );
+        let listed = self.link.listed_ms.get(&task);
+        assert!(
+            listed.is_none_or(|&ms| self.now <= ms + LISTED_SLACK_MS),
+            "started after a VM had listed its success at {listed:?} ms: {at}"
+        );
         self.started_ms.insert(task, self.now);
     }
 
--- a/crates/monsoonnotch_jobs/tests/promises/network.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/network.rs
@@ -23,8 +23,6 @@
 const GANG_WAIT_MS: u64 = 3_000;
 /// Timeout of an order that gets no answer if senders set none, in milliseconds.
 const ORDER_TIMEOUT_MS: u64 = 400;
-/// Timeout of a stop order, in milliseconds.
-const STOP_TIMEOUT_MS: u64 = 250;
 /// Time after its wait at which a poll fails, in milliseconds.
 const POLL_MARGIN_MS: u64 = 700;
 /// Longest time after which an order without an answer is executed, in milliseconds.
@@ -53,6 +51,8 @@
     acknowledged: u64,
     until_ms: Option<u64>,
     wait_ms: u64,
+    /// Timeout beyond the wait.
+    timeout_ms: u64,
 }
 
 /// A member and a VM that do not receive each other's packets, in one direction or both.
@@ -74,6 +74,7 @@
             true => self.rng.random_range(2_000..8_000),
             false => 1,
         };
+        let after = after + self.link.send(&effect, self.now);
         match effect {
             Effect::Start { run, to, order } => {
                 let mut route = self.route(m, &to.id, unanswered);
@@ -94,6 +95,7 @@
                 to,
                 task,
                 attempt,
+                timeout,
             } => {
                 let mut route = self.route(m, &to.id, unanswered);
                 route.min_clock_ms = to.min_clock_ms;
@@ -101,11 +103,11 @@
                 let answer = StopAnswer::Unknown;
                 let event = Event::Stopped { run, answer };
                 if self.fails_to_send(m, &to.id) {
-                    return self.fail_to_send(m, request, STOP_TIMEOUT_MS, event);
+                    return self.fail_to_send(m, request, timeout.as_millis(), event);
                 }
                 let after = self.delivery_delay(after);
                 self.post(after, Msg::Stop(m, run, task, attempt, route));
-                self.start_timeout(unanswered, m, request, STOP_TIMEOUT_MS, event);
+                self.start_timeout(unanswered, m, request, timeout.as_millis(), event);
             }
             Effect::Poll {
                 key,
@@ -113,14 +115,16 @@
                 acknowledged,
                 lease_until_ms,
                 wait,
+                timeout,
             } => {
                 let poll = PollRequest {
                     key,
                     acknowledged,
                     until_ms: lease_until_ms,
                     wait_ms: wait.as_millis(),
+                    timeout_ms: timeout.as_millis(),
                 };
-                self.send_poll(m, &to.id, poll);
+                self.send_poll(m, &to.id, poll, after);
             }
             Effect::RequestApproval {
                 key, stage, vms, ..
@@ -226,7 +230,7 @@
             return self.post(1, Msg::Event(m, event));
         }
         if self.cut_until(m, &route.vm, false).is_none() {
-            let after = self.delivery_delay(1);
+            let after = self.delivery_delay(1) + self.link.receive(&event, self.now);
             self.post(after, Msg::Result(m, route.request, event));
         }
     }
@@ -390,7 +394,7 @@
         }
     }
 
-    fn send_poll(&mut self, m: usize, id: &str, poll: PollRequest) {
+    fn send_poll(&mut self, m: usize, id: &str, poll: PollRequest, after: u64) {
         let route = self.route(m, id, false);
         if !self.faults.timeouts {
             return self.post(1, Msg::Poll(m, poll, route));
@@ -399,11 +403,11 @@
             key: poll.key,
             answer: Err(PollError::Unresponsive),
         };
-        let (request, timeout) = (route.request, poll.wait_ms + POLL_MARGIN_MS);
+        let (request, timeout) = (route.request, poll.wait_ms + poll.timeout_ms);
         if self.fails_to_send(m, id) {
             return self.fail_to_send(m, request, timeout, unresponsive);
         }
-        let after = self.delivery_delay(1);
+        let after = self.delivery_delay(after);
         self.post(after, Msg::Poll(m, poll, route));
         self.start_timeout(false, m, request, timeout, unresponsive);
     }
@@ -455,6 +459,14 @@
         let now = self.now;
         let same = |v: &&Vm| v.up && v.registration.started_ms == route.started_ms;
         let vm = self.vms.get(&route.vm).filter(same);
+        if self.link.bytes_per_ms > 0
+            && let Some(vm) = vm
+        {
+            let done = vm.finished.iter().filter(|f| f.outcome == RunOutcome::Done);
+            for run in done {
+                self.link.listed_ms.entry(run.task).or_insert(now);
+            }
+        }
         let answer = vm
             .map(|v| v.poll_answer(now))
             .ok_or(PollError::Unresponsive);
--- a/crates/monsoonnotch_jobs/tests/promises/simulation.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/simulation.rs
@@ -30,6 +30,7 @@
 use rand::rngs::StdRng;
 
 use crate::faults::Faults;
+use crate::link::Link;
 use crate::network::Cut;
 use crate::network::PollRequest;
 use crate::network::Route;
@@ -111,6 +112,8 @@
     /// VMs that the newest member cannot reach, and until when.
     pub(crate) unreachable_until: BTreeMap<String, u64>,
     pub(crate) starts: u64,
+    /// The link between the members and the VMs.
+    pub(crate) link: Link,
     /// The time at which each ended job was found to have ended.
     ends: BTreeMap<JobId, u64>,
     checked_to: usize,
@@ -161,6 +164,7 @@
             store_available: true,
             unreachable_until: BTreeMap::new(),
             starts: 0,
+            link: Link::default(),
             ends: BTreeMap::new(),
             checked_to: 0,
             tuning: Tuning::default(),
@@ -398,7 +402,13 @@
         for id in ids {
             let now = self.now;
             let vm = self.vms.get_mut(&id).expect("listed above");
+            let lapses = |v: &Vm| {
+                let ends = v.finished.iter().map(|e| e.outcome);
+                ends.filter(|o| *o == RunOutcome::LeaseExpired).count() as u64
+            };
+            let lapsed = lapses(vm);
             if vm.step(now) {
+                self.link.lapsed += lapses(vm) - lapsed;
                 let done = vm.finished.iter().filter(|e| e.outcome == RunOutcome::Done);
                 self.done.extend(done.map(|e| e.task));
                 self.answer_waiting_polls(&id);
--- a/crates/monsoonnotch_member/src/cx/mod.rs
+++ b/crates/monsoonnotch_member/src/cx/mod.rs
@@ -16,6 +16,7 @@
 use monsoonnotch_adapter::store::Store;
 use monsoonnotch_adapter::vms::VmClient;
 use monsoonnotch_entry::clock::Clock;
+use monsoonnotch_jobs::delegation::Delegation;
 use monsoonnotch_jobs::effect::Answer;
 use monsoonnotch_jobs::effect::ApprovalSlotKey;
 use monsoonnotch_jobs::site::PublishedConfig;
@@ -85,6 +86,8 @@
     pub(crate) config_bytes: Mutex<Vec<u8>>,
     /// Send queues of the links to followers by link number, while this member is the leader.
     pub(crate) follower_links: Mutex<BTreeMap<u64, mpsc::Sender<Frame>>>,
+    /// Orders that followers carry out, while this member is the leader.
+    pub(crate) delegation: Mutex<Delegation>,
     /// Send queue of the link to the leader, while another member is the leader.
     pub(crate) leader_link: Mutex<Option<mpsc::Sender<Frame>>>,
     /// Whether the leader can reach the store, according to its last heartbeat.
@@ -114,7 +117,6 @@
             store: Store::new(&settings.services.store.to_string(), http.clone()),
             vm_client: VmClient::new(http.clone()),
             http,
-            settings,
             boot: rand::random(),
             clock: Clock::default(),
             control,
@@ -124,6 +126,7 @@
             health: Mutex::default(),
             config_bytes: Mutex::default(),
             follower_links: Mutex::default(),
+            delegation: Mutex::new(Delegation::new(settings.delegation_limits())),
             leader_link: Mutex::default(),
             leader_reaches_store: AtomicBool::new(true),
             peer_addrs: Mutex::default(),
@@ -132,6 +135,7 @@
             store_requests: PendingRequests::default(),
             open_requests: AtomicU64::new(0),
             relinquished: AtomicU64::new(0),
+            settings,
         }
     }
 
--- a/crates/monsoonnotch_member/src/executor/mod.rs
+++ b/crates/monsoonnotch_member/src/executor/mod.rs
@@ -1,9 +1,17 @@
-//! Executes the effects that the scheduler requests.
+//! Executes the effects that the scheduler requests, or delegates them to followers.
 
+mod orders;
+
+use std::future::pending;
 use std::sync::Arc;
 
 use monsoonnotch_adapter::approval;
+use monsoonnotch_adapter::vms::PollRequest;
+use monsoonnotch_core::time::Time;
+use monsoonnotch_jobs::delegation::Actions;
+use monsoonnotch_jobs::delegation::Outcome;
 use monsoonnotch_jobs::effect::Answer;
+use monsoonnotch_jobs::effect::ApprovalSlotKey;
 use monsoonnotch_jobs::effect::Effect;
 use monsoonnotch_jobs::effect::LogEntry;
 use monsoonnotch_jobs::effect::QueryKey;
@@ -14,8 +22,11 @@
 use crate::control::Output;
 use crate::cx::Cx;
 use crate::cx::LOCAL_LINK;
+use crate::cx::lock;
 use crate::links::Frame;
 
+pub(crate) use self::orders::OrderExecutor;
+
 /// A request from the executor to the task that runs the leader term.
 ///
 /// Each variant has the token of the term as its first field.
@@ -35,20 +46,93 @@
     mut rx: mpsc::UnboundedReceiver<Output>,
     term_requests: mpsc::UnboundedSender<TermRequest>,
 ) {
-    while let Some(output) = rx.recv().await {
-        // The receiving task ends only with the process, so a failure to send does not matter.
-        let _ = match output {
-            Output::ConfirmToken(token) => term_requests.send(TermRequest::ConfirmToken(token)),
-            Output::Effects(token, effects) => {
+    loop {
+        let wake_at = lock(&cx.delegation).wake_at();
+        let output = tokio::select! {
+            output = rx.recv() => match output {
+                Some(output) => Some(output),
+                None => return,
+            },
+            () = sleep_until(&cx, wake_at) => None,
+        };
+        match output {
+            Some(Output::ConfirmToken(token)) => {
+                // The receiving task ends only with the process, so a failure does not matter.
+                let _ = term_requests.send(TermRequest::ConfirmToken(token));
+            }
+            Some(Output::Effects(token, effects)) => {
                 for effect in effects {
-                    execute(&cx, token, effect, &term_requests);
+                    let now = cx.clock.now();
+                    let own = lock(&cx.delegation).delegate(token, effect, now);
+                    if let Some(effect) = own {
+                        execute(&cx, token, effect, &term_requests);
+                    }
                 }
-                Ok(())
             }
-        };
+            None => {}
+        }
+        let actions = lock(&cx.delegation).tick(cx.clock.now());
+        perform(&cx, actions);
+    }
+}
+
+/// Waits until `at`, or for ever if there is no such time.
+async fn sleep_until(cx: &Cx, at: Option<Time>) {
+    match at {
+        Some(at) => tokio::time::sleep(at.since(cx.clock.now()).into()).await,
+        None => pending().await,
+    }
+}
+
+/// Applies the outcomes that a follower sent; returns whether they match their orders.
+pub(crate) fn apply_outcomes(cx: &Arc<Cx>, link: u64, outcomes: Vec<(u64, Outcome)>) -> bool {
+    let completed = lock(&cx.delegation).completed(link, outcomes, cx.clock.now());
+    match completed {
+        Ok(actions) => perform(cx, actions),
+        Err(seq) => {
+            log::warn!(event = "link invalid", link = link, order = seq; "a follower sent an outcome of another kind than its order; closing the link");
+            return false;
+        }
+    }
+    true
+}
+
+/// Ends the orders of a follower whose link is closed.
+pub(crate) fn link_closed(cx: &Arc<Cx>, link: u64) {
+    let actions = lock(&cx.delegation).executor_left(link, cx.clock.now());
+    perform(cx, actions);
+}
+
+/// Sends batches of orders, executes what followers could not, and reports events.
+fn perform(cx: &Arc<Cx>, actions: Actions) {
+    let token = lock(&cx.delegation).token();
+    for link in actions.suspended {
+        log::warn!(event = "executor suspended", link = link, token = token; "a follower is silent or late; its VMs are called by others");
+    }
+    for (link, batch) in actions.batches {
+        let frame = Frame::Orders(batch);
+        if !cx.send_to_follower(ApprovalSlotKey(link), frame) {
+            let actions = lock(&cx.delegation).link_failed(link, cx.clock.now());
+            perform(cx, actions);
+        }
+    }
+    for effect in actions.direct {
+        spawn_request(cx, token, effect);
+    }
+    for event in actions.events {
+        cx.control.event(token, event);
     }
 }
 
+fn spawn_request(cx: &Arc<Cx>, token: u64, request: Effect) {
+    let cx = Arc::clone(cx);
+    tokio::spawn(async move {
+        if let Some(event) = execute_request(&cx, token, request).await {
+            cx.control.event(token, event);
+        }
+    });
+}
+
 fn execute(
     cx: &Arc<Cx>,
     token: u64,
@@ -64,14 +148,7 @@
         }
         Effect::Reply { key, answer } => reply(cx, key, answer),
         Effect::Log(entry) => write_log_entry(token, &entry),
-        request => {
-            let cx = Arc::clone(cx);
-            tokio::spawn(async move {
-                if let Some(event) = execute_request(&cx, token, request).await {
-                    cx.control.event(token, event);
-                }
-            });
-        }
+        request => spawn_request(cx, token, request),
     }
 }
 
@@ -89,8 +166,12 @@
             to,
             task,
             attempt,
+            timeout,
         } => {
-            let answer = cx.vm_client.stop(&to, &task, attempt, token).await;
+            let stop = cx
+                .vm_client
+                .stop(&to, &task, attempt, token, timeout.into());
+            let answer = stop.await;
             Some(Event::Stopped { run, answer })
         }
         Effect::Poll {
@@ -99,10 +180,15 @@
             acknowledged,
             lease_until_ms,
             wait,
+            timeout,
         } => {
-            let poll = cx
-                .vm_client
-                .poll(&to, token, acknowledged, lease_until_ms, wait.into());
+            let poll = PollRequest {
+                acknowledged,
+                lease_until_ms,
+                wait: wait.into(),
+                timeout: timeout.into(),
+            };
+            let poll = cx.vm_client.poll(&to, token, &poll);
             let answer = poll.await;
             Some(Event::Polled { key, answer })
         }
@@ -133,7 +219,7 @@
     if key.link == LOCAL_LINK {
         return cx.queries.complete(key.seq, answer);
     }
-    let slot = monsoonnotch_jobs::effect::ApprovalSlotKey(key.link);
+    let slot = ApprovalSlotKey(key.link);
     let frame = Frame::Answer {
         seq: key.seq,
         answer,
--- a/crates/monsoonnotch_member/src/links/follower.rs
+++ b/crates/monsoonnotch_member/src/links/follower.rs
@@ -18,9 +18,12 @@
 use super::Frame;
 use super::decode_frame;
 use super::encode_frame;
+use super::log_invalid_message;
+use super::socket_config;
 use crate::cx::Cx;
 use crate::cx::Leadership;
 use crate::cx::lock;
+use crate::executor::OrderExecutor;
 use crate::leadership;
 
 /// Longest time for connecting with handshake: about a hundred times the latency between failure
@@ -144,6 +147,7 @@
         name: cx.settings.member.name.clone(),
         addr: cx.settings.member.peers.to_string().into(),
         cores: cx.settings.member.cores,
+        domain: cx.settings.member.domain.clone(),
     }
 }
 
@@ -173,6 +177,7 @@
     mut socket: Socket,
 ) {
     let (tx, mut out) = mpsc::channel(FRAME_QUEUE_MAX);
+    let mut orders = OrderExecutor::new(tx.clone());
     let mut heartbeats = tokio::time::interval(Duration::from_millis(cx.settings.tuning.beat_ms));
     let suspect_after = Duration::from_millis(cx.settings.tuning.suspect_ms);
     let mut last_received = Instant::now();
@@ -189,10 +194,19 @@
             msg = socket.next() => match msg {
                 Some(Ok(msg)) => {
                     last_received = Instant::now();
-                    if let Some(frame) = decode_frame(&msg) {
-                        handle_frame(cx, leadership, contact, &tx, frame);
+                    match decode_frame(&msg) {
+                        Some(Frame::Orders(batch)) => {
+                            batch.token == leadership.token && orders.execute(cx, batch)
+                        }
+                        Some(frame) => {
+                            handle_frame(cx, leadership, contact, &tx, frame);
+                            true
+                        }
+                        None => {
+                            log_invalid_message(&leadership.claim.name, &msg);
+                            false
+                        }
                     }
-                    true
                 }
                 _ => false,
             },
@@ -220,7 +234,8 @@
     let stream = stream.map_err(|e| e.kind() == std::io::ErrorKind::ConnectionRefused)?;
     stream.set_nodelay(true).map_err(|_| false)?;
     let url = format!("ws://{addr}/");
-    let client = tokio_tungstenite::client_async(url, stream).await;
+    let config = Some(socket_config());
+    let client = tokio_tungstenite::client_async_with_config(url, stream, config).await;
     client.map(|(socket, _)| socket).map_err(|_| false)
 }
 
--- a/crates/monsoonnotch_member/src/links/leader.rs
+++ b/crates/monsoonnotch_member/src/links/leader.rs
@@ -28,8 +28,11 @@
 use super::StoreOutcome;
 use super::decode_frame;
 use super::encode_frame;
+use super::log_invalid_message;
+use super::socket_config;
 use crate::cx::Cx;
 use crate::cx::lock;
+use crate::executor;
 use crate::leadership;
 use crate::requests::submit;
 
@@ -106,6 +109,7 @@
             serve_follower(&cx, stream, link, &followers, &contact).await;
             lock(&followers.by_link).remove(&link);
             lock(&cx.follower_links).remove(&link);
+            executor::link_closed(&cx, link);
         });
     }
 }
@@ -119,7 +123,7 @@
     contact: &LeaderContact,
 ) -> Option<()> {
     stream.set_nodelay(true).ok()?;
-    let handshake = tokio_tungstenite::accept_async(stream);
+    let handshake = tokio_tungstenite::accept_async_with_config(stream, Some(socket_config()));
     let mut socket = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake)
         .await
         .ok()?
@@ -133,8 +137,10 @@
         cores,
         name,
         addr,
+        domain,
     }) = decode_frame(&hello)
     else {
+        log_invalid_message("a new follower", &hello);
         return None;
     };
     if cx.own_token() != Some(token) {
@@ -157,6 +163,9 @@
     );
     let slot = ApprovalSlotKey(link);
     cx.control.event(token, Event::ApprovalSlotUp(slot));
+    if !domain.is_empty() {
+        lock(&cx.delegation).executor_joined(link, domain, cores, cx.clock.now());
+    }
     let heartbeat_interval = Duration::from_millis(cx.settings.tuning.beat_ms);
     let mut heartbeats = tokio::time::interval(heartbeat_interval);
     let mut peers_ticks = tokio::time::interval(PEERS_INTERVAL);
@@ -176,15 +185,23 @@
             }
             msg = socket.next() => {
                 last_received = Instant::now();
+                lock(&cx.delegation).heard(link, cx.clock.now());
                 match msg {
-                    Some(Ok(msg)) => {
-                        match decode_frame(&msg) {
-                            Some(Frame::Newer(newer)) => leadership::observe(cx, contact, newer, "a member"),
-                            Some(frame) => handle_frame(cx, token, link, followers, frame),
-                            None => {}
+                    Some(Ok(msg)) => match decode_frame(&msg) {
+                        Some(Frame::Newer(newer)) => {
+                            leadership::observe(cx, contact, newer, "a member");
+                            true
+                        }
+                        Some(Frame::Outcomes { outcomes }) => executor::apply_outcomes(cx, link, outcomes),
+                        Some(frame) => {
+                            handle_frame(cx, token, link, followers, frame);
+                            true
+                        }
+                        None => {
+                            log_invalid_message(&name, &msg);
+                            false
                         }
-                        true
-                    }
+                    },
                     _ => false,
                 }
             }
--- a/crates/monsoonnotch_member/src/links/mod.rs
+++ b/crates/monsoonnotch_member/src/links/mod.rs
@@ -6,6 +6,8 @@
 use compact_str::CompactString;
 use monsoonnotch_core::record::decode;
 use monsoonnotch_core::record::encode;
+use monsoonnotch_jobs::delegation::Batch;
+use monsoonnotch_jobs::delegation::Outcome;
 use monsoonnotch_jobs::effect::Answer;
 use monsoonnotch_jobs::event::Query;
 use monsoonnotch_jobs::plan::StageId;
@@ -13,6 +15,7 @@
 use serde::Serialize;
 use serde_bytes::ByteBuf;
 use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
 use crate::cx::Leadership;
 
@@ -24,6 +27,21 @@
 /// Maximum number of frames that wait for one link; further frames are dropped.
 const FRAME_QUEUE_MAX: usize = 1_024;
 
+/// Size in bytes of a link's read buffer, which each read clears first. Most frames are heartbeats
+/// and queries.
+const READ_BUFFER_SIZE: usize = 4 << 10;
+/// Longest message that a link accepts, in bytes: a batch of records that the store takes at once.
+const MESSAGE_BYTES_MAX: usize = 4 << 20;
+
+/// Returns the settings of a link's WebSocket connection.
+fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER_SIZE)
+        .write_buffer_size(READ_BUFFER_SIZE)
+        .max_message_size(Some(MESSAGE_BYTES_MAX))
+        .max_frame_size(Some(MESSAGE_BYTES_MAX))
+}
+
 /// A message on a link, encoded as CBOR.
 ///
 /// `rename` attributes give variants and fields their encoded names where these differ from the
@@ -40,6 +58,9 @@
         addr: CompactString,
         /// CPU capacity of the member, in cores.
         cores: f64,
+        /// Failure domain of the member; empty if it carries out no orders.
+        #[serde(default)]
+        domain: CompactString,
     },
     /// A heartbeat of a follower.
     #[serde(rename = "GuestBeat")]
@@ -134,6 +155,13 @@
         /// The configuration, encoded as the operators published it.
         value: ByteBuf,
     },
+    /// Orders to VMs that the follower carries out.
+    Orders(Batch),
+    /// Outcomes of orders.
+    Outcomes {
+        /// The outcomes by the numbers of their orders.
+        outcomes: Vec<(u64, Outcome)>,
+    },
     /// Requests that the follower claim leadership at once.
     Claim,
 }
@@ -153,10 +181,16 @@
     Message::Binary(encode(frame).into())
 }
 
-/// Decodes the frame in a binary message; returns `None` for other messages and for invalid bytes.
+/// Decodes the frame in a binary message; returns `None` for invalid bytes and for messages that
+/// are not binary.
 fn decode_frame(msg: &Message) -> Option<Frame> {
     match msg {
         Message::Binary(buf) => decode(buf),
         _ => None,
     }
 }
+
+/// Logs why a link is closed that delivered something that is no frame.
+fn log_invalid_message(peer: &str, msg: &Message) {
+    log::warn!(event = "link invalid", peer = peer, bytes = msg.len(); "received a message that is no frame; closing the link");
+}
--- a/crates/monsoonnotch_member/src/settings/mod.rs
+++ b/crates/monsoonnotch_member/src/settings/mod.rs
@@ -5,6 +5,7 @@
 
 use compact_str::CompactString;
 use monsoonnotch_core::time;
+use monsoonnotch_jobs::delegation::Limits;
 use monsoonnotch_jobs::tuning::Tuning;
 use quick_error::quick_error;
 use serde::Deserialize;
@@ -98,6 +99,10 @@
     pub weak_cores: f64,
     /// Share of a pool's CPU capacity that is reserved for the highest priority, in thousandths.
     pub urgent_reserve_milli: u64,
+    /// Number of VMs from which followers carry out the leader's orders to VMs.
+    pub delegate_vms: usize,
+    /// Number of followers in each failure domain that carry out orders.
+    pub executors_per_domain: usize,
     /// Maximum number of log lines per second; warnings and errors have a limit of their own.
     pub log_lines_per_s: u32,
 }
@@ -110,6 +115,8 @@
             beat_ms: 200,
             weak_cores: 0.2,
             urgent_reserve_milli: 60,
+            delegate_vms: 60,
+            executors_per_domain: 1,
             log_lines_per_s: 400,
         }
     }
@@ -154,6 +161,10 @@
             "tuning.lease_ms must be 1000 or more",
         )?;
         reject(tuned.beat_ms == 0, "tuning.beat_ms must be above zero")?;
+        reject(
+            tuned.executors_per_domain == 0,
+            "tuning.executors_per_domain must be above zero",
+        )?;
         let too_short = tuned.suspect_ms < 2 * tuned.beat_ms;
         reject(
             too_short,
@@ -177,6 +188,17 @@
         }
     }
 
+    /// Returns the limits of the delegation of orders while this member is the leader.
+    ///
+    /// Executors have at least as many cores as the leader.
+    pub fn delegation_limits(&self) -> Limits {
+        Limits {
+            vms_min: self.tuning.delegate_vms,
+            cores_min: self.member.cores,
+            executors_per_domain: self.tuning.executors_per_domain,
+        }
+    }
+
     /// Returns the time from SIGTERM to SIGKILL.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.times.grace_s)
