Store submissions through the leader, in batches that a slow store bears

A partition handles appends one by one, so each waited for all others; from 5.2 to 10 s nothing was stored and 690 callers got 504.

Change: followers relay to the leader and append themselves only if there is no leader that reaches the store; the leader's heartbeat says so after 0.4 s, not after one unanswered request. Batches and timeouts follow the measured time of appends (append_pace). Who has less time left than an append takes is answered at once. Lost links end relays at once; the record is then appended directly, which the store folds into one. Polls after a silence no longer count as late answers, and hedged polls are bounded, not dropped, while answers are late.

--- a/crates/monsoonnotch_jobs/src/lib.rs
+++ b/crates/monsoonnotch_jobs/src/lib.rs
@@ -5,6 +5,7 @@
 //! the journal refuse a token once they have seen a higher one. The crate is a
 //! pure function of events and time; the caller executes the effects.
 
+pub mod append_pace;
 pub mod delegation;
 pub mod effect;
 pub mod event;
--- a/crates/monsoonnotch_jobs/src/scheduler/answer_times.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/answer_times.rs
@@ -62,7 +62,7 @@
         let difference = took_ms - self.mean_ms;
         self.mean_ms += MEAN_WEIGHT * difference;
         self.deviation_ms += DEVIATION_WEIGHT * (difference.abs() - self.deviation_ms);
-        if self.mean_ms > SATURATED_MEAN_MS {
+        if self.are_late() {
             self.saturated_until = now + SATURATION_PERIOD;
         }
         self.window = match took > LATE_AFTER {
@@ -77,6 +77,11 @@
         usual.max(Duration::from_millis(ms as u64).min(TIMEOUT_MAX))
     }
 
+    /// Whether answers are late at present.
+    pub(super) fn are_late(&self) -> bool {
+        self.mean_ms > SATURATED_MEAN_MS
+    }
+
     /// Whether answers are late because this member is saturated, or were a short time ago.
     pub(super) fn is_saturated(&self, now: Time) -> bool {
         now < self.saturated_until
--- a/crates/monsoonnotch_jobs/src/scheduler/mod.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/mod.rs
@@ -154,6 +154,11 @@
         self.token
     }
 
+    /// Returns the offset before which all records of the journal are known.
+    pub fn journal_position(&self) -> u64 {
+        self.read_to
+    }
+
     /// Applies one event; [`Self::decide`] returns the effects that follow.
     pub fn handle(&mut self, event: Event, now: Time, unix_ms: u64) {
         self.now = now;
--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -33,6 +33,8 @@
 /// Maximum number of hedged polls that one scan sends, so that a leader that falls behind
 /// does not increase its own load.
 const HEDGED_POLLS_PER_SCAN_MAX: usize = 8;
+/// The same while answers are late, because further polls are as late and add to the load.
+const HEDGED_POLLS_PER_SATURATED_SCAN_MAX: usize = 1;
 /// Wait of polls of VMs with urgent runs while VMs leave many orders unanswered: half the
 /// usual run time of an urgent task.
 const UNANSWERED_POLL_WAIT: Duration = Duration::from_millis(300);
@@ -77,6 +79,9 @@
     acknowledged: u64,
     /// Whether a later poll was answered while this one was overdue.
     overtaken: bool,
+    /// Whether the time of its answer shows how saturated this member is. A first poll waits
+    /// for a connection, and one after a silence may meet a broken one.
+    timed: bool,
 }
 
 /// State of the polls of one VM.
@@ -145,16 +150,13 @@
     /// not noticed late.
     pub(super) fn hedge_overdue_polls(&mut self) {
         let now = self.now;
-        // Further polls would be as late, and add to the load.
-        if self.answer_times.is_saturated(now) {
-            return;
-        }
+        let limit = match self.answer_times.are_late() {
+            true => HEDGED_POLLS_PER_SATURATED_SCAN_MAX,
+            false => HEDGED_POLLS_PER_SCAN_MAX,
+        };
         let overdue = |vm: &vms::Vm| vm.polls.unanswered == 0 && vm.polls.is_overdue(now);
         let late = self.vms.iter().filter(|(_, vm)| overdue(vm));
-        let late: Vec<VmKey> = late
-            .map(|(k, _)| k)
-            .take(HEDGED_POLLS_PER_SCAN_MAX)
-            .collect();
+        let late: Vec<VmKey> = late.map(|(k, _)| k).take(limit).collect();
         for key in late {
             self.poll_now(key);
         }
@@ -239,6 +241,7 @@
                 wait,
                 acknowledged,
                 overtaken: false,
+                timed: !first && wait == Duration::default(),
             },
         );
         vm.polls.next_at = Some(now + POLL_TIMEOUT);
@@ -279,7 +282,7 @@
             }
             Err(_) => 0,
         };
-        if answer.is_ok() && pending.wait == Duration::default() {
+        if answer.is_ok() && pending.timed {
             self.answer_times.record(now.since(pending.sent_at), now);
         }
         (0..overtaken).for_each(|_| self.unanswered_orders.record(now));
--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -20,4 +20,5 @@
 mod restarts;
 mod saturated_link;
 mod simulation;
+mod slow_store;
 mod vm;
--- a/crates/monsoonnotch_member/src/control/mod.rs
+++ b/crates/monsoonnotch_member/src/control/mod.rs
@@ -1,6 +1,8 @@
 //! The control thread, which runs the scheduler while this member is the leader.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::sync::mpsc::RecvTimeoutError;
 use std::time::Duration;
@@ -72,6 +74,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Inbox {
     tx: mpsc::Sender<Input>,
+    /// Offset before which the scheduler knows all records of the journal.
+    journal_position: Arc<AtomicU64>,
 }
 
 impl Inbox {
@@ -80,6 +84,12 @@
         self.tx.send(input).is_ok()
     }
 
+    /// Returns the offset before which the scheduler knows all records of the journal. During the
+    /// first reads of a term it may be that of an earlier term, which is lower.
+    pub(crate) fn journal_position(&self) -> u64 {
+        self.journal_position.load(Ordering::Relaxed)
+    }
+
     /// Sends an event to the scheduler of the term with this token.
     ///
     /// Returns false when the control thread has ended.
@@ -91,20 +101,28 @@
 /// Creates the input channel of the control thread.
 pub(crate) fn inbox() -> (Inbox, mpsc::Receiver<Input>) {
     let (tx, rx) = mpsc::channel();
-    (Inbox { tx }, rx)
+    let journal_position = Arc::default();
+    let inbox = Inbox {
+        tx,
+        journal_position,
+    };
+    (inbox, rx)
 }
 
 /// Starts the control thread.
 ///
-/// `out` receives the outputs. The thread ends when `out` returns false or all inboxes are dropped.
+/// `rx` receives the inputs sent to `inbox`, and `out` receives the outputs. The thread ends when `out` returns false or all inboxes are dropped.
 pub(crate) fn start(
     rx: mpsc::Receiver<Input>,
+    inbox: &Inbox,
     clock: Clock,
     tuning: Tuning,
     out: impl Fn(Output) -> bool + Send + 'static,
 ) {
+    let journal_position = Arc::clone(&inbox.journal_position);
     std::thread::spawn(move || {
         let mut control = Control {
+            journal_position,
             clock,
             tuning,
             scheduler: None,
@@ -120,6 +138,8 @@
 
 #[derive(Debug)]
 struct Control {
+    /// See [`Inbox::journal_position`].
+    journal_position: Arc<AtomicU64>,
     clock: Clock,
     tuning: Tuning,
     scheduler: Option<Scheduler>,
@@ -270,6 +290,8 @@
             .as_mut()
             .filter(|_| !self.token_unconfirmed)?;
         let effects = scheduler.decide(self.clock.now(), unix_ms());
+        let position = scheduler.journal_position();
+        self.journal_position.store(position, Ordering::Relaxed);
         Some((scheduler.token(), effects))
     }
 }
--- a/crates/monsoonnotch_member/src/cx/mod.rs
+++ b/crates/monsoonnotch_member/src/cx/mod.rs
@@ -60,8 +60,6 @@
 pub(crate) struct StoreHealth {
     /// When the first of the consecutive failures occurred; `None` while requests succeed.
     failing_since: Option<Instant>,
-    /// The store counts as slow until this time; `None` if it never did.
-    slow_until: Option<Instant>,
 }
 
 /// The state that the tasks of a member share.
@@ -178,20 +176,6 @@
         since.map_or(Duration::ZERO, |s| s.elapsed())
     }
 
-    /// Marks the store as slow for the next `span`.
-    pub(crate) fn mark_store_slow(&self, span: Duration) {
-        let was = lock(&self.health).slow_until.replace(Instant::now() + span);
-        if was.is_none_or(|until| until < Instant::now()) {
-            log::warn!(event = "store slow"; "the store is slow; the leader appends records for this member");
-        }
-    }
-
-    /// Returns whether the store counts as slow at present.
-    pub(crate) fn store_is_slow(&self) -> bool {
-        let until = lock(&self.health).slow_until;
-        until.is_some_and(|until| Instant::now() < until)
-    }
-
     /// Returns how long a read may wait for new records: `wait`, or zero while the store is
     /// unavailable, so that its recovery is noticed at once.
     pub(crate) fn read_wait(&self, wait: Duration) -> Duration {
@@ -245,6 +229,11 @@
         }
     }
 
+    /// Ends all requests, because no responses to them will arrive.
+    pub(crate) fn cancel_all(&self) {
+        lock(&self.open).clear();
+    }
+
     /// Removes a request whose response is no longer awaited.
     pub(crate) fn remove(&self, seq: u64) {
         lock(&self.open).remove(&seq);
--- a/crates/monsoonnotch_member/src/links/follower.rs
+++ b/crates/monsoonnotch_member/src/links/follower.rs
@@ -25,6 +25,7 @@
 use crate::cx::lock;
 use crate::executor::OrderExecutor;
 use crate::leadership;
+use crate::requests::submit;
 
 /// Longest time for connecting with handshake: about a hundred times the latency between failure
 /// domains.
@@ -105,6 +106,7 @@
         if let Some(socket) = socket {
             run_link(&cx, &leadership, &contact, &mut rx, socket).await;
             *lock(&cx.leader_link) = None;
+            cx.store_requests.cancel_all();
         }
         if rx.borrow().as_ref() != Some(&leadership) {
             continue;
@@ -256,7 +258,12 @@
     match frame {
         Frame::LeaderHeartbeat { token, store } if token == leadership.token => {
             contact.reset();
-            cx.leader_reaches_store.store(store, Ordering::Relaxed);
+            let reached = cx.leader_reaches_store.swap(store, Ordering::Relaxed);
+            if reached && !store {
+                let cx = Arc::clone(cx);
+                // Without a probe, a silent store is noticed only when a long read times out.
+                tokio::spawn(async move { submit::probe_store(&cx).await });
+            }
             let mut leader_link = lock(&cx.leader_link);
             if leader_link.is_none() {
                 log::info!(event = "leader linked", holder = leadership.claim.name.as_str(), token = token; "connected to the leader");
--- a/crates/monsoonnotch_member/src/links/leader.rs
+++ b/crates/monsoonnotch_member/src/links/leader.rs
@@ -179,7 +179,9 @@
             },
             _ = heartbeats.tick() => {
                 let alive = last_received.elapsed() < heartbeat_interval * MISSED_HEARTBEATS_MAX;
-                let store = cx.store_unavailable_for().is_zero();
+                // A slow store leaves single requests unanswered. If the followers then appended
+                // their records themselves, it would become slower still.
+                let store = cx.store_unavailable_for() < leadership::HANDOVER_AFTER;
                 let frame = Frame::LeaderHeartbeat { token, store };
                 alive && socket.send(encode_frame(&frame)).await.is_ok()
             }
--- a/crates/monsoonnotch_member/src/process/mod.rs
+++ b/crates/monsoonnotch_member/src/process/mod.rs
@@ -46,14 +46,14 @@
     log::info!(event = "start", name = member.name.as_str(), domain = member.domain.as_str(), version = env!("CARGO_PKG_VERSION"); "starting");
     let (inbox, control_rx) = control::inbox();
     let (submissions, submissions_rx) = mpsc::unbounded_channel();
-    let cx = Arc::new(Cx::new(settings, inbox, submissions));
+    let cx = Arc::new(Cx::new(settings, inbox.clone(), submissions));
     tokio::spawn(requests::submit::run(Arc::clone(&cx), submissions_rx));
     let peers = TcpListener::bind(member.peers).await?;
     let callers = TcpListener::bind(member.callers).await?;
     serve_metrics(member.metrics);
     let (outputs, outputs_rx) = mpsc::unbounded_channel();
     let tuning = cx.settings.scheduler_tuning();
-    control::start(control_rx, cx.clock, tuning, move |out| {
+    control::start(control_rx, &inbox, cx.clock, tuning, move |out| {
         outputs.send(out).is_ok()
     });
     let (term_requests, term_requests_rx) = mpsc::unbounded_channel();
--- a/crates/monsoonnotch_member/src/requests/submit.rs
+++ b/crates/monsoonnotch_member/src/requests/submit.rs
@@ -2,8 +2,8 @@
 //!
 //! At most one append is in flight. It carries all records that arrived during the previous
 //! append, so that a slow store accepts as many jobs as a fast one. The store keeps one
-//! record per key, so a record whose append had no response can be appended again. A member
-//! that cannot reach the store relays its records to the leader, which stores them.
+//! record per key, so a record whose append had no response can be appended again. Followers
+//! relay their records to the leader, which stores them.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -11,8 +11,9 @@
 
 use compact_str::CompactString;
 use monsoonnotch_adapter::caller_api::Reply;
-use monsoonnotch_adapter::store::APPEND_TIMEOUTS;
 use monsoonnotch_adapter::store::Error;
+use monsoonnotch_core::time;
+use monsoonnotch_jobs::append_pace::AppendPace;
 use monsoonnotch_jobs::event::Event;
 use monsoonnotch_jobs::journal::KeyedRecord;
 use monsoonnotch_jobs::journal::Submission;
@@ -40,22 +41,18 @@
 const UNKNOWN_AFTER: Duration = Duration::from_millis(900);
 /// Timeout of a probe. A slow store takes 50 to 70 times its usual 4 ms.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time from which an append is logged as slow.
+const SLOW_APPEND_THRESHOLD: time::Duration = time::Duration::from_millis(100);
+/// Shortest timeout of an append, in which a store that is not slow responds.
+const APPEND_TIMEOUT_MIN: Duration = Duration::from_millis(60);
 /// Pause before a failed batch is retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
-/// An append that takes no longer than this shows that the store is not slow.
-const QUICK_APPEND_MAX: Duration = Duration::from_millis(120);
 /// Maximum number of records in a batch.
 const BATCH_RECORDS_MAX: usize = 512;
-/// Size in bytes at which no further record is added to a batch. The store accepts 2 MB per append.
-const BATCH_BYTES_MAX: usize = 1 << 20;
 /// Longest wait for the leader to store a record: slightly longer than the leader tries.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Part of the wait for the leader that is reserved for the round trip to it.
 const RELAY_ROUND_TRIP_MAX: Duration = Duration::from_millis(60);
-/// How long a follower relays its records to the leader after the store was slow. A slow store
-/// handles 14 appends per second from all members together, so each of about 40 members may try an
-/// append of its own only every few seconds.
-const SLOW_STORE_PERIOD: Duration = Duration::from_secs(5);
 /// How long the store may fail to respond before it counts as unavailable. New submissions are then
 /// refused at once, unless the leader can reach the store. The refusal truly states that they have
 /// not run, because they were never sent.
@@ -112,32 +109,53 @@
     }
 }
 
-/// Stores a record directly or through the leader.
+/// Stores a record through the leader, or directly if the leader cannot store it.
+///
+/// A single append of the leader carries the records of many members. Their own appends would
+/// queue up at a store that is slow, which handles them one by one.
 ///
 /// Returns [`Reply::NotRun`] when the record is certainly not stored, and [`Reply::MayHaveRun`]
 /// when the outcome is unknown.
 pub(super) async fn store(cx: &Arc<Cx>, record: KeyedRecord, deadline: Instant) -> Reply {
-    // Neither this member nor the leader can store the record now. The caller can retry.
-    if is_store_unavailable(cx) && !cx.leader_reaches_store.load(Ordering::Relaxed) {
-        return Reply::NotRun { retry_s: RETRY_S };
-    }
-    let stored = match is_store_unavailable(cx) || cx.store_is_slow() {
-        true => Reply::NotRun { retry_s: RETRY_S },
-        false => store_directly(cx, record.clone(), deadline).await,
+    let refusal = Reply::NotRun { retry_s: RETRY_S };
+    let relayed = match cx.leader_reaches_store.load(Ordering::Relaxed) {
+        true => relay_to_leader(cx, record.clone(), deadline).await,
+        false => Relayed::NotSent,
     };
-    match stored {
-        // The store may be unavailable to this member alone, or slow. A single append of the
-        // leader then carries the records of many members, whose own appends would overload the
-        // store.
-        Reply::NotRun { .. } => match relay_to_leader(cx, record.clone(), deadline).await {
-            Some(relayed) => relayed,
-            None if cx.store_is_slow() && !is_store_unavailable(cx) => {
-                store_directly(cx, record, deadline).await
-            }
-            None => stored,
-        },
-        _ => stored,
+    let leader_reaches_store = cx.leader_reaches_store.load(Ordering::Relaxed);
+    let may_have_run = match relayed {
+        Relayed::Outcome(StoreOutcome::Stored) => return Reply::Stored,
+        // Another append would queue up behind those of the leader.
+        Relayed::Outcome(StoreOutcome::Unknown) => return Reply::MayHaveRun,
+        Relayed::Outcome(StoreOutcome::NotStored) if leader_reaches_store => return refusal,
+        Relayed::Outcome(StoreOutcome::NotStored) | Relayed::NotSent => false,
+        Relayed::LinkLost => true,
+    };
+    if is_store_unavailable(cx) || Instant::now() + RETRY_PAUSE >= deadline {
+        return if may_have_run {
+            Reply::MayHaveRun
+        } else {
+            refusal
+        };
     }
+    // A record that the leader may have stored can be appended again, because the store keeps one
+    // record per key.
+    match store_directly(cx, record, deadline).await {
+        Reply::Stored => Reply::Stored,
+        _ if may_have_run => Reply::MayHaveRun,
+        reply => reply,
+    }
+}
+
+/// What became of a record that was relayed to the leader.
+#[derive(Debug, Clone, Copy)]
+enum Relayed {
+    /// There is no link to a leader, or its queue is full.
+    NotSent,
+    /// The link ended before the leader responded, so that the record may be stored.
+    LinkLost,
+    /// The leader responded, or the time was over.
+    Outcome(StoreOutcome),
 }
 
 /// Stores a record through this member's own connection to the store.
@@ -163,9 +181,8 @@
     cx.store_unavailable_for() > UNAVAILABLE_AFTER
 }
 
-/// Relays a record to the leader and waits for the outcome; returns `None` when there is no link to
-/// a leader or the link's queue is full.
-async fn relay_to_leader(cx: &Arc<Cx>, record: KeyedRecord, deadline: Instant) -> Option<Reply> {
+/// Relays a record to the leader and waits for the outcome.
+async fn relay_to_leader(cx: &Arc<Cx>, record: KeyedRecord, deadline: Instant) -> Relayed {
     let within = deadline
         .saturating_duration_since(Instant::now())
         .min(RELAY_TIMEOUT);
@@ -179,25 +196,23 @@
     let sent = lock(&cx.leader_link)
         .as_ref()
         .is_some_and(|tx| tx.try_send(frame).is_ok());
-    let outcome = match sent {
-        true => tokio::time::timeout(within, rx).await,
-        false => {
-            cx.store_requests.remove(seq);
-            return None;
-        }
-    };
+    if !sent {
+        cx.store_requests.remove(seq);
+        return Relayed::NotSent;
+    }
+    let outcome = tokio::time::timeout(within, rx).await;
     cx.store_requests.remove(seq);
-    Some(match outcome {
-        Ok(Ok(StoreOutcome::Stored)) => Reply::Stored,
-        Ok(Ok(StoreOutcome::NotStored)) => Reply::NotRun { retry_s: RETRY_S },
-        Ok(Ok(StoreOutcome::Unknown)) | Ok(Err(_)) | Err(_) => Reply::MayHaveRun,
-    })
+    match outcome {
+        Ok(Ok(outcome)) => Relayed::Outcome(outcome),
+        Ok(Err(_)) => Relayed::LinkLost,
+        Err(_) => Relayed::Outcome(StoreOutcome::Unknown),
+    }
 }
 
 /// Appends submitted records batch by batch, for as long as the process lives.
 pub(crate) async fn run(cx: Arc<Cx>, mut rx: mpsc::UnboundedReceiver<PendingRecord>) {
     let mut batch: Vec<PendingRecord> = Vec::new();
-    let mut timeout_index = 0;
+    let mut pace = AppendPace::default();
     let mut failed = false;
     loop {
         if batch.is_empty() {
@@ -206,7 +221,7 @@
                 None => return,
             }
         }
-        fill_batch(&mut batch, &mut rx);
+        fill_batch(&mut batch, &mut rx, pace.bytes_max());
         // A record that has not been sent can still be refused as not run. So after a failure,
         // nothing is sent until the store has responded to a probe.
         if failed && !probe_store(&cx).await {
@@ -214,39 +229,36 @@
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         }
+        reply_if_hopeless(&mut batch, pace.expected().into());
+        if batch.is_empty() {
+            continue;
+        }
         let records: Vec<KeyedRecord> = batch.iter().map(|p| p.record.clone()).collect();
-        let began = Instant::now();
+        let bytes = batch_bytes(&batch);
+        let began = cx.clock.now();
+        let timeout = time_left(&batch).min(pace.timeout().into());
         let appended = cx
             .store
-            .append(
-                JOURNAL_TOPIC,
-                &records,
-                None,
-                None,
-                APPEND_TIMEOUTS[timeout_index],
-            )
+            .append(JOURNAL_TOPIC, &records, None, None, timeout)
             .await;
         cx.record_store_result(appended.is_ok());
-        let slow = began.elapsed() > QUICK_APPEND_MAX;
-        if slow && cx.own_token().is_none() {
-            cx.mark_store_slow(SLOW_STORE_PERIOD);
-        }
-        timeout_index = match &appended {
-            Ok(_) if !slow => 0,
-            Err(Error::Unknown) => (timeout_index + 1).min(APPEND_TIMEOUTS.len() - 1),
-            _ => timeout_index,
-        };
         failed = appended.is_err();
+        let took = cx.clock.now().since(began);
         let attempted = std::mem::take(&mut batch);
+        if took > SLOW_APPEND_THRESHOLD || failed {
+            let outcome = format!("{appended:?}");
+            log::warn!(event = "submissions slow", records = attempted.len(), bytes = bytes, ms = took.as_millis(), bytes_max = pace.bytes_max(), outcome = outcome; "an append of submissions was slow or failed");
+        }
         match appended {
-            Ok(offset) => report_stored(&cx, offset, attempted),
+            Ok(offset) => {
+                pace.stored(bytes, took);
+                report_stored(&cx, offset, attempted);
+            }
             Err(e) => {
-                batch = reply_or_retry(attempted, e == Error::Unknown, is_store_unavailable(&cx));
-                if slow && lock(&cx.leader_link).is_some() {
-                    std::mem::take(&mut batch)
-                        .into_iter()
-                        .for_each(|p| relay_failed(&cx, p));
+                if e == Error::Unknown {
+                    pace.timed_out(bytes, took);
                 }
+                batch = reply_or_retry(attempted, e == Error::Unknown, is_store_unavailable(&cx));
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
@@ -279,22 +291,16 @@
     }
 }
 
-/// Relays a record to the leader after this member's own append of it failed.
-fn relay_failed(cx: &Arc<Cx>, pending: PendingRecord) {
-    let cx = Arc::clone(cx);
-    tokio::spawn(async move {
-        let reply = match relay_to_leader(&cx, pending.record.clone(), pending.deadline).await {
-            Some(Reply::Stored) => Reply::Stored,
-            _ if pending.may_have_run => Reply::MayHaveRun,
-            Some(reply) => reply,
-            None => Reply::NotRun { retry_s: RETRY_S },
-        };
-        pending.send_reply(reply);
-    });
+/// Returns the time until the first caller must have a reply, for an append of the batch.
+fn time_left(batch: &[PendingRecord]) -> Duration {
+    let now = Instant::now();
+    let deadlines = batch.iter().map(|p| p.deadline);
+    let left = deadlines.map(|at| at.saturating_duration_since(now)).min();
+    left.unwrap_or_default().max(APPEND_TIMEOUT_MIN)
 }
 
 /// Returns whether the store responds to a read.
-async fn probe_store(cx: &Cx) -> bool {
+pub(crate) async fn probe_store(cx: &Cx) -> bool {
     let probed = tokio::time::timeout(PROBE_TIMEOUT, cx.store.newest(CLAIMS)).await;
     let responded = matches!(probed, Ok(Ok(_)));
     cx.record_store_result(responded);
@@ -302,10 +308,14 @@
 }
 
 /// Adds the records that have arrived to a batch, up to its limits.
-fn fill_batch(batch: &mut Vec<PendingRecord>, rx: &mut mpsc::UnboundedReceiver<PendingRecord>) {
-    let mut bytes: usize = batch.iter().map(|p| p.record.value.len()).sum();
+fn fill_batch(
+    batch: &mut Vec<PendingRecord>,
+    rx: &mut mpsc::UnboundedReceiver<PendingRecord>,
+    bytes_max: usize,
+) {
+    let mut bytes = batch_bytes(batch);
     while batch.len() < BATCH_RECORDS_MAX
-        && bytes < BATCH_BYTES_MAX
+        && bytes < bytes_max
         && let Ok(pending) = rx.try_recv()
     {
         bytes += pending.record.value.len();
@@ -313,6 +323,23 @@
     }
 }
 
+fn batch_bytes(batch: &[PendingRecord]) -> usize {
+    batch.iter().map(|p| p.record.value.len()).sum()
+}
+
+/// Replies to the callers who would get no reply in time from an append that takes `expected`.
+fn reply_if_hopeless(batch: &mut Vec<PendingRecord>, expected: Duration) {
+    let now = Instant::now();
+    let hopeless = |p: &mut PendingRecord| p.deadline < now + expected;
+    for pending in batch.extract_if(.., hopeless) {
+        let reply = match pending.may_have_run {
+            true => Reply::MayHaveRun,
+            false => Reply::NotRun { retry_s: RETRY_S },
+        };
+        pending.send_reply(reply);
+    }
+}
+
 /// After a failed append, replies to the callers whose records are not retried, and returns the
 /// other records.
 ///
--- a/crates/monsoonnotch_member/src/term/mod.rs
+++ b/crates/monsoonnotch_member/src/term/mod.rs
@@ -37,8 +37,8 @@
 
 /// Topic of the store that holds the journal.
 pub(crate) const JOURNAL_TOPIC: &str = "keyed.jobs";
-/// How long a read of the journal waits for new records.
-const READ_WAIT: Duration = Duration::from_millis(2_000);
+/// Interval between reads of the journal.
+const JOURNAL_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between reads of the VM list, which changes with every heartbeat of a VM.
 const VM_LIST_INTERVAL: Duration = Duration::from_millis(250);
 /// Pause after a failed request to the store.
@@ -262,13 +262,14 @@
 }
 
 /// Passes new records of the journal to the scheduler.
+///
+/// Members report most records before they are read, and the leader knows its own. Those are left
+/// out.
 async fn feed_journal(cx: &Cx, token: u64, mut from: u64) {
     loop {
-        match cx
-            .store
-            .read(JOURNAL_TOPIC, from, cx.read_wait(READ_WAIT))
-            .await
-        {
+        tokio::time::sleep(JOURNAL_INTERVAL).await;
+        from = from.max(cx.control.journal_position());
+        match cx.store.read(JOURNAL_TOPIC, from, Duration::ZERO).await {
             Ok(page) => {
                 cx.record_store_result(true);
                 from = page.next;
--- a/crates/monsoonnotch_member/src/term/writer.rs
+++ b/crates/monsoonnotch_member/src/term/writer.rs
@@ -104,6 +104,8 @@
                 return Outcome::Fenced;
             }
             Err(Error::Unknown) if began.elapsed() >= timeout => {
+                let bytes: usize = records.iter().map(|r| r.value.len()).sum();
+                log::warn!(event = "append unanswered", token = token, seq = seq, records = records.len(), bytes = bytes, ms = timeout.as_millis() as u64; "the store has not answered an append of the journal; sending it again");
                 cx.record_store_result(false);
                 *timeout_index = (*timeout_index + 1).min(APPEND_TIMEOUTS.len() - 1);
             }
