--- a/crates/monsoonnotch_member/src/control/mod.rs
+++ b/crates/monsoonnotch_member/src/control/mod.rs
@@ -17,6 +17,8 @@
 use monsoonnotch_jobs::site::PublishedConfig;
 use monsoonnotch_jobs::tuning::Tuning;
 
+use crate::pause::Detector;
+
 /// Maximum number of queued inputs that are handled before the next scheduling decision, besides
 /// the one that ended the wait.
 const INPUTS_MAX: usize = 256;
@@ -158,12 +160,11 @@
 
 impl Control {
     fn run(&mut self, rx: &mpsc::Receiver<Input>, out: impl Fn(Output) -> bool) {
-        let mut last_wake = Instant::now();
+        let mut pauses = Detector::new(Instant::now(), SystemTime::now());
         loop {
             let wait = self.time_to_wake();
             let input = rx.recv_timeout(wait);
-            let was_paused = last_wake.elapsed() > wait + PAUSE_MAX;
-            last_wake = Instant::now();
+            let was_paused = pauses.was_paused(wait + PAUSE_MAX, Instant::now(), SystemTime::now());
             if was_paused && let Some(scheduler) = &self.scheduler {
                 log::warn!(event = "process paused", token = scheduler.token(); "the process was paused; checking whether the token is still the newest");
                 self.resumed_at = Instant::now();
--- a/crates/monsoonnotch_member/src/lib.rs
+++ b/crates/monsoonnotch_member/src/lib.rs
@@ -13,6 +13,7 @@
 mod leadership;
 mod links;
 pub mod logs;
+pub mod pause;
 mod process;
 mod requests;
 pub mod settings;
--- a/crates/monsoonnotch_member/src/process/mod.rs
+++ b/crates/monsoonnotch_member/src/process/mod.rs
@@ -40,7 +40,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error when the address for links or for callers cannot be bound.
+/// Returns an error when the address for links or for callers cannot be bound, or when the control
+/// thread ends.
 pub(crate) async fn run(settings: Settings) -> std::io::Result<()> {
     let member = settings.member.clone();
     log::info!(event = "start", name = member.name.as_str(), domain = member.domain.as_str(), version = env!("CARGO_PKG_VERSION"); "starting");
@@ -59,7 +60,8 @@
     let (term_requests, term_requests_rx) = mpsc::unbounded_channel();
     let followers = Arc::new(Followers::default());
     let contact = Arc::new(LeaderContact::default());
-    tokio::spawn(executor::run(Arc::clone(&cx), outputs_rx, term_requests));
+    // It ends with the control thread.
+    let control = tokio::spawn(executor::run(Arc::clone(&cx), outputs_rx, term_requests));
     tokio::spawn(term::run(
         Arc::clone(&cx),
         Arc::clone(&followers),
@@ -85,9 +87,17 @@
     let stop = cx.stopping.subscribe();
     let handler = move |request| requests::handle(Arc::clone(&handler_cx), request);
     tokio::spawn(caller_api::serve(callers, stop, handler));
-    wait_for_stop_signal().await;
-    shut_down(&cx).await;
-    Ok(())
+    tokio::select! {
+        () = wait_for_stop_signal() => {
+            shut_down(&cx).await;
+            Ok(())
+        }
+        // A member that schedules nothing must not remain the leader.
+        _ = control => {
+            log::error!(event = "control ended"; "the control thread ended unexpectedly; the process exits so that it is started again");
+            Err(std::io::Error::other("the control thread ended unexpectedly; see the log"))
+        }
+    }
 }
 
 fn is_ready(cx: &Cx) -> bool {
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -32,7 +32,7 @@
     let site = Site::start(vms).await;
     let mut members = Vec::new();
     for number in 0..count {
-        let mut member = Member::new(number, site.store.addr(), &dir).await;
+        let mut member = Member::new(number, site.store.addr(), &dir, "").await;
         member.start(PROGRAM);
         members.push(member);
     }
