--- a/crates/monsoonnotch_jobs/src/delegation/mod.rs
+++ b/crates/monsoonnotch_jobs/src/delegation/mod.rs
@@ -41,7 +41,7 @@
 /// How long an executor gets no orders after it was silent or late.
 const SUSPENSION: Duration = Duration::from_millis(2_000);
 /// How long the leader calls a VM itself after an executor got no answer from it.
-const DIRECT_PERIOD: Duration = Duration::from_millis(3_000);
+const DIRECT_PERIOD: Duration = Duration::from_millis(1_000);
 /// Time after the last order for a VM from which the VM no longer counts.
 const VM_FORGOTTEN_AFTER: Duration = Duration::from_secs(10);
 
--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -30,9 +30,11 @@
 const OVERDUE_AFTER: Duration = Duration::from_millis(120);
 /// Maximum number of unanswered polls of one VM, including hedged ones.
 const CONCURRENT_POLLS_MAX: usize = 3;
-/// Maximum number of hedged polls that one scan sends, so that a leader that falls behind
-/// does not increase its own load.
-const HEDGED_POLLS_PER_SCAN_MAX: usize = 8;
+/// Number of VMs for each hedged poll that one scan may send. A VM that leaves polls unanswered
+/// is polled again soon, but a leader that falls behind does not increase its own load.
+const VMS_PER_HEDGED_POLL: usize = 32;
+/// Number of hedged polls that one scan may send on a small fleet.
+const HEDGED_POLLS_PER_SCAN_MIN: usize = 8;
 /// The same while answers are late, because further polls are as late and add to the load.
 const HEDGED_POLLS_PER_SATURATED_SCAN_MAX: usize = 1;
 /// Wait of polls of VMs with urgent runs while VMs leave many orders unanswered: half the
@@ -152,7 +154,7 @@
         let now = self.now;
         let limit = match self.answer_times.are_late() {
             true => HEDGED_POLLS_PER_SATURATED_SCAN_MAX,
-            false => HEDGED_POLLS_PER_SCAN_MAX,
+            false => HEDGED_POLLS_PER_SCAN_MIN.max(self.vms.len() / VMS_PER_HEDGED_POLL),
         };
         let overdue = |vm: &vms::Vm| vm.polls.unanswered == 0 && vm.polls.is_overdue(now);
         let late = self.vms.iter().filter(|(_, vm)| overdue(vm));
