One function calls a VM, for the leader and for executors

The leader's own calls and those of an executor were carried out by two copies of the same match over effects, and the delegation had a third. An effect now becomes a VmCall once; orders, direct calls and events are made from it.

--- a/crates/monsoonnotch_jobs/src/delegation/mod.rs
+++ b/crates/monsoonnotch_jobs/src/delegation/mod.rs
@@ -8,22 +8,22 @@
 //! itself: it may still be carried out. Polls fail only after the leader has polled the VM
 //! itself, so that a VM is not unresponsive because its executor is.
 
+mod call;
 mod order;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use crate::effect::PollKey;
 use crate::effect::Target;
 use crate::event::PollError;
 use crate::event::StartAnswer;
 use crate::event::StopAnswer;
 use crate::prelude::*;
-use crate::scheduler::RunKey;
-use crate::vm::PollAnswer;
 
+pub use self::call::Call;
+pub use self::call::Subject;
+pub use self::call::VmCall;
 pub use self::order::Batch;
-pub use self::order::Call;
 pub use self::order::Outcome;
 
 /// Pause between batches to the executors, in which orders gather.
@@ -61,8 +61,8 @@
 pub struct Actions {
     /// Batches of orders to send, by the link of the executor.
     pub batches: BTreeMap<u64, Batch>,
-    /// Effects that the leader executes itself.
-    pub direct: Vec<Effect>,
+    /// Calls that the leader makes itself.
+    pub direct: Vec<VmCall>,
     /// Events for the scheduler.
     pub events: Vec<Event>,
     /// Executors that were suspended, by link.
@@ -87,40 +87,10 @@
     link: u64,
     deadline: Time,
     vm: CompactString,
-    expected: Expected,
-}
-
-/// The event that the outcome of an order leads to.
-#[derive(Debug)]
-enum Expected {
-    Start(RunKey),
-    Stop(RunKey),
-    Poll(Box<PollCall>),
-}
-
-/// A delegated poll, kept so that the leader can send it itself.
-#[derive(Debug, Clone)]
-struct PollCall {
-    key: PollKey,
-    to: Target,
-    acknowledged: u64,
-    lease_until_ms: Option<u64>,
-    timeout: Duration,
     sent_at: Time,
-}
-
-impl PollCall {
-    /// Returns the poll as an effect that the VM answers at once.
-    fn into_effect(self) -> Effect {
-        Effect::Poll {
-            key: self.key,
-            to: self.to,
-            acknowledged: self.acknowledged,
-            lease_until_ms: self.lease_until_ms,
-            wait: Duration::default(),
-            timeout: self.timeout,
-        }
-    }
+    subject: Subject,
+    /// The call if it is a poll, so that the leader can make it itself.
+    poll: Option<VmCall>,
 }
 
 /// How a VM is called.
@@ -214,8 +184,8 @@
 
     /// Queues a call to a VM for an executor.
     ///
-    /// Returns the effect if the leader has to execute it itself.
-    pub fn delegate(&mut self, token: u64, effect: Effect, now: Time) -> Option<Effect> {
+    /// Returns the call if the leader has to make it itself.
+    pub fn delegate(&mut self, token: u64, call: VmCall, now: Time) -> Option<VmCall> {
         if token != self.token {
             self.token = token;
             self.queued.clear();
@@ -223,55 +193,29 @@
             self.deadlines.clear();
             self.vms.clear();
         }
-        let (to, expected, call_max) = match &effect {
-            Effect::Start { run, to, order } => (to, Expected::Start(*run), order.timeout),
-            Effect::Stop {
-                run, to, timeout, ..
-            } => (to, Expected::Stop(*run), *timeout),
-            Effect::Poll {
-                key,
-                to,
-                acknowledged,
-                lease_until_ms,
-                wait,
-                timeout,
-            } => {
-                let poll = PollCall {
-                    key: *key,
-                    to: to.clone(),
-                    acknowledged: *acknowledged,
-                    lease_until_ms: *lease_until_ms,
-                    timeout: *timeout,
-                    sent_at: now,
-                };
-                (to, Expected::Poll(Box::new(poll)), *wait + *timeout)
-            }
-            _ => return Some(effect),
-        };
-        let is_poll = matches!(expected, Expected::Poll(_));
-        let Some(link) = self.route(to, is_poll, now) else {
-            return Some(effect);
+        let is_poll = matches!(call.subject, Subject::Poll(_));
+        let Some(link) = self.route(&call.to, is_poll, now) else {
+            return Some(call);
         };
         self.next_seq += 1;
         let seq = self.next_seq;
         let batch = self.queued.entry(link).or_default();
         batch.token = token;
-        if !batch.add(seq, &effect) {
-            return Some(effect);
-        }
+        batch.add(seq, &call.to, &call.call);
         if batch.len() >= BATCH_ORDERS_MAX {
             self.next_batch_at = now;
         }
-        let deadline = now + call_max + LINK_MARGIN;
-        let vm = to.id.clone();
-        if is_poll && let Some(route) = self.vms.get_mut(&vm) {
+        if is_poll && let Some(route) = self.vms.get_mut(&call.to.id) {
             route.polls += 1;
         }
+        let deadline = now + call.call.time_max() + LINK_MARGIN;
         let pending = PendingOrder {
             link,
             deadline,
-            vm,
-            expected,
+            vm: call.to.id.clone(),
+            sent_at: now,
+            subject: call.subject,
+            poll: is_poll.then_some(call),
         };
         self.pending.insert(seq, pending);
         self.deadlines.insert((deadline, seq));
@@ -322,33 +266,16 @@
             let Some(pending) = self.take_pending(seq) else {
                 continue;
             };
-            let event = match (pending.expected, outcome) {
-                (Expected::Start(run), Outcome::Started(answer)) => {
-                    if matches!(answer, StartAnswer::Unknown | StartAnswer::NotSent) {
-                        self.call_directly(&pending.vm, now);
-                    }
-                    Event::Started { run, answer }
-                }
-                (Expected::Stop(run), Outcome::Stopped(answer)) => {
-                    if answer == StopAnswer::Unknown {
-                        self.call_directly(&pending.vm, now);
-                    }
-                    Event::Stopped { run, answer }
-                }
-                (Expected::Poll(poll), Outcome::Polled(rows)) => Event::Polled {
-                    key: poll.key,
-                    answer: Ok(PollAnswer::from(rows)),
-                },
-                (Expected::Poll(poll), Outcome::PollFailed(PollError::Unresponsive)) => {
-                    self.poll_directly(*poll, now, &mut actions);
+            match outcome {
+                Outcome::PollFailed(PollError::Unresponsive) if pending.poll.is_some() => {
+                    self.fail(pending, now, &mut actions);
                     continue;
                 }
-                (Expected::Poll(poll), Outcome::PollFailed(e)) => Event::Polled {
-                    key: poll.key,
-                    answer: Err(e),
-                },
-                _ => return Err(seq),
-            };
+                Outcome::Started(StartAnswer::Unknown | StartAnswer::NotSent)
+                | Outcome::Stopped(StopAnswer::Unknown) => self.call_directly(&pending.vm, now),
+                _ => {}
+            }
+            let event = pending.subject.event(outcome).ok_or(seq)?;
             actions.events.push(event);
         }
         Ok(actions)
@@ -384,7 +311,7 @@
     fn take_pending(&mut self, seq: u64) -> Option<PendingOrder> {
         let pending = self.pending.remove(&seq)?;
         self.deadlines.remove(&(pending.deadline, seq));
-        if matches!(pending.expected, Expected::Poll(_))
+        if pending.poll.is_some()
             && let Some(vm) = self.vms.get_mut(&pending.vm)
         {
             vm.polls = vm.polls.saturating_sub(1);
@@ -396,38 +323,19 @@
         self.vms.entry(vm.clone()).or_default().direct_until = now + DIRECT_PERIOD;
     }
 
-    /// Lets the leader repeat a poll that an executor got no answer to. If the leader has polled
-    /// the VM itself since, the poll has failed.
-    fn poll_directly(&mut self, poll: PollCall, now: Time, actions: &mut Actions) {
-        let vm = poll.to.id.clone();
-        let polled_at = self.vms.get(&vm).and_then(|v| v.polled_directly_at);
-        self.call_directly(&vm, now);
-        match polled_at.is_some_and(|at| at >= poll.sent_at) {
-            true => actions.events.push(Event::Polled {
-                key: poll.key,
-                answer: Err(PollError::Unresponsive),
-            }),
-            false => actions.direct.push(poll.into_effect()),
-        }
-    }
-
-    /// Ends an order whose outcome is unknown.
-    fn fail_order(&mut self, seq: u64, now: Time, actions: &mut Actions) {
-        let Some(pending) = self.take_pending(seq) else {
-            return;
-        };
-        match pending.expected {
-            Expected::Start(run) => {
-                self.call_directly(&pending.vm, now);
-                let answer = StartAnswer::Unknown;
-                actions.events.push(Event::Started { run, answer });
-            }
-            Expected::Stop(run) => {
-                self.call_directly(&pending.vm, now);
-                let answer = StopAnswer::Unknown;
-                actions.events.push(Event::Stopped { run, answer });
+    /// Ends an order that has no answer. The leader repeats a poll, unless it has polled the VM
+    /// itself since.
+    fn fail(&mut self, pending: PendingOrder, now: Time, actions: &mut Actions) {
+        let polled_at = self.vms.get(&pending.vm).and_then(|v| v.polled_directly_at);
+        self.call_directly(&pending.vm, now);
+        match pending.poll {
+            Some(mut poll) if polled_at.is_none_or(|at| at < pending.sent_at) => {
+                if let Call::Poll { wait, .. } = &mut poll.call {
+                    *wait = Duration::default();
+                }
+                actions.direct.push(poll);
             }
-            Expected::Poll(poll) => self.poll_directly(*poll, now, actions),
+            _ => actions.events.push(pending.subject.unanswered()),
         }
     }
 
@@ -436,7 +344,9 @@
         let own = self.pending.iter().filter(|(_, p)| p.link == link);
         let own: Vec<u64> = own.map(|(&seq, _)| seq).collect();
         for seq in own {
-            self.fail_order(seq, now, actions);
+            if let Some(pending) = self.take_pending(seq) {
+                self.fail(pending, now, actions);
+            }
         }
     }
 
@@ -444,12 +354,14 @@
         while let Some(&(deadline, seq)) = self.deadlines.first()
             && now >= deadline
         {
-            let link = self.pending.get(&seq).map(|p| p.link);
-            self.fail_order(seq, now, actions);
-            let executor = link.and_then(|l| self.executors.get_mut(&l));
-            if let Some(executor) = executor {
+            let Some(pending) = self.take_pending(seq) else {
+                self.deadlines.pop_first();
+                continue;
+            };
+            if let Some(executor) = self.executors.get_mut(&pending.link) {
                 executor.overdue += 1;
             }
+            self.fail(pending, now, actions);
         }
     }
 
--- a/crates/monsoonnotch_jobs/src/delegation/order.rs
+++ b/crates/monsoonnotch_jobs/src/delegation/order.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::effect::Effect;
+use super::call::Call;
 use crate::effect::StartOrder;
 use crate::effect::Target;
 use crate::event::PollError;
@@ -55,16 +55,13 @@
 }
 
 impl Batch {
-    /// Adds an effect as an order; returns false if it is no call to a VM.
-    pub(super) fn add(&mut self, seq: u64, effect: &Effect) -> bool {
-        let spec = match effect {
-            Effect::Start { order, .. } => self.add_spec(&order.spec),
-            _ => 0,
+    /// Adds a call as an order.
+    pub(super) fn add(&mut self, seq: u64, to: &Target, call: &Call) {
+        let spec = match call {
+            Call::Start(order) => self.add_spec(&order.spec),
+            Call::Stop { .. } | Call::Poll { .. } => 0,
         };
-        let order = Order::new(seq, effect, spec);
-        let added = order.is_some();
-        self.orders.extend(order);
-        added
+        self.orders.push(Order::new(seq, to, call, spec));
     }
 
     /// Returns the index of a spec, which is added unless one of the latest is equal.
@@ -174,77 +171,39 @@
     },
 }
 
-/// A call to a VM, decoded from an order.
-#[derive(Debug)]
-pub enum Call {
-    /// Starts a run.
-    Start(Box<StartOrder>),
-    /// Stops a run, or prevents its start.
-    Stop {
-        /// The task of the run.
-        task: TaskId,
-        /// The attempt at the task.
-        attempt: u64,
-        /// How long to wait for the VM's answer.
-        timeout: Duration,
-    },
-    /// Polls the VM.
-    Poll {
-        /// Highest completion number that the VM may forget.
-        acknowledged: u64,
-        /// End of the requested lease on the VM's clock, in milliseconds.
-        lease_until_ms: Option<u64>,
-        /// How long the VM may hold the poll open.
-        wait: Duration,
-        /// How long to wait for the VM's answer beyond `wait`.
-        timeout: Duration,
-    },
-}
-
 impl Order {
-    /// Encodes an effect as an order; `None` if the effect is no call to a VM.
-    fn new(seq: u64, effect: &Effect, spec: usize) -> Option<Self> {
-        let (to, request) = match effect {
-            Effect::Start { to, order, .. } => (to, start_request(order, spec)),
-            Effect::Stop {
-                to,
+    /// Encodes a call; `spec` is the index of its spec in the batch.
+    fn new(seq: u64, to: &Target, call: &Call, spec: usize) -> Self {
+        let request = match call {
+            Call::Start(order) => start_request(order, spec),
+            Call::Stop {
                 task,
                 attempt,
                 timeout,
-                ..
-            } => {
-                let request = Request::Stop {
-                    task: task_row(task),
-                    attempt: *attempt,
-                    timeout_ms: timeout.as_millis(),
-                };
-                (to, request)
-            }
-            Effect::Poll {
-                to,
+            } => Request::Stop {
+                task: task_row(task),
+                attempt: *attempt,
+                timeout_ms: timeout.as_millis(),
+            },
+            Call::Poll {
                 acknowledged,
                 lease_until_ms,
                 wait,
                 timeout,
-                ..
-            } => {
-                let request = Request::Poll {
-                    acknowledged: *acknowledged,
-                    lease_until_ms: *lease_until_ms,
-                    wait_ms: wait.as_millis(),
-                    timeout_ms: timeout.as_millis(),
-                };
-                (to, request)
-            }
-            _ => return None,
+            } => Request::Poll {
+                acknowledged: *acknowledged,
+                lease_until_ms: *lease_until_ms,
+                wait_ms: wait.as_millis(),
+                timeout_ms: timeout.as_millis(),
+            },
         };
-        Some(Self {
+        Self {
             seq,
             addr: to.addr.clone(),
             id: to.id.clone(),
             min_clock_ms: to.min_clock_ms,
             request,
-        })
+        }
     }
 
     /// Returns the VM and the call; `None` if the spec is missing.
--- a/crates/monsoonnotch_jobs/src/effect/mod.rs
+++ b/crates/monsoonnotch_jobs/src/effect/mod.rs
@@ -152,7 +152,7 @@
 }
 
 /// The content of a start order.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct StartOrder {
     /// The task to run.
     pub task: TaskId,
--- a/crates/monsoonnotch_jobs/tests/promises/delegation.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/delegation.rs
@@ -10,6 +10,7 @@
 use monsoonnotch_jobs::delegation::Delegation;
 use monsoonnotch_jobs::delegation::Limits;
 use monsoonnotch_jobs::delegation::Outcome;
+use monsoonnotch_jobs::delegation::VmCall;
 use monsoonnotch_jobs::effect::Effect;
 use monsoonnotch_jobs::event::Event;
 use monsoonnotch_jobs::event::PollError;
@@ -65,11 +66,15 @@
     fx
 }
 
-/// Delegates effects and returns those that the leader executes itself.
-fn delegate(delegation: &mut Delegation, ms: u64, fx: Vec<Effect>) -> Vec<Effect> {
-    let own = fx.into_iter();
-    own.filter_map(|e| delegation.delegate(TOKEN, e, at(ms)))
-        .collect()
+fn vm_call(effect: Effect) -> VmCall {
+    VmCall::try_from(effect).expect("a call to a VM")
+}
+
+/// Delegates calls and returns those that the leader makes itself.
+fn delegate(delegation: &mut Delegation, ms: u64, fx: Vec<Effect>) -> Vec<VmCall> {
+    let calls = fx.into_iter().map(vm_call);
+    let own = calls.filter_map(|c| delegation.delegate(TOKEN, c, at(ms)));
+    own.collect()
 }
 
 /// Returns the batch for an executor after its way over a link.
@@ -249,7 +254,8 @@
     let mut delegation = delegation(0);
     delegate(&mut delegation, 1, starts());
     let poll = polls(1).pop().expect("a poll");
-    assert!(delegation.delegate(TOKEN + 1, poll, at(1)).is_none());
+    let own = delegation.delegate(TOKEN + 1, vm_call(poll), at(1));
+    assert!(own.is_none());
     let mut actions = delegation.tick(at(2));
     let batch = sent_batch(&mut actions, STRONG);
     assert_eq!((batch.token, batch.len()), (TOKEN + 1, 1));
--- a/crates/monsoonnotch_member/src/executor/mod.rs
+++ b/crates/monsoonnotch_member/src/executor/mod.rs
@@ -5,18 +5,21 @@
 use std::future::pending;
 use std::sync::Arc;
 
+use compact_str::CompactString;
 use monsoonnotch_adapter::approval;
-use monsoonnotch_adapter::vms::PollRequest;
 use monsoonnotch_core::time::Time;
 use monsoonnotch_jobs::delegation::Actions;
 use monsoonnotch_jobs::delegation::Outcome;
+use monsoonnotch_jobs::delegation::VmCall;
 use monsoonnotch_jobs::effect::Answer;
+use monsoonnotch_jobs::effect::ApprovalRequestKey;
 use monsoonnotch_jobs::effect::ApprovalSlotKey;
 use monsoonnotch_jobs::effect::Effect;
 use monsoonnotch_jobs::effect::LogEntry;
 use monsoonnotch_jobs::effect::QueryKey;
 use monsoonnotch_jobs::event::Event;
 use monsoonnotch_jobs::journal::KeyedRecord;
+use monsoonnotch_jobs::plan::StageId;
 use tokio::sync::mpsc;
 
 use crate::control::Output;
@@ -62,10 +65,9 @@
             }
             Some(Output::Effects(token, effects)) => {
                 for effect in effects {
-                    let now = cx.clock.now();
-                    let own = lock(&cx.delegation).delegate(token, effect, now);
-                    if let Some(effect) = own {
-                        execute(&cx, token, effect, &term_requests);
+                    match VmCall::try_from(effect) {
+                        Ok(call) => delegate_or_call(&cx, token, call),
+                        Err(effect) => execute(&cx, token, effect, &term_requests),
                     }
                 }
             }
@@ -116,18 +118,26 @@
             perform(cx, actions);
         }
     }
-    for effect in actions.direct {
-        spawn_request(cx, token, effect);
+    for call in actions.direct {
+        spawn_call(cx, token, call);
     }
     for event in actions.events {
         cx.control.event(token, event);
     }
 }
 
-fn spawn_request(cx: &Arc<Cx>, token: u64, request: Effect) {
+fn delegate_or_call(cx: &Arc<Cx>, token: u64, call: VmCall) {
+    let own = lock(&cx.delegation).delegate(token, call, cx.clock.now());
+    if let Some(call) = own {
+        spawn_call(cx, token, call);
+    }
+}
+
+fn spawn_call(cx: &Arc<Cx>, token: u64, call: VmCall) {
     let cx = Arc::clone(cx);
     tokio::spawn(async move {
-        if let Some(event) = execute_request(&cx, token, request).await {
+        let outcome = orders::call_vm(&cx, token, &call.to, call.call).await;
+        if let Some(event) = call.subject.event(outcome) {
             cx.control.event(token, event);
         }
     });
@@ -148,73 +158,48 @@
         }
         Effect::Reply { key, answer } => reply(cx, key, answer),
         Effect::Log(entry) => write_log_entry(token, &entry),
-        request => spawn_request(cx, token, request),
-    }
-}
-
-/// Executes an effect that sends a request, and returns the event with the response.
-///
-/// Returns `None` when a follower sends the response later in a separate frame.
-async fn execute_request(cx: &Arc<Cx>, token: u64, request: Effect) -> Option<Event> {
-    match request {
-        Effect::Start { run, to, order } => {
-            let answer = cx.vm_client.start(&to, &order, token).await;
-            Some(Event::Started { run, answer })
-        }
-        Effect::Stop {
-            run,
-            to,
-            task,
-            attempt,
-            timeout,
-        } => {
-            let stop = cx
-                .vm_client
-                .stop(&to, &task, attempt, token, timeout.into());
-            let answer = stop.await;
-            Some(Event::Stopped { run, answer })
-        }
-        Effect::Poll {
-            key,
-            to,
-            acknowledged,
-            lease_until_ms,
-            wait,
-            timeout,
-        } => {
-            let poll = PollRequest {
-                acknowledged,
-                lease_until_ms,
-                wait: wait.into(),
-                timeout: timeout.into(),
-            };
-            let poll = cx.vm_client.poll(&to, token, &poll);
-            let answer = poll.await;
-            Some(Event::Polled { key, answer })
-        }
         Effect::RequestApproval {
             key,
             slot,
             stage,
             vms,
         } => {
-            if slot.0 == LOCAL_LINK {
-                let allowed =
-                    approval::request(&cx.http, &cx.settings.services.approval, &stage, &vms).await;
-                return Some(Event::Approved { key, allowed });
-            }
-            let frame = Frame::Approve {
-                request: key.0,
-                stage,
-                vms,
-            };
-            let sent = cx.send_to_follower(slot, frame);
-            (!sent).then_some(Event::Approved { key, allowed: None })
+            let cx = Arc::clone(cx);
+            tokio::spawn(async move {
+                if let Some(event) = request_approval(&cx, key, slot, stage, vms).await {
+                    cx.control.event(token, event);
+                }
+            });
         }
-        Effect::Append(_) | Effect::Reply { .. } | Effect::StepDown | Effect::Log(_) => None,
+        // These are calls to VMs, which are not executed here.
+        Effect::Start { .. } | Effect::Stop { .. } | Effect::Poll { .. } => {}
     }
 }
 
+/// Requests approvals, and returns the event with the response.
+///
+/// Returns `None` when a follower sends the response later in a separate frame.
+async fn request_approval(
+    cx: &Cx,
+    key: ApprovalRequestKey,
+    slot: ApprovalSlotKey,
+    stage: StageId,
+    vms: Vec<CompactString>,
+) -> Option<Event> {
+    if slot.0 == LOCAL_LINK {
+        let addr = &cx.settings.services.approval;
+        let allowed = approval::request(&cx.http, addr, &stage, &vms).await;
+        return Some(Event::Approved { key, allowed });
+    }
+    let frame = Frame::Approve {
+        request: key.0,
+        stage,
+        vms,
+    };
+    let sent = cx.send_to_follower(slot, frame);
+    (!sent).then_some(Event::Approved { key, allowed: None })
+}
+
 fn reply(cx: &Cx, key: QueryKey, answer: Answer) {
     if key.link == LOCAL_LINK {
         return cx.queries.complete(key.seq, answer);
--- a/crates/monsoonnotch_member/src/executor/orders.rs
+++ b/crates/monsoonnotch_member/src/executor/orders.rs
@@ -57,7 +57,8 @@
     }
 }
 
-async fn call_vm(cx: &Cx, token: u64, to: &Target, call: Call) -> Outcome {
+/// Calls a VM under the leader's `token`.
+pub(super) async fn call_vm(cx: &Cx, token: u64, to: &Target, call: Call) -> Outcome {
     let vms = &cx.vm_client;
     match call {
         Call::Start(order) => Outcome::Started(vms.start(to, &order, token).await),
