End only the order and the link of a wrong outcome, and keep links after pings

Found by reading the change: after an outcome of another kind than its order, the events of the outcomes before it in the frame were dropped with it, so that their runs and polls would have waited for ever. They are reported now, the order counts as unanswered, and the link ends. Pings, pongs and close messages no longer count as invalid. malformed_orders_and_outcomes_are_refused checks both outcomes of one frame.

--- a/crates/monsoonnotch_jobs/src/delegation/mod.rs
+++ b/crates/monsoonnotch_jobs/src/delegation/mod.rs
@@ -67,6 +67,8 @@
     pub events: Vec<Event>,
     /// Executors that were suspended, by link.
     pub suspended: Vec<u64>,
+    /// The order for which an outcome of another kind was received.
+    pub mismatched: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -242,17 +244,9 @@
         links.get(hash % links.len().max(1)).copied()
     }
 
-    /// Applies the outcomes of orders; outcomes of unknown orders are late and have no effect.
-    ///
-    /// # Errors
-    ///
-    /// Returns the number of the order if an outcome is of another kind than its order.
-    pub fn completed(
-        &mut self,
-        link: u64,
-        outcomes: Vec<(u64, Outcome)>,
-        now: Time,
-    ) -> Result<Actions, u64> {
+    /// Applies the outcomes of orders. Outcomes of unknown orders are late and have no effect; an
+    /// order with an outcome of another kind counts as unanswered.
+    pub fn completed(&mut self, link: u64, outcomes: Vec<(u64, Outcome)>, now: Time) -> Actions {
         let mut actions = Actions::default();
         self.heard(link, now);
         if let Some(executor) = self.executors.get_mut(&link) {
@@ -275,10 +269,15 @@
                 | Outcome::Stopped(StopAnswer::Unknown) => self.call_directly(&pending.vm, now),
                 _ => {}
             }
-            let event = pending.subject.event(outcome).ok_or(seq)?;
-            actions.events.push(event);
+            match pending.subject.event(outcome) {
+                Some(event) => actions.events.push(event),
+                None => {
+                    actions.mismatched = Some(seq);
+                    self.fail(pending, now, &mut actions);
+                }
+            }
         }
-        Ok(actions)
+        actions
     }
 
     /// Returns the batches that are due, and handles overdue orders and silent executors.
--- a/crates/monsoonnotch_jobs/tests/promises/delegation.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/delegation.rs
@@ -177,8 +177,7 @@
     delegate(&mut delegation, 1, polls(1));
     let seq = calls(&mut delegation.tick(at(1)), STRONG)[0].0;
     let failed = || Outcome::polled(Err(PollError::Unresponsive));
-    let completed = delegation.completed(STRONG, vec![(seq, failed())], at(700));
-    let actions = completed.expect("the kind of outcome that was ordered");
+    let actions = delegation.completed(STRONG, vec![(seq, failed())], at(700));
     assert_eq!((failed_polls(&actions), actions.direct.len()), (0, 1));
     let own = delegate(&mut delegation, 800, polls(1));
     assert_eq!(own.len(), 1, "the executor is avoided for a while");
@@ -193,8 +192,7 @@
     let own = delegate(&mut delegation, 200, polls(1));
     assert_eq!(own.len(), 1, "a poll beside a late one takes the other way");
     let failed = Outcome::polled(Err(PollError::Unresponsive));
-    let completed = delegation.completed(STRONG, vec![(seq, failed)], at(700));
-    let actions = completed.expect("the kind of outcome that was ordered");
+    let actions = delegation.completed(STRONG, vec![(seq, failed)], at(700));
     assert_eq!((failed_polls(&actions), actions.direct.len()), (1, 0));
 }
 
@@ -212,7 +210,7 @@
     assert_eq!(delegate(&mut delegation, 260, starts()).len(), 3);
     let late = Outcome::Started(StartAnswer::Running);
     let completed = delegation.completed(STRONG, vec![(seqs[0].0, late)], at(270));
-    assert_eq!(completed.expect("no known order").events.len(), 0);
+    assert_eq!(completed.events.len(), 0);
 }
 
 /// Guards against outcomes of another executor that are taken for those of the present one.
@@ -223,9 +221,9 @@
     let seq = calls(&mut delegation.tick(at(1)), STRONG)[0].0;
     let running = || vec![(seq, Outcome::Started(StartAnswer::Running))];
     let other = delegation.completed(WEAKER, running(), at(2));
-    assert_eq!(other.expect("ignored").events.len(), 0);
+    assert_eq!(other.events.len(), 0);
     let own = delegation.completed(STRONG, running(), at(3));
-    assert_eq!(own.expect("applied").events.len(), 1);
+    assert_eq!(own.events.len(), 1);
 }
 
 /// Guards against malformed messages that take a process down: an outcome of another kind than its
@@ -243,9 +241,16 @@
     bytes.splice(found..found + specs.len(), *b"especs\x80");
     let batch: Batch = decode(&bytes).expect("a batch");
     assert!(batch.into_calls().is_none());
-    let seq = calls(&mut actions, STRONG)[0].0;
-    let wrong = vec![(seq, Outcome::Stopped(StopAnswer::Accepted))];
-    assert!(matches!(delegation.completed(STRONG, wrong, at(2)), Err(s) if s == seq));
+    let calls = calls(&mut actions, STRONG);
+    let (first, second) = (calls[0].0, calls[1].0);
+    let outcomes = vec![
+        (first, Outcome::Stopped(StopAnswer::Accepted)),
+        (second, Outcome::Started(StartAnswer::Running)),
+    ];
+    let actions = delegation.completed(STRONG, outcomes, at(2));
+    assert_eq!(actions.mismatched, Some(first));
+    let answers = start_answers(&actions);
+    assert_eq!(answers, [StartAnswer::Unknown, StartAnswer::Running]);
 }
 
 /// Guards against orders of a term that has ended: they are not sent after the next one begins.
@@ -272,10 +277,7 @@
     let outcome = Outcome::polled(Ok(poll_answer(Vec::new())));
     let outcomes: Vec<(u64, Outcome)> =
         decode(&encode(&vec![(seq, outcome)])).expect("outcomes can be decoded");
-    let completed = delegation.completed(STRONG, outcomes, at(5));
-    let events = completed
-        .expect("the kind of outcome that was ordered")
-        .events;
+    let events = delegation.completed(STRONG, outcomes, at(5)).events;
     let expected = poll_answer(Vec::new());
     assert!(matches!(&events[..], [Event::Polled { answer: Ok(a), .. }] if *a == expected));
 }
--- a/crates/monsoonnotch_member/src/executor/mod.rs
+++ b/crates/monsoonnotch_member/src/executor/mod.rs
@@ -88,15 +88,13 @@
 
 /// Applies the outcomes that a follower sent; returns whether they match their orders.
 pub(crate) fn apply_outcomes(cx: &Arc<Cx>, link: u64, outcomes: Vec<(u64, Outcome)>) -> bool {
-    let completed = lock(&cx.delegation).completed(link, outcomes, cx.clock.now());
-    match completed {
-        Ok(actions) => perform(cx, actions),
-        Err(seq) => {
-            log::warn!(event = "link invalid", link = link, order = seq; "a follower sent an outcome of another kind than its order; closing the link");
-            return false;
-        }
+    let actions = lock(&cx.delegation).completed(link, outcomes, cx.clock.now());
+    let mismatched = actions.mismatched;
+    perform(cx, actions);
+    if let Some(order) = mismatched {
+        log::warn!(event = "link invalid", link = link, order = order; "a follower sent an outcome of another kind than its order; closing the link");
     }
-    true
+    mismatched.is_none()
 }
 
 /// Ends the orders of a follower whose link is closed.
--- a/crates/monsoonnotch_member/src/links/follower.rs
+++ b/crates/monsoonnotch_member/src/links/follower.rs
@@ -18,7 +18,7 @@
 use super::Frame;
 use super::decode_frame;
 use super::encode_frame;
-use super::log_invalid_message;
+use super::is_control_message;
 use super::socket_config;
 use crate::cx::Cx;
 use crate::cx::Leadership;
@@ -204,10 +204,7 @@
                             handle_frame(cx, leadership, contact, &tx, frame);
                             true
                         }
-                        None => {
-                            log_invalid_message(&leadership.claim.name, &msg);
-                            false
-                        }
+                        None => is_control_message(&leadership.claim.name, &msg),
                     }
                 }
                 _ => false,
--- a/crates/monsoonnotch_member/src/links/leader.rs
+++ b/crates/monsoonnotch_member/src/links/leader.rs
@@ -28,7 +28,7 @@
 use super::StoreOutcome;
 use super::decode_frame;
 use super::encode_frame;
-use super::log_invalid_message;
+use super::is_control_message;
 use super::socket_config;
 use crate::cx::Cx;
 use crate::cx::lock;
@@ -140,7 +140,8 @@
         domain,
     }) = decode_frame(&hello)
     else {
-        log_invalid_message("a new follower", &hello);
+        // A link begins with its hello frame, whatever else may follow.
+        is_control_message("a new follower", &hello);
         return None;
     };
     if cx.own_token() != Some(token) {
@@ -199,10 +200,7 @@
                             handle_frame(cx, token, link, followers, frame);
                             true
                         }
-                        None => {
-                            log_invalid_message(&name, &msg);
-                            false
-                        }
+                        None => is_control_message(&name, &msg),
                     },
                     _ => false,
                 }
--- a/crates/monsoonnotch_member/src/links/mod.rs
+++ b/crates/monsoonnotch_member/src/links/mod.rs
@@ -190,7 +190,12 @@
     }
 }
 
-/// Logs why a link is closed that delivered something that is no frame.
-fn log_invalid_message(peer: &str, msg: &Message) {
-    log::warn!(event = "link invalid", peer = peer, bytes = msg.len(); "received a message that is no frame; closing the link");
+/// Whether a message that is no frame belongs to the WebSocket protocol. Logs any other one, after
+/// which the link is closed.
+fn is_control_message(peer: &str, msg: &Message) -> bool {
+    let is_control = msg.is_ping() || msg.is_pong() || msg.is_close();
+    if !is_control {
+        log::warn!(event = "link invalid", peer = peer, bytes = msg.len(); "received a message that is no frame; closing the link");
+    }
+    is_control
 }
