Log the VMs and runs that a new leader waits for

The log could not tell whether a long-lived task waited for a silent VM, for its account's limit or for approvals: an inherited run is in no queue, so that no line was written about it.

`vm awaited` names each VM that a predecessor used and that has not answered, `run awaited` each run that is still counted there, with the time left, every 1.5 s of a term.

--- a/crates/monsoonnotch_jobs/src/scheduler/mod.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/mod.rs
@@ -99,6 +99,8 @@
     next_scan: Time,
     next_placement: Time,
     next_retry: Time,
+    /// When awaited VMs and runs are logged next.
+    next_awaited_log: Time,
     /// Whether something changed that may allow a waiting task to start.
     placement_needed: bool,
     /// Set once a leader with a higher token is seen; nothing is decided or sent from then on.
@@ -143,6 +145,7 @@
             next_scan: Time::default(),
             next_placement: Time::default(),
             next_retry: Time::default(),
+            next_awaited_log: Time::default(),
             placement_needed: false,
             stopped: false,
             effects: Vec::new(),
@@ -232,6 +235,7 @@
         self.scan_vms();
         self.hedge_overdue_polls();
         self.scan_runs();
+        self.log_awaited();
         self.scan_jobs();
         self.rerank_late_stages();
         self.scan_approval_requests();
--- a/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
@@ -13,6 +13,9 @@
 use super::*;
 use crate::journal::Placements;
 
+/// Pause between two reports of the VMs and runs that are awaited.
+pub(super) const AWAITED_LOG_INTERVAL: Duration = Duration::from_millis(1_500);
+
 impl Scheduler {
     /// Applies the stored placements of a job; ignored once the journal has been read.
     pub(super) fn apply_placements(&mut self, id: JobId, placements: &Placements) {
@@ -132,4 +135,42 @@
             }
         }
     }
+
+    /// Logs the VMs that a predecessor used and that have not answered, and the inherited runs
+    /// there: tasks that wait for them are in no queue.
+    pub(super) fn log_awaited(&mut self) {
+        let now = self.now;
+        if now < self.next_awaited_log {
+            return;
+        }
+        self.next_awaited_log = now + AWAITED_LOG_INTERVAL;
+        let left_ms = self.settle_at.since(now).as_millis();
+        let awaited = |vm: &vms::Vm| vm.in_predecessor_fleet || !vm.runs.is_empty();
+        let vms = self.vms.iter().map(|(_, vm)| vm);
+        let vms = vms.filter(|vm| !vm.answered && awaited(vm));
+        let vms: Vec<String> = vms
+            .map(|vm| {
+                let (r, fleet) = (&vm.registration, vm.in_predecessor_fleet);
+                let (listed, runs) = (vm.listed, vm.runs.len());
+                format!(
+                    "vm={} runs={runs} fleet={fleet} listed={listed} left_ms={left_ms}",
+                    r.id
+                )
+            })
+            .collect();
+        let runs = self.runs.values();
+        let runs = runs.filter(|r| r.state == runs::State::Inherited);
+        let runs: Vec<(u64, String)> = runs
+            .map(|r| {
+                let id = self.task_id(r.stage, r.index).stage.job.0;
+                (id, format!("{} left_ms={left_ms}", self.describe_run(r)))
+            })
+            .collect();
+        for detail in vms {
+            self.log(0, "vm awaited", detail);
+        }
+        for (job, detail) in runs {
+            self.log(job, "run awaited", detail);
+        }
+    }
 }
