A failing test: leaders that follow each other wait anew for a silent VM

Each leader counts the stored placement on a VM that does not answer as a run for 10.7 s from the start of its own term, and a task without a stored placement waits as long for such a VM of the stored fleet. A leader that ends before passes nothing on, so that the next one waits anew.

--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -21,4 +21,5 @@
 mod saturated_link;
 mod simulation;
 mod slow_store;
+mod terms;
 mod vm;
