Simulated VMs answer no order that they carry out again later

The platform says of a call without an answer that it may be carried out later. The model's VMs also did so with orders whose refusal they had answered: the first execution was refused and answered, the second one started the run.

An unanswered order may still be refused first and carried out later; that refusal is now lost, as the answer to any other unanswered order is.

--- a/crates/monsoonnotch_jobs/tests/promises/network.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/network.rs
@@ -315,7 +315,10 @@
                 true => StartAnswer::Unapproved,
                 false => StartAnswer::Unhealthy,
             };
-            return self.answer(m, route, answer_of(answer));
+            if !route.unanswered {
+                self.answer(m, route, answer_of(answer));
+            }
+            return;
         }
         let (mut answer, began) = vm.start(order.task, order.expires_ms, token, work, now);
         if vm.clock(now) < route.min_clock_ms {
