Await a silent VM once, not in each leader term

Cause: a task that may run on a silent VM waits until every lease there has expired. Each leader counted 10.7 s from the start of its own term, since it knew nothing of what its predecessor had waited for. Leaders that end sooner made the wait endless. It held for stored placements, for tasks without one and a silent VM of the stored fleet, and for the account's limit.

Change: the leader gives no lease to a VM that has been silent for 1 s, and stores in the record `leases` how long the leases there may last, every 400 ms. It gives a lease again only once a record without the VM is stored. The next leader counts from the stored time. A record of any other term than the one right before does not count: the leader between may have given a lease and stored nothing.

Why it is safe: a fenced leader can no longer replace the record, and without that it gives no lease; the time is taken when the record is written and counted from when it is read. Tests: a VM that answers again is awaited anew; leases of an earlier term do not count.

--- a/crates/monsoonnotch_jobs/src/journal/mod.rs
+++ b/crates/monsoonnotch_jobs/src/journal/mod.rs
@@ -110,6 +110,20 @@
 /// placement is stored.
 pub const FLEET_KEY: &str = "fleet";
 
+/// Key of the record of the leases that VMs may still have, see [`RemainingLeases`].
+pub const LEASES_KEY: &str = "leases";
+
+/// The leases that VMs without an answer may still have. The leader that wrote the record gives
+/// them no lease until a record without them is stored.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct RemainingLeases {
+    /// The token of that leader.
+    pub token: u64,
+    /// Ids of the VMs, each with the time until all its leases have expired, in milliseconds
+    /// from when the record was written.
+    pub remaining_ms: Vec<(CompactString, u64)>,
+}
+
 /// A decoded record.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Entry {
@@ -123,6 +137,8 @@
     Placed(JobId, Placements),
     /// Ids of the VMs on which a task may run before its placement is stored.
     Fleet(Vec<CompactString>),
+    /// The leases that VMs without an answer may still have.
+    Leases(RemainingLeases),
     /// A new leader term starts; later records of earlier terms are refused.
     TermStarted {
         /// The token of the new leader.
@@ -198,16 +214,24 @@
     }
 }
 
+/// Returns the record of the leases that VMs may still have.
+pub fn leases_record(leases: &RemainingLeases) -> KeyedRecord {
+    KeyedRecord {
+        key: CompactString::const_new(LEASES_KEY),
+        value: encode(leases),
+    }
+}
+
 /// Returns tombstones for all records of a job.
 pub fn job_tombstones(id: JobId) -> Vec<KeyedRecord> {
     let all = [".p", ".c", ".r", ""];
     all.iter().map(|s| tombstone(id, s)).collect()
 }
 
-/// Returns whether a key is that of progress, of placements or of the fleet, which only
-/// the leader writes.
+/// Returns whether a key is that of progress, of placements, of the fleet or of leases, which
+/// only the leader writes.
 pub fn is_written_by_leader(key: &str) -> bool {
-    key.ends_with(".p") || key.ends_with(".r") || key == FLEET_KEY
+    key.ends_with(".p") || key.ends_with(".r") || key == FLEET_KEY || key == LEASES_KEY
 }
 
 /// Decodes a record; returns `None` if the key or the value has an unknown format.
@@ -219,6 +243,9 @@
     if stored.key == FLEET_KEY {
         return Some(Entry::Fleet(decode(&stored.value)?));
     }
+    if stored.key == LEASES_KEY {
+        return Some(Entry::Leases(decode(&stored.value)?));
+    }
     let (id, suffix) = stored.key.split_at_checked(16)?;
     let id = parse_job_id(id)?;
     if stored.value.is_empty() {
--- a/crates/monsoonnotch_jobs/src/scheduler/flush.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/flush.rs
@@ -8,6 +8,7 @@
 use crate::journal::Placed;
 use crate::journal::Placements;
 use crate::journal::Progress;
+use crate::journal::RemainingLeases;
 use crate::journal::StageProgress;
 
 /// Size in bytes from which no more records are added to an append; well below the
@@ -16,6 +17,9 @@
 
 /// Pause between two updates of the fleet record.
 const FLEET_UPDATE_PAUSE: Duration = Duration::from_millis(200);
+/// Interval between updates of the leases record while only the remaining times change. A
+/// successor waits for up to this much longer.
+const LEASES_UPDATE_INTERVAL: Duration = Duration::from_millis(400);
 /// Duration above which an append is logged as slow: about twenty times the usual.
 const SLOW_APPEND_THRESHOLD: Duration = Duration::from_millis(100);
 
@@ -36,6 +40,10 @@
     /// Ids of the VMs in the stored fleet record.
     fleet: Vec<CompactString>,
     next_fleet_at: Time,
+    /// The leases in the stored record, and when they were written.
+    leases: Vec<(CompactString, u64)>,
+    leases_at: Time,
+    next_leases_at: Time,
 }
 
 /// The changes covered by the append in flight.
@@ -48,6 +56,8 @@
     acknowledgements: Vec<(VmKey, u64, u64)>,
     /// The new fleet, if the append updates the fleet record.
     fleet: Option<Vec<CompactString>>,
+    /// The new leases, if the append updates the leases record.
+    leases: Option<Vec<(CompactString, u64)>>,
     sent_at: Time,
 }
 
@@ -85,8 +95,10 @@
         let acknowledgements: Vec<(VmKey, u64, u64)> =
             acknowledgements.into_iter().filter_map(seen).collect();
         let mut fleet = self.changed_fleet();
+        let leases = self.changed_leases();
         let no_job_changed = self.flush.dirty.is_empty() && self.flush.planned.is_empty();
-        if no_job_changed && self.flush.dropped.is_empty() && fleet.is_none() {
+        let no_vm_changed = fleet.is_none() && leases.is_none();
+        if no_job_changed && no_vm_changed && self.flush.dropped.is_empty() {
             return self.acknowledge_finished(&acknowledgements);
         }
         let mut records = std::mem::take(&mut self.flush.dropped);
@@ -110,6 +122,13 @@
             self.unenroll_others(fleet);
             records.push(journal::fleet_record(fleet));
         }
+        if let Some(leases) = &leases {
+            self.withhold_leases(leases);
+            records.push(journal::leases_record(&RemainingLeases {
+                token: self.token,
+                remaining_ms: leases.clone(),
+            }));
+        }
         while size < APPEND_BYTES_MAX
             && let Some(key) = self.flush.dirty.pop_first()
         {
@@ -142,6 +161,7 @@
             planned,
             acknowledgements,
             fleet,
+            leases,
             sent_at: self.now,
         });
         self.effects.push(Effect::Append(records));
@@ -161,6 +181,24 @@
         Some(fleet)
     }
 
+    /// Returns the leases that VMs may still have if a successor must know, and an update is due.
+    fn changed_leases(&mut self) -> Option<Vec<(CompactString, u64)>> {
+        let now = self.now;
+        if now < self.flush.next_leases_at {
+            return None;
+        }
+        let leases = self.remaining_leases();
+        let (old, new) = (self.flush.leases.iter(), leases.iter());
+        let same_vms = old.map(|(id, _)| id).eq(new.map(|(id, _)| id));
+        let is_current = leases.is_empty() || now < self.flush.leases_at + LEASES_UPDATE_INTERVAL;
+        if same_vms && is_current {
+            self.flush.next_leases_at = now + SCAN_INTERVAL;
+            return None;
+        }
+        self.flush.next_leases_at = now + FLEET_UPDATE_PAUSE;
+        Some(leases)
+    }
+
     /// Applies the result of the append in flight.
     pub(super) fn appended(&mut self, stored: bool) {
         let Some(batch) = self.flush.batch.take() else {
@@ -176,6 +214,7 @@
             for (key, runs) in batch.planned {
                 self.flush.planned.entry(key).or_default().extend(runs);
             }
+            self.resume_leases(&self.flush.leases.clone());
             self.flush.next_append_at = self.now + SCAN_INTERVAL;
             return;
         }
@@ -198,6 +237,11 @@
             self.enroll(&fleet);
             self.flush.fleet = fleet;
         }
+        if let Some(leases) = batch.leases {
+            self.resume_leases(&leases);
+            self.flush.leases = leases;
+            self.flush.leases_at = batch.sent_at;
+        }
         for run in batch.planned.into_values().flatten() {
             self.send_planned(run);
         }
--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -96,6 +96,8 @@
     next_at: Option<Time>,
     /// Number of polls that failed since the last answer.
     pub(super) unanswered: u32,
+    /// When the first of them failed; `None` if the last poll was answered.
+    pub(super) silent_since: Option<Time>,
     /// Sequence number of the latest poll that was answered.
     last_answered: u64,
     /// Whether the next poll is deferred until finished runs are stored.
@@ -232,7 +234,7 @@
         // No new lease is requested from an unresponsive VM: it might grant the lease
         // while its answers are lost, and its runs could never be dropped.
         let until = vm.clock_at(now).map(|c| c + lease.as_millis());
-        let until = until.filter(|_| vm.polls.unanswered == 0);
+        let until = until.filter(|_| vm.polls.unanswered == 0 && !vm.lease_withheld);
         vm.lease_until_ms = vm.lease_until_ms.max(until.unwrap_or(0));
         vm.polls.next_seq += 1;
         let seq = vm.polls.next_seq;
@@ -307,6 +309,7 @@
         };
         vm.answered = false;
         vm.polls.unanswered += 1;
+        vm.polls.silent_since.get_or_insert(now);
         vm.polls.next_at = Some(now + POLL_RETRY_MAX);
         for run in vm.runs.clone() {
             self.lose_run(run, "another incarnation answered");
@@ -323,6 +326,7 @@
             return self.schedule_next_poll(key.vm);
         }
         vm.polls.unanswered += 1;
+        vm.polls.silent_since.get_or_insert(now);
         let pause = POLL_RETRY
             .times(u64::from(vm.polls.unanswered))
             .min(POLL_RETRY_MAX);
@@ -348,6 +352,7 @@
             }
         }
         let unanswered = std::mem::take(&mut vm.polls.unanswered);
+        vm.polls.silent_since = None;
         let first = !std::mem::replace(&mut vm.answered, true);
         if first {
             // It refuses orders of a predecessor from now on, but may have a lease from one.
--- a/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
@@ -7,11 +7,16 @@
 //! is uncertain until all VMs have answered or every lease has expired. Every further
 //! placement is stored before the start is sent, so the stored one is the only one
 //! that can run.
+//!
+//! A VM that does not answer is awaited once, not in each term: the leader stores how long the
+//! leases there may last and gives the VM no further one until that record is replaced, so that
+//! a successor waits only for the rest.
 
 use super::job::Job;
 use super::job::Stage;
 use super::*;
 use crate::journal::Placements;
+use crate::journal::RemainingLeases;
 
 /// Pause between two reports of the VMs and runs that are awaited.
 pub(super) const AWAITED_LOG_INTERVAL: Duration = Duration::from_millis(1_500);
@@ -68,11 +73,80 @@
         }
     }
 
+    /// Applies the leases that VMs may still have, as stored by the leader of the term before.
+    /// Ignored once the journal has been read.
+    ///
+    /// A record of an earlier term says nothing about the leases that later leaders gave.
+    pub(super) fn apply_leases(&mut self, leases: &RemainingLeases) {
+        if self.marker.is_some() || leases.token + 1 != self.token {
+            return;
+        }
+        for (id, ms) in &leases.remaining_ms {
+            let expire_at = self.now + Duration::from_millis(*ms);
+            let key = self.vm_by_id(id);
+            if let Some(vm) = self.vms.get_mut(key) {
+                vm.limit_predecessor_leases(expire_at);
+            }
+        }
+    }
+
+    /// Returns the leases that VMs may still have which do not answer and are awaited.
+    pub(super) fn remaining_leases(&self) -> Vec<(CompactString, u64)> {
+        let rows = self.vms.iter().filter_map(|(_, vm)| {
+            let awaited = vm.may_have_unknown_runs(self.now) || !vm.runs.is_empty();
+            if !awaited || !vm.is_silent(self.now) {
+                return None;
+            }
+            let left = self.all_leases_expire_at(vm)?.since(self.now);
+            Some((vm.registration.id.clone(), left.as_millis() + 1))
+        });
+        rows.collect()
+    }
+
+    /// Returns when every lease of a VM has expired, also of an incarnation that nothing has
+    /// announced; `None` while a start that gives it a lease may still be sent.
+    fn all_leases_expire_at(&self, vm: &vms::Vm) -> Option<Time> {
+        let (lease_max, drift) = (self.tuning.lease_max, self.tuning.drift_milli);
+        let mut runs = vm.runs.iter().filter_map(|r| self.runs.get(r));
+        let is_sent =
+            |r: &runs::Run| !matches!(r.state, runs::State::Planned | runs::State::Starting);
+        if !runs.all(is_sent) {
+            return None;
+        }
+        let starts = vm.unanswered_starts.values();
+        let starts = starts.map(|&sent| vms::lease_end(sent, lease_max, drift));
+        starts.chain([vm.leases_expire_at(drift)]).max()
+    }
+
+    /// Withholds leases from the VMs of a record of leases that is about to be stored.
+    pub(super) fn withhold_leases(&mut self, leases: &[(CompactString, u64)]) {
+        for (id, _) in leases {
+            let key = self.vm_by_id(id);
+            if let Some(vm) = self.vms.get_mut(key) {
+                vm.lease_withheld = true;
+            }
+        }
+    }
+
+    /// Gives leases again to all VMs outside the stored record of leases.
+    pub(super) fn resume_leases(&mut self, stored: &[(CompactString, u64)]) {
+        let listed: BTreeSet<&CompactString> = stored.iter().map(|(id, _)| id).collect();
+        let resumed = |vm: &vms::Vm| vm.lease_withheld && !listed.contains(&vm.registration.id);
+        let resumed = self.vms.iter().filter(|(_, vm)| resumed(vm));
+        for key in resumed.map(|(k, _)| k).collect::<Vec<_>>() {
+            if let Some(vm) = self.vms.get_mut(key) {
+                vm.lease_withheld = false;
+            }
+            self.poll_now(key);
+            self.placement_needed = true;
+        }
+    }
+
     /// Whether no run of a predecessor can be unknown: all its VMs have answered, or its
     /// leases have expired.
     pub(super) fn settled(&self) -> bool {
-        let unanswered = |vm: &vms::Vm| vm.in_predecessor_fleet && !vm.answered;
-        self.now >= self.settle_at || !self.vms.iter().any(|(_, vm)| unanswered(vm))
+        let now = self.now;
+        !self.vms.iter().any(|(_, vm)| vm.may_have_unknown_runs(now))
     }
 
     /// Whether a waiting task of a stage certainly runs nowhere.
@@ -103,10 +177,8 @@
     /// Returns the ids of the VMs on which a first placement may not be stored yet: those
     /// that this scheduler may use, and those of the predecessor that have not answered.
     pub(super) fn fleet(&self) -> Vec<CompactString> {
-        let unanswered =
-            |vm: &vms::Vm| vm.in_predecessor_fleet && !vm.answered && self.now < self.settle_at;
         let rows = self.vms.iter().map(|(_, vm)| vm);
-        let used = rows.filter(|vm| vm.is_healthy() || unanswered(vm));
+        let used = rows.filter(|vm| vm.is_healthy() || vm.may_have_unknown_runs(self.now));
         used.map(|vm| vm.registration.id.clone()).collect()
     }
 
@@ -144,14 +216,14 @@
             return;
         }
         self.next_awaited_log = now + AWAITED_LOG_INTERVAL;
-        let left_ms = self.settle_at.since(now).as_millis();
+        let left_ms = |vm: &vms::Vm| vm.predecessor_leases_expire_at.since(now).as_millis();
         let awaited = |vm: &vms::Vm| vm.in_predecessor_fleet || !vm.runs.is_empty();
         let vms = self.vms.iter().map(|(_, vm)| vm);
         let vms = vms.filter(|vm| !vm.answered && awaited(vm));
         let vms: Vec<String> = vms
             .map(|vm| {
                 let (r, fleet) = (&vm.registration, vm.in_predecessor_fleet);
-                let (listed, runs) = (vm.listed, vm.runs.len());
+                let (listed, runs, left_ms) = (vm.listed, vm.runs.len(), left_ms(vm));
                 format!(
                     "vm={} runs={runs} fleet={fleet} listed={listed} left_ms={left_ms}",
                     r.id
@@ -163,6 +235,7 @@
         let runs: Vec<(u64, String)> = runs
             .map(|r| {
                 let id = self.task_id(r.stage, r.index).stage.job.0;
+                let left_ms = self.vms.get(r.vm).map_or(0, left_ms);
                 (id, format!("{} left_ms={left_ms}", self.describe_run(r)))
             })
             .collect();
--- a/crates/monsoonnotch_jobs/src/scheduler/replay.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/replay.rs
@@ -111,6 +111,7 @@
                 Some(Entry::Progressed(id, progress)) => self.apply_progress(id, progress),
                 Some(Entry::Placed(id, placements)) => self.apply_placements(id, &placements),
                 Some(Entry::Fleet(ids)) => self.apply_fleet(&ids),
+                Some(Entry::Leases(leases)) => self.apply_leases(&leases),
                 Some(Entry::TermStarted { .. } | Entry::Dropped) => {}
                 None => self.log(
                     0,
--- a/crates/monsoonnotch_jobs/src/scheduler/stops.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/stops.rs
@@ -175,11 +175,9 @@
                     false
                 }
             };
-            if run.state == State::Inherited && now >= self.settle_at {
-                let vm = self.vms.get(run.vm);
-                if vm.is_some_and(|v| !v.answered) {
-                    expired.push(key);
-                }
+            let expire = |v: &vms::Vm| !v.answered && now >= v.predecessor_leases_expire_at;
+            if run.state == State::Inherited && self.vms.get(run.vm).is_some_and(expire) {
+                expired.push(key);
             }
             // An unresponsive VM gets no stops; its runs end when its leases expire.
             let responsive = || {
--- a/crates/monsoonnotch_jobs/src/scheduler/vms.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/vms.rs
@@ -11,6 +11,9 @@
 /// Time beyond the leases of an unresponsive VM for which its runs are kept while this member is
 /// saturated.
 const SATURATED_GRACE: Duration = Duration::from_secs(12);
+/// Silence after which a VM gets no lease until the stored record of leases is replaced. Shorter
+/// ones are common on lossy links, and the store may be unavailable for longer than a lease.
+const SILENCE_MIN: Duration = Duration::from_millis(1_000);
 /// Consecutive failures of starts or runs after which a VM is quarantined.
 const QUARANTINE_AFTER_FAILURES: u32 = 3;
 /// Slowness above which a VM gets new tasks only if no other VM has free capacity. Run
@@ -44,9 +47,15 @@
     /// Latest end of any lease or start validity that was sent to it, in milliseconds on
     /// the VM's clock.
     pub(super) lease_until_ms: u64,
-    /// When every lease has expired that it may have from a predecessor, or from orders
-    /// that were computed from the clock of its previous incarnation.
+    /// When every lease has expired that it may have from a predecessor.
+    pub(super) predecessor_leases_expire_at: Time,
+    /// The same, or when every lease has expired from orders that were computed from the clock
+    /// of its previous incarnation, whichever is later.
     other_leases_expire_at: Time,
+    /// Whether the stored record of the predecessor says when its leases expire.
+    pub(super) awaited_by_predecessor: bool,
+    /// Whether it gets no lease, since a stored record tells a successor when its leases expire.
+    pub(super) lease_withheld: bool,
     pub(super) polls: super::polls::Polls,
     /// Finished runs up to this completion number were applied.
     pub(super) finished_seen: u64,
@@ -104,7 +113,7 @@
 }
 
 impl Vm {
-    fn new(registration: Registration, other_leases_expire_at: Time) -> Self {
+    fn new(registration: Registration, predecessor_leases_expire_at: Time) -> Self {
         Self {
             registration,
             listed: true,
@@ -117,7 +126,10 @@
             runs: BTreeSet::new(),
             clock: None,
             lease_until_ms: 0,
-            other_leases_expire_at,
+            predecessor_leases_expire_at,
+            other_leases_expire_at: predecessor_leases_expire_at,
+            awaited_by_predecessor: false,
+            lease_withheld: false,
             polls: super::polls::Polls::default(),
             finished_seen: 0,
             finished_stored: 0,
@@ -154,6 +166,13 @@
         own.max(self.other_leases_expire_at)
     }
 
+    /// Takes into account that every lease from a predecessor expires by `at`.
+    pub(super) fn limit_predecessor_leases(&mut self, at: Time) {
+        self.awaited_by_predecessor = true;
+        self.predecessor_leases_expire_at = self.predecessor_leases_expire_at.min(at);
+        self.other_leases_expire_at = self.predecessor_leases_expire_at;
+    }
+
     /// Takes into account that it may have got a lease of `lease` at `now` at the latest, by
     /// an order that this scheduler did not compute from its clock.
     pub(super) fn add_other_lease(&mut self, now: Time, lease: Duration, drift_milli: u64) {
@@ -169,6 +188,18 @@
             .minus(&self.orphans.allocation)
     }
 
+    /// Whether it has not answered for [`SILENCE_MIN`], or not since before this term.
+    pub(super) fn is_silent(&self, now: Time) -> bool {
+        let silent_before = self.awaited_by_predecessor || self.registration.addr.is_empty();
+        let since = self.polls.silent_since;
+        (silent_before && !self.answered) || since.is_some_and(|at| now >= at + SILENCE_MIN)
+    }
+
+    /// Whether a predecessor may have started runs there that are not known yet.
+    pub(super) fn may_have_unknown_runs(&self, now: Time) -> bool {
+        self.in_predecessor_fleet && !self.answered && now < self.predecessor_leases_expire_at
+    }
+
     /// Whether it is listed, responsive and not draining.
     pub(super) fn is_healthy(&self) -> bool {
         self.listed
@@ -180,13 +211,16 @@
 
     /// Whether new runs may be started there.
     pub(super) fn is_schedulable(&self, now: Time) -> bool {
-        self.is_healthy() && self.enrolled && now >= self.health.quarantined_until
+        self.is_healthy()
+            && self.enrolled
+            && !self.lease_withheld
+            && now >= self.health.quarantined_until
     }
 }
 
 /// Returns when a lease that a VM got at `at` or before has expired, even if the VM's clock
 /// runs slow by `drift_milli` thousandths.
-fn lease_end(at: Time, lease: Duration, drift_milli: u64) -> Time {
+pub(super) fn lease_end(at: Time, lease: Duration, drift_milli: u64) -> Time {
     let longest_ms = lease.as_millis() * 1_000 / (1_000 - drift_milli.min(500));
     at + Duration::from_millis(longest_ms) + CLOCK_SLACK
 }
--- a/crates/monsoonnotch_jobs/tests/promises/terms.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/terms.rs
@@ -11,8 +11,13 @@
 use monsoonnotch_jobs::event::PollError;
 use monsoonnotch_jobs::journal;
 use monsoonnotch_jobs::journal::KeyedRecord;
+use monsoonnotch_jobs::plan::JobId;
+use monsoonnotch_jobs::plan::StageId;
+use monsoonnotch_jobs::plan::TaskId;
 use monsoonnotch_jobs::scheduler::Scheduler;
 use monsoonnotch_jobs::tuning::Tuning;
+use monsoonnotch_jobs::vm::PollAnswer;
+use monsoonnotch_jobs::vm::RunningRun;
 use rstest::rstest;
 
 use crate::directed::at;
@@ -114,3 +119,115 @@
         return;
     }
 }
+
+/// Returns the answer of a VM that runs the task of [`placement`].
+fn running_answer() -> PollAnswer {
+    let stage = StageId {
+        job: JobId(5),
+        occurrence: 0,
+        step: 0,
+    };
+    let running = RunningRun {
+        task: TaskId { stage, index: 0 },
+        attempt: 1_000,
+        checkpoint: "".into(),
+        percent: 50,
+        latency_or_usage: 0,
+    };
+    PollAnswer {
+        running: vec![running],
+        ..poll_answer(Vec::new())
+    }
+}
+
+/// Returns the VMs that a record says may still have leases; `None` for any other record.
+fn awaited(stored: &KeyedRecord) -> Option<Vec<String>> {
+    match journal::decode_entry(stored) {
+        Some(journal::Entry::Leases(l)) => {
+            Some(l.remaining_ms.iter().map(|r| r.0.to_string()).collect())
+        }
+        _ => None,
+    }
+}
+
+/// Checks that no VM gets a lease while the stored record says how long its leases may last;
+/// returns how many polls gave `vm` a lease.
+fn check_leases(fx: &[Effect], vm: &str) -> usize {
+    let mut withheld = Vec::new();
+    let mut given = 0;
+    for effect in fx {
+        match effect {
+            Effect::Append(stored) => {
+                withheld = stored
+                    .iter()
+                    .filter_map(awaited)
+                    .next_back()
+                    .unwrap_or(withheld);
+            }
+            Effect::Poll {
+                to,
+                lease_until_ms: Some(_),
+                ..
+            } => {
+                assert!(!withheld.contains(&to.id.to_string()), "a lease for {vm}");
+                given += usize::from(to.id == vm);
+            }
+            Effect::Start { to, .. } => {
+                assert!(!withheld.contains(&to.id.to_string()), "a start on {vm}");
+            }
+            _ => {}
+        }
+    }
+    given
+}
+
+/// Guards against two runs of one task: a VM answered again after its remaining leases had been
+/// stored, and was given a new one. The successor must not count from the stored time.
+#[test]
+fn a_vm_that_answered_again_is_awaited_anew() {
+    const ANSWERS_MS: u64 = 3_000;
+    const NEXT_TERM_MS: u64 = 9_000;
+    let mut records = Records::new();
+    let fleet = fleet_record_of(["v000", "v001"]);
+    store(
+        &mut records,
+        [job_of_one_task(), fleet, placement("v001", 0)],
+    );
+    let (mut scheduler, fx) = begin_term(&mut records, 2, 0);
+    let fx = run_polls(&mut scheduler, fx, 0..NEXT_TERM_MS, |id, ms| match id {
+        "v001" if ms < ANSWERS_MS => Some(Err(PollError::Unresponsive)),
+        "v001" => Some(Ok(running_answer())),
+        _ => Some(Ok(poll_answer(Vec::new()))),
+    });
+    assert!(check_leases(&fx, "v001") > 0, "its lease is never renewed");
+    for effect in &fx {
+        if let Effect::Append(stored) = effect {
+            store(&mut records, stored.clone());
+        }
+    }
+    let (mut scheduler, fx) = begin_term(&mut records, 3, NEXT_TERM_MS);
+    let settled_ms = NEXT_TERM_MS + SETTLE_MS;
+    let ms = NEXT_TERM_MS..settled_ms;
+    let started = play(&mut scheduler, &mut records, fx, ms, "v001");
+    assert!(!started, "its lease may hold");
+    let ms = settled_ms..settled_ms + START_MAX_MS;
+    let started = play(&mut scheduler, &mut records, Vec::new(), ms, "v001");
+    assert!(started, "every lease has expired");
+}
+
+/// Guards against two runs of one task: the stored leases are those of an earlier term, and the
+/// leader between gave the VM another one without storing anything.
+#[test]
+fn leases_stored_in_an_earlier_term_do_not_count() {
+    let mut records = Records::new();
+    let fleet = fleet_record_of(["v000", "v001"]);
+    let leases = journal::leases_record(&journal::RemainingLeases {
+        token: 1,
+        remaining_ms: vec![("v001".into(), 100)],
+    });
+    let stored = [job_of_one_task(), fleet, placement("v001", 0), leases];
+    store(&mut records, stored);
+    let (mut scheduler, fx) = begin_term(&mut records, 3, 0);
+    let started = play(&mut scheduler, &mut records, fx, 0..SETTLE_MS, "v001");
+    assert!(!started, "its lease may hold");
+}
