Store which placed tasks run nowhere, so that no successor awaits their VMs

A run is given up once the leases of its VM have expired, but the stored placement stays until the task is placed again.

The placements record now names the tasks that were placed before and run nowhere; it is stored when a task starts to wait. A successor places them at once: every later placement is stored before its start.

--- a/crates/monsoonnotch_jobs/src/journal/mod.rs
+++ b/crates/monsoonnotch_jobs/src/journal/mod.rs
@@ -95,6 +95,9 @@
 pub struct Placements {
     /// The VMs that have a run of the job.
     pub vms: Vec<Placed>,
+    /// Occurrence, step and index of each task that was placed before and runs nowhere.
+    #[serde(default)]
+    pub unplaced: Vec<(u32, u16, u32)>,
 }
 
 /// The runs of a job that were sent to one VM.
--- a/crates/monsoonnotch_jobs/src/scheduler/flush.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/flush.rs
@@ -248,10 +248,15 @@
         self.acknowledge_finished(&batch.acknowledgements);
     }
 
-    /// Returns where the tasks of a job run or are about to be started.
+    /// Returns where the tasks of a job run or are about to be started, and which run nowhere
+    /// any more.
     fn placements_of(&self, job: &Job) -> Placements {
         let mut vms: BTreeMap<VmKey, Vec<(u32, u16, u32, u64)>> = BTreeMap::new();
+        let mut unplaced = Vec::new();
         for (&(occurrence, step), stage) in &job.stages {
+            let waiting = stage.waiting.iter();
+            let waiting = waiting.filter(|&&i| stage.tasks[i as usize].placed);
+            unplaced.extend(waiting.map(|&i| (occurrence, step, i)));
             let runs = stage.runs().filter_map(|r| self.runs.get(&r));
             for run in runs {
                 let row = (occurrence, step, run.index, run.attempt);
@@ -264,6 +269,7 @@
         };
         Placements {
             vms: vms.into_iter().filter_map(placed).collect(),
+            unplaced,
         }
     }
 
--- a/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
@@ -41,6 +41,30 @@
                 self.inherit_run(stage, index, vm, attempt);
             }
         }
+        for &(occurrence, step, index) in &placements.unplaced {
+            let stage = StageKey {
+                job,
+                occurrence,
+                step,
+            };
+            self.mark_placed_before(stage, index);
+        }
+    }
+
+    /// Takes into account that a task was placed before and runs nowhere.
+    fn mark_placed_before(&mut self, key: StageKey, index: u32) {
+        let Some(job) = self.jobs.get_mut(key.job) else {
+            return;
+        };
+        if usize::from(key.step) >= job.plan.steps.len() {
+            return;
+        }
+        job.open_occurrence(key.occurrence);
+        job.begun = true;
+        let stage = job.stages.get_mut(&(key.occurrence, key.step));
+        if let Some(task) = stage.and_then(|s| s.tasks.get_mut(index as usize)) {
+            task.placed = true;
+        }
     }
 
     fn inherit_run(&mut self, key: StageKey, index: u32, vm: VmKey, attempt: u64) {
--- a/crates/monsoonnotch_jobs/src/scheduler/runs.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/runs.rs
@@ -233,10 +233,15 @@
         if let Some(stage) = self.stage_mut(run.stage) {
             let task = &mut stage.tasks[run.index as usize];
             task.run = None;
-            if !task.done {
+            let waits = !task.done;
+            if waits {
                 stage.waiting.insert(run.index);
             }
             self.update_ready_queue(run.stage);
+            // Otherwise a successor would wait for a VM that this leader has given up.
+            if waits && self.jobs.get(run.stage.job).is_some_and(|j| !j.ended()) {
+                self.flush.add_placement(run.stage.job, None);
+            }
         }
         // The records that an ended job needs for its remaining runs can be removed now.
         let drained = |j: &job::Job| j.outcome.is_some() && j.runs().next().is_none();
--- a/crates/monsoonnotch_jobs/tests/promises/directed.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/directed.rs
@@ -220,6 +220,7 @@
         JobId(5),
         &journal::Placements {
             vms: vec![placement],
+            ..Default::default()
         },
     )
 }
--- a/crates/monsoonnotch_jobs/tests/promises/terms.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/terms.rs
@@ -68,8 +68,18 @@
 
 /// Begins a term with two VMs in the list; returns its scheduler and first effects.
 fn begin_term(records: &mut Records, token: u64, ms: u64) -> (Scheduler, Vec<Effect>) {
+    begin_limited_term(records, token, ms, 0)
+}
+
+/// The same, with a limit of each account in thousandths of a core; zero for none.
+fn begin_limited_term(
+    records: &mut Records,
+    token: u64,
+    ms: u64,
+    limit: u64,
+) -> (Scheduler, Vec<Effect>) {
     let settle_at = at(ms) + Duration::from_millis(SETTLE_MS);
-    let cfg = Arc::new(site(0, false));
+    let cfg = Arc::new(site(limit, false));
     let mut scheduler = Scheduler::new(token, Tuning::default(), cfg, settle_at);
     store(records, [journal::term_record(token)]);
     deliver(&mut scheduler, ms, Event::AllVms(fleet(2, 8_000)));
@@ -231,3 +241,25 @@
     let started = play(&mut scheduler, &mut records, fx, 0..SETTLE_MS, "v001");
     assert!(!started, "its lease may hold");
 }
+
+/// Guards against a task that waits anew with each leader for a VM that an earlier one had given
+/// up: the task could not be placed since, so that the stored placement was still the old one.
+#[test]
+fn a_run_that_was_given_up_is_not_awaited_by_the_next_leader() {
+    const TOO_LOW: u64 = 100;
+    const NEXT_TERM_MS: u64 = SETTLE_MS + 1_500;
+    let mut records = Records::new();
+    let fleet = fleet_record_of(["v000", "v777"]);
+    store(
+        &mut records,
+        [job_of_one_task(), fleet, placement("v777", 0)],
+    );
+    let (mut scheduler, fx) = begin_limited_term(&mut records, 2, 0, TOO_LOW);
+    let ms = 0..NEXT_TERM_MS;
+    let started = play(&mut scheduler, &mut records, fx, ms, "v777");
+    assert!(!started, "the account is at its limit");
+    let (mut scheduler, fx) = begin_term(&mut records, 3, NEXT_TERM_MS);
+    let ms = NEXT_TERM_MS..NEXT_TERM_MS + START_MAX_MS;
+    let started = play(&mut scheduler, &mut records, fx, ms, "v777");
+    assert!(started, "its leases had expired in the term before");
+}
