Count the longest lease from the last order that gives one

A VM with an unanswered start may have restarted unnoticed. Its clock then begins anew, and any order that carries a time of the old clock gives the new incarnation the longest lease. The stored time counted from the last send of the start; polls that followed it until the first of them failed gave the same lease up to 0.8 s later.

--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -241,7 +241,9 @@
         // while its answers are lost, and its runs could never be dropped.
         let until = vm.clock_at(now).map(|c| c + lease.as_millis());
         let until = until.filter(|_| vm.polls.unanswered == 0 && !vm.lease_withheld);
-        vm.lease_until_ms = vm.lease_until_ms.max(until.unwrap_or(0));
+        if let Some(until_ms) = until {
+            vm.add_lease(now, until_ms);
+        }
         vm.polls.next_seq += 1;
         let seq = vm.polls.next_seq;
         vm.polls.pending.insert(
--- a/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
@@ -137,9 +137,12 @@
         if !runs.all(is_sent) {
             return None;
         }
-        let starts = vm.unanswered_starts.values();
-        let starts = starts.map(|&sent| vms::lease_end(sent, lease_max, drift));
-        starts.chain([vm.leases_expire_at(drift)]).max()
+        let known = vm.leases_expire_at(drift);
+        Some(match vm.unanswered_starts.is_empty() {
+            true => known,
+            // The clock of an unannounced incarnation begins anew, so that any lease is long.
+            false => known.max(vms::lease_end(vm.lease_sent_at, lease_max, drift)),
+        })
     }
 
     /// Withholds leases from the VMs of a record of leases that is about to be stored.
--- a/crates/monsoonnotch_jobs/src/scheduler/starts.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/starts.rs
@@ -86,7 +86,7 @@
         let valid = self.tuning.start_valid.as_millis();
         let row = self.vms.get_mut(vm).expect("a run has a VM");
         let expires_ms = row.clock_at(now).unwrap_or(0) + valid;
-        row.lease_until_ms = row.lease_until_ms.max(expires_ms);
+        row.add_lease(now, expires_ms);
         row.unanswered_starts.insert(key, now);
         let to = row.target();
         let order = StartOrder {
--- a/crates/monsoonnotch_jobs/src/scheduler/vms.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/vms.rs
@@ -47,6 +47,8 @@
     /// Latest end of any lease or start validity that was sent to it, in milliseconds on
     /// the VM's clock.
     pub(super) lease_until_ms: u64,
+    /// When the last order was sent that gives it a lease.
+    pub(super) lease_sent_at: Time,
     /// When every lease has expired that it may have from a predecessor.
     pub(super) predecessor_leases_expire_at: Time,
     /// The same, or when every lease has expired from orders that were computed from the clock
@@ -126,6 +128,7 @@
             runs: BTreeSet::new(),
             clock: None,
             lease_until_ms: 0,
+            lease_sent_at: Time::default(),
             predecessor_leases_expire_at,
             other_leases_expire_at: predecessor_leases_expire_at,
             awaited_by_predecessor: false,
@@ -156,6 +159,13 @@
         Some(ms + now.since(at).as_millis())
     }
 
+    /// Takes into account that an order is about to be sent that gives it a lease until `until_ms`
+    /// on its clock.
+    pub(super) fn add_lease(&mut self, now: Time, until_ms: u64) {
+        self.lease_until_ms = self.lease_until_ms.max(until_ms);
+        self.lease_sent_at = now;
+    }
+
     /// Returns when every lease that it may have has expired, even if its clock runs slow by
     /// `drift_milli` thousandths.
     pub(super) fn leases_expire_at(&self, drift_milli: u64) -> Time {
--- a/crates/monsoonnotch_jobs/tests/promises/terms_timed.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/terms_timed.rs
@@ -266,6 +266,40 @@
     assert!(driver.starts.is_empty(), "restarted: {:?}", driver.starts);
 }
 
+/// Guards against two runs of one task: a VM restarted unnoticed and has an unanswered start. A
+/// poll that follows the start gives the new incarnation, whose clock starts anew, the longest
+/// lease.
+#[test]
+fn the_stored_time_covers_polls_after_an_unanswered_start() {
+    const RESTART_MS: u64 = 1_000;
+    let mut records = records_with(None);
+    records.remove("fleet");
+    let job = job_of_one_task();
+    records.remove(job.key.as_str());
+    let mut driver = Driver::begin(records, 2, 0, fleet(1, 8_000));
+    let answer = |_: &str, ms| (ms < RESTART_MS).then(|| idle(ms));
+    let unknown = |_: &str, _| StartAnswer::Unknown;
+    driver.play(0..RESTART_MS + 200, answer, unknown);
+    let submitted = Event::Journal(vec![(5_000, job)]);
+    driver.due.push((RESTART_MS + 200, submitted));
+    let mut covered = 0;
+    for now in (RESTART_MS + 200..9_000).step_by(10) {
+        driver.play(now..now + 10, answer, unknown);
+        if let Some((_, left)) = driver.stored_leases().first() {
+            covered = now + left;
+        }
+    }
+    let last_start = driver.starts.last().expect("a start").0;
+    let leased = driver.polls.iter().filter(|p| p.2.is_some());
+    let last_lease = leased.map(|p| p.0).max().expect("a lease");
+    assert!(last_lease > last_start);
+    let may_hold = last_lease + 10_000 * 1_000 / 980;
+    assert!(
+        covered >= may_hold,
+        "stored until {covered}, may hold until {may_hold}; last start {last_start}, last lease {last_lease}"
+    );
+}
+
 /// Plays terms of equal length; returns when the task starts, if it does in 60 s, and the number of
 /// changes of leader before.
 fn started_at(term_ms: u64, append_ms: u64) -> Option<(u64, u64)> {
