Keep unanswered starts for the longest lease from the last order that gives one

The test failed before (started at 11,160 ms; a lease of 10,204 ms had been given at 5,960 ms) and passes now.

--- a/crates/monsoonnotch_jobs/src/scheduler/vms.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/vms.rs
@@ -468,10 +468,9 @@
         let (now, lease_max) = (self.now, self.tuning.lease_max);
         let drift = self.tuning.drift_milli;
         let Some(vm) = self.vms.get(key) else { return };
-        let may_run = |run: &&RunKey| {
-            let sent = vm.unanswered_starts.get(run);
-            sent.is_some_and(|&sent| now <= lease_end(sent, lease_max, drift))
-        };
+        let longest_lease_expired = now > lease_end(vm.lease_sent_at, lease_max, drift);
+        let may_run =
+            |run: &&RunKey| !longest_lease_expired && vm.unanswered_starts.contains_key(run);
         let (kept, lost): (BTreeSet<RunKey>, BTreeSet<RunKey>) =
             vm.runs.iter().partition(|run| may_run(run));
         if lost.is_empty() && vm.orphans.needs.is_empty() {
--- a/crates/monsoonnotch_jobs/tests/promises/restarts.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/restarts.rs
@@ -85,3 +85,48 @@
     let fx = run_polls(&mut scheduler, fx, until..until + 2_000, failed);
     assert_eq!(starts(&fx).len(), 1, "every lease has expired");
 }
+
+/// Guards against two runs of one task: the same, and a poll after the last send of the start gave
+/// the new incarnation the longest lease.
+#[test]
+fn a_poll_after_an_unanswered_start_may_give_the_longest_lease() {
+    const SLOWEST_CLOCK_MILLI: u64 = 980;
+    let (mut scheduler, run, vm) = repeated_start();
+    let mut fx = Vec::new();
+    for ms in [480, 880, 1_280] {
+        let answer = StartAnswer::Unknown;
+        fx = deliver(&mut scheduler, ms, Event::Started { run, answer });
+    }
+    let gives_lease = |e: &Effect| {
+        let Effect::Poll {
+            to, lease_until_ms, ..
+        } = e
+        else {
+            return false;
+        };
+        to.id == vm.as_str() && lease_until_ms.is_some()
+    };
+    let mut leased_at = 1_280;
+    let mut started_at = None;
+    for ms in (1_280..20_000).step_by(10) {
+        // The first poll has no result at all, so that the next one asks for a lease as well.
+        let failed =
+            |id: &str, ms| (id == vm && ms > 2_000).then_some(Err(PollError::Unresponsive));
+        let known = fx.len();
+        fx = run_polls(&mut scheduler, fx, ms..ms + 10, failed);
+        fx = fx.split_off(known);
+        if fx.iter().any(gives_lease) {
+            leased_at = ms;
+        }
+        if !starts(&fx).is_empty() {
+            started_at = Some(ms);
+            break;
+        }
+    }
+    let lease = Tuning::default().lease_max.as_millis() * 1_000 / SLOWEST_CLOCK_MILLI;
+    let started_at = started_at.expect("the task starts again");
+    assert!(
+        started_at >= leased_at + lease,
+        "started at {started_at} ms, a lease given at {leased_at} ms may last for {lease} ms"
+    );
+}
