Store no leases while the leader itself is late

A saturated leader stores no leases, so that its successor waits in full, as before the fix. A VM in the record has 0.3 s to answer the first poll of a term.

The test stored leases while answers were 600 ms late, and does not now.

--- a/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
@@ -18,6 +18,8 @@
 use crate::journal::Placements;
 use crate::journal::RemainingLeases;
 
+/// Shortest wait for a VM in the record of leases: it may be back and answer the first poll.
+const FIRST_ANSWER_MAX: Duration = Duration::from_millis(300);
 /// Pause between two reports of the VMs and runs that are awaited.
 pub(super) const AWAITED_LOG_INTERVAL: Duration = Duration::from_millis(1_500);
 
@@ -106,7 +108,7 @@
             return;
         }
         for (id, ms) in &leases.remaining_ms {
-            let expire_at = self.now + Duration::from_millis(*ms);
+            let expire_at = self.now + Duration::from_millis(*ms).max(FIRST_ANSWER_MAX);
             let key = self.vm_by_id(id);
             if let Some(vm) = self.vms.get_mut(key) {
                 vm.limit_predecessor_leases(expire_at);
@@ -114,8 +116,12 @@
         }
     }
 
-    /// Returns the leases that VMs may still have which do not answer and are awaited.
+    /// Returns the leases that VMs may still have which do not answer and are awaited; none while
+    /// this member is saturated, since then it is late itself and late answers still count.
     pub(super) fn remaining_leases(&self) -> Vec<(CompactString, u64)> {
+        if self.answer_times.is_saturated(self.now) {
+            return Vec::new();
+        }
         let rows = self.vms.iter().filter_map(|(_, vm)| {
             let awaited = vm.may_have_unknown_runs(self.now) || !vm.runs.is_empty();
             if !awaited || !vm.is_silent(self.now) {
--- a/crates/monsoonnotch_jobs/tests/promises/terms_timed.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/terms_timed.rs
@@ -53,6 +53,8 @@
     due: Vec<(u64, Event)>,
     appends: Vec<(u64, Vec<KeyedRecord>)>,
     append_ms: u64,
+    /// Time by which each answer to a poll is late, in milliseconds.
+    late_ms: u64,
     /// Whether a VM without an answer carries the poll out, so that only its answer is lost.
     answers_lost: bool,
     polls: Vec<Poll>,
@@ -81,6 +83,7 @@
             due,
             appends: Vec::new(),
             append_ms: 20,
+            late_ms: 0,
             answers_lost: false,
             polls: Vec::new(),
             starts: Vec::new(),
@@ -124,7 +127,7 @@
                             *lease = (*lease).max(lease_until_ms.unwrap_or(0));
                         }
                         let failed_at = now + wait.as_millis() + timeout.as_millis();
-                        let answered_at = now + wait.as_millis().max(10);
+                        let answered_at = now + wait.as_millis().max(10) + self.late_ms;
                         let (at_ms, answer) = match reply {
                             Some(reply) => (
                                 answered_at,
@@ -430,3 +433,17 @@
     let last_start = driver.starts.last().expect("a start").0;
     assert!(covered >= last_start + 10_204, "stored until {covered}");
 }
+
+/// Guards against a task that runs again after its success: a leader that is late itself takes
+/// VMs for silent, and a successor would give up runs whose end a VM has listed.
+#[test]
+fn a_saturated_leader_stores_no_leases() {
+    let answer = |id: &str, ms| (id != "v001").then(|| idle(ms));
+    for (late_ms, stores) in [(0, true), (600, false)] {
+        let mut driver = Driver::begin(records_with(Some("v001")), 2, 0, fleet(2, 8_000));
+        driver.late_ms = late_ms;
+        driver.play(0..6_000, answer, running);
+        let stored = !driver.stored_leases().is_empty();
+        assert_eq!(stored, stores, "answers are late by {late_ms} ms");
+    }
+}
