Keep the last VM in the placement of a task whose run was given up

A leader of an older release skips the list of such tasks; it would have taken the task for one that was never placed, and started it before storing where. If it ended then, the next leader of this release would have trusted the old list and started the task a second time.

The row stays, beside the list that says that the run does not exist any more. An older release counts it as a run and stores the next placement first, as before. The test fails without the change: the placement named no VM.

--- a/crates/monsoonnotch_jobs/src/journal/mod.rs
+++ b/crates/monsoonnotch_jobs/src/journal/mod.rs
@@ -93,9 +93,9 @@
 /// The placements of a job: the VMs to which the runs that may exist were sent.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Placements {
-    /// The VMs that have a run of the job.
+    /// The VMs that have a run of the job, or had the last run of a task.
     pub vms: Vec<Placed>,
-    /// Occurrence, step and index of each task that was placed before and runs nowhere.
+    /// Occurrence, step and index of each task whose last run does not exist any more.
     #[serde(default)]
     pub unplaced: Vec<(u32, u16, u32)>,
 }
--- a/crates/monsoonnotch_jobs/src/scheduler/flush.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/flush.rs
@@ -248,15 +248,19 @@
         self.acknowledge_finished(&batch.acknowledgements);
     }
 
-    /// Returns where the tasks of a job run or are about to be started, and which run nowhere
-    /// any more.
+    /// Returns where the tasks of a job run or are about to be started, and where the others ran
+    /// last.
     fn placements_of(&self, job: &Job) -> Placements {
         let mut vms: BTreeMap<VmKey, Vec<(u32, u16, u32, u64)>> = BTreeMap::new();
         let mut unplaced = Vec::new();
         for (&(occurrence, step), stage) in &job.stages {
             let waiting = stage.waiting.iter();
-            let waiting = waiting.filter(|&&i| stage.tasks[i as usize].placed);
-            unplaced.extend(waiting.map(|&i| (occurrence, step, i)));
+            let waiting = waiting.filter_map(|&i| Some((i, stage.tasks[i as usize].last_vm?)));
+            for (i, vm) in waiting {
+                unplaced.push((occurrence, step, i));
+                let row = (occurrence, step, i, stage.tasks[i as usize].attempt);
+                vms.entry(vm).or_default().push(row);
+            }
             let runs = stage.runs().filter_map(|r| self.runs.get(&r));
             for run in runs {
                 let row = (occurrence, step, run.index, run.attempt);
--- a/crates/monsoonnotch_jobs/src/scheduler/job.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/job.rs
@@ -168,6 +168,8 @@
     pub(super) attempt: u64,
     /// Whether it was placed on a VM before.
     pub(super) placed: bool,
+    /// The VM that it was placed on last.
+    pub(super) last_vm: Option<VmKey>,
     pub(super) checkpoint: CompactString,
 }
 
--- a/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
@@ -40,21 +40,15 @@
                     occurrence,
                     step,
                 };
-                self.inherit_run(stage, index, vm, attempt);
+                let exists = !placements.unplaced.contains(&(occurrence, step, index));
+                self.inherit_run(stage, index, vm, attempt, exists);
             }
         }
-        for &(occurrence, step, index) in &placements.unplaced {
-            let stage = StageKey {
-                job,
-                occurrence,
-                step,
-            };
-            self.mark_placed_before(stage, index);
-        }
     }
 
-    /// Takes into account that a task was placed before and runs nowhere.
-    fn mark_placed_before(&mut self, key: StageKey, index: u32) {
+    /// Takes into account that a task was placed on a VM; `exists` tells whether its run there may
+    /// still exist.
+    fn inherit_run(&mut self, key: StageKey, index: u32, vm: VmKey, attempt: u64, exists: bool) {
         let Some(job) = self.jobs.get_mut(key.job) else {
             return;
         };
@@ -64,23 +58,16 @@
         job.open_occurrence(key.occurrence);
         job.begun = true;
         let stage = job.stages.get_mut(&(key.occurrence, key.step));
-        if let Some(task) = stage.and_then(|s| s.tasks.get_mut(index as usize)) {
-            task.placed = true;
-        }
-    }
-
-    fn inherit_run(&mut self, key: StageKey, index: u32, vm: VmKey, attempt: u64) {
-        let Some(job) = self.jobs.get_mut(key.job) else {
+        let task = stage.and_then(|s| s.tasks.get_mut(index as usize));
+        let Some(task) = task.filter(|t| !t.done && t.run.is_none()) else {
             return;
         };
-        if usize::from(key.step) >= job.plan.steps.len() {
-            return;
-        }
-        job.open_occurrence(key.occurrence);
-        job.begun = true;
-        let task = self.stage(key).and_then(|s| s.tasks.get(index as usize));
-        if task.is_some_and(|t| !t.done && t.run.is_none()) {
+        if exists {
             self.add_run(key, index, vm, attempt, runs::State::Inherited);
+        } else {
+            task.placed = true;
+            task.last_vm = Some(vm);
+            task.attempt = task.attempt.max(attempt);
         }
     }
 
--- a/crates/monsoonnotch_jobs/src/scheduler/runs.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/runs.rs
@@ -102,6 +102,7 @@
         let task = &mut stage_state.tasks[index as usize];
         task.run = Some(key);
         task.placed = true;
+        task.last_vm = Some(vm);
         task.attempt = task.attempt.max(attempt);
         self.update_ready_queue(stage);
         key
--- a/crates/monsoonnotch_jobs/tests/promises/terms.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/terms.rs
@@ -263,3 +263,27 @@
     let started = play(&mut scheduler, &mut records, fx, ms, "v777");
     assert!(started, "its leases had expired in the term before");
 }
+
+/// Guards against two runs of one task while releases are mixed: a member of an older release
+/// reads only the VMs of a placement, and must store the next one before it starts the task.
+#[test]
+fn a_placement_names_the_last_vm_also_when_its_run_was_given_up() {
+    const TOO_LOW: u64 = 100;
+    let mut records = Records::new();
+    let fleet = fleet_record_of(["v000", "v777"]);
+    store(
+        &mut records,
+        [job_of_one_task(), fleet, placement("v777", 0)],
+    );
+    let (mut scheduler, fx) = begin_limited_term(&mut records, 2, 0, TOO_LOW);
+    let ms = 0..SETTLE_MS + START_MAX_MS;
+    play(&mut scheduler, &mut records, fx, ms, "v777");
+    let placed = placement("v777", 0);
+    let stored = journal::decode_entry(&records[placed.key.as_str()]);
+    let Some(journal::Entry::Placed(_, stored)) = stored else {
+        panic!("no placements are stored: {stored:?}");
+    };
+    assert_eq!(stored.unplaced, [(0, 0, 0)], "its run was given up");
+    assert_eq!(stored.vms.len(), 1);
+    assert_eq!(stored.vms[0].vm, "v777");
+}
