Store the leases of a VM that refuses two polls, without waiting for a second

A crash resets the connection of the poll that waits, and further ones are refused at once. Two failed polls in a row now count as silence as well. On lossy links each failure takes most of a second, so that nothing changes there.

--- a/crates/monsoonnotch_jobs/src/scheduler/vms.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/vms.rs
@@ -14,6 +14,9 @@
 /// Silence after which a VM gets no lease until the stored record of leases is replaced. Shorter
 /// ones are common on lossy links, and the store may be unavailable for longer than a lease.
 const SILENCE_MIN: Duration = Duration::from_millis(1_000);
+/// Failed polls in a row after which it is silent as well. On a lossy link each of them takes
+/// most of [`SILENCE_MIN`]; after a crash connections are refused at once.
+const FAILED_POLLS_MIN: u32 = 2;
 /// Consecutive failures of starts or runs after which a VM is quarantined.
 const QUARANTINE_AFTER_FAILURES: u32 = 3;
 /// Slowness above which a VM gets new tasks only if no other VM has free capacity. Run
@@ -198,12 +201,15 @@
             .minus(&self.orphans.allocation)
     }
 
-    /// Whether it has not answered for [`SILENCE_MIN`], or not since before this term.
+    /// Whether it has not answered for [`SILENCE_MIN`], [`FAILED_POLLS_MIN`] polls in a row, or
+    /// since before this term.
     pub(super) fn is_silent(&self, now: Time) -> bool {
         let silent_before = self.registration.addr.is_empty()
             || (self.awaited_by_predecessor && self.polls.is_late(now));
         let since = self.polls.silent_since;
-        (silent_before && !self.answered) || since.is_some_and(|at| now >= at + SILENCE_MIN)
+        let silent = since.is_some_and(|at| now >= at + SILENCE_MIN)
+            || self.polls.unanswered >= FAILED_POLLS_MIN;
+        silent || (silent_before && !self.answered)
     }
 
     /// Whether a predecessor may have started runs there that are not known yet.
--- a/crates/monsoonnotch_jobs/tests/promises/terms_timed.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/terms_timed.rs
@@ -55,6 +55,8 @@
     append_ms: u64,
     /// Time by which each answer to a poll is late, in milliseconds.
     late_ms: u64,
+    /// Whether a VM without an answer refuses connections, so that polls fail at once.
+    refused: bool,
     /// Whether a VM without an answer carries the poll out, so that only its answer is lost.
     answers_lost: bool,
     polls: Vec<Poll>,
@@ -84,6 +86,7 @@
             appends: Vec::new(),
             append_ms: 20,
             late_ms: 0,
+            refused: false,
             answers_lost: false,
             polls: Vec::new(),
             starts: Vec::new(),
@@ -126,7 +129,10 @@
                         if reply.is_some() || self.answers_lost {
                             *lease = (*lease).max(lease_until_ms.unwrap_or(0));
                         }
-                        let failed_at = now + wait.as_millis() + timeout.as_millis();
+                        let failed_at = match self.refused {
+                            true => now + 10,
+                            false => now + wait.as_millis() + timeout.as_millis(),
+                        };
                         let answered_at = now + wait.as_millis().max(10) + self.late_ms;
                         let (at_ms, answer) = match reply {
                             Some(reply) => (
@@ -447,3 +453,43 @@
         assert_eq!(stored, stores, "answers are late by {late_ms} ms");
     }
 }
+
+/// Guards against a wait in full for a VM whose crash the leader had seen: it ended half a second
+/// later and had not stored that yet.
+#[test]
+fn the_crash_of_a_vm_is_stored_within_half_a_second() {
+    const CRASH_MS: u64 = 5_000;
+    const END_MS: u64 = CRASH_MS + 500;
+    const LEASE_MAX_MS: u64 = 4_200;
+    let mut driver = Driver::begin(records_with(Some("v001")), 2, 0, fleet(2, 8_000));
+    driver.refused = true;
+    let answer = |id: &str, ms: u64| match id {
+        "v001" if ms >= CRASH_MS => None,
+        "v001" => Some(with_run(ms, 1_000)),
+        _ => Some(idle(ms)),
+    };
+    driver.play(0..CRASH_MS, answer, running);
+    // The crash resets the connection of the poll that waits.
+    for (at_ms, event) in &mut driver.due {
+        if let Event::Polled { answer, .. } = event
+            && answer.as_ref().is_ok_and(|a| !a.running.is_empty())
+        {
+            (*at_ms, *answer) = (CRASH_MS, Err(PollError::Unresponsive));
+        }
+    }
+    driver.play(CRASH_MS..END_MS, answer, running);
+    let begin = END_MS + CHANGE_MS;
+    let mut next = Driver::begin(driver.records, 3, begin, fleet(2, 8_000));
+    next.refused = true;
+    next.play(begin..begin + 15_000, answer, running);
+    let started = next.starts.first().expect("the task starts again").0;
+    let bound = CRASH_MS + LEASE_MAX_MS + START_MAX_MS;
+    assert!(
+        started <= bound,
+        "started at {started} ms, bound {bound} ms"
+    );
+    assert!(
+        started >= CRASH_MS + 2_000,
+        "its lease held at {started} ms"
+    );
+}
