--- a/crates/monsoonnotch_jobs/src/scheduler/flush.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/flush.rs
@@ -17,6 +17,9 @@
 
 /// Pause between two updates of the fleet record.
 const FLEET_UPDATE_PAUSE: Duration = Duration::from_millis(200);
+/// Shortest pause between two updates of the leases record. Until a VM is in it, a successor would
+/// wait in full.
+const LEASES_UPDATE_PAUSE: Duration = Duration::from_millis(50);
 /// Interval between updates of the leases record while only the remaining times change. A
 /// successor waits for up to this much longer.
 const LEASES_UPDATE_INTERVAL: Duration = Duration::from_millis(400);
@@ -195,7 +198,7 @@
             self.flush.next_leases_at = now + SCAN_INTERVAL;
             return None;
         }
-        self.flush.next_leases_at = now + FLEET_UPDATE_PAUSE;
+        self.flush.next_leases_at = now + LEASES_UPDATE_PAUSE;
         Some(leases)
     }
 
