--- a/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
@@ -18,6 +18,8 @@
 use crate::journal::Placements;
 use crate::journal::RemainingLeases;
 
+/// Shortest wait for a VM in the record of leases: it may be back and answer the first poll.
+const FIRST_ANSWER_MAX: Duration = Duration::from_millis(300);
 /// Pause between two reports of the VMs and runs that are awaited.
 pub(super) const AWAITED_LOG_INTERVAL: Duration = Duration::from_millis(1_500);
 
@@ -106,7 +108,7 @@
             return;
         }
         for (id, ms) in &leases.remaining_ms {
-            let expire_at = self.now + Duration::from_millis(*ms);
+            let expire_at = self.now + Duration::from_millis(*ms).max(FIRST_ANSWER_MAX);
             let key = self.vm_by_id(id);
             if let Some(vm) = self.vms.get_mut(key) {
                 vm.limit_predecessor_leases(expire_at);
@@ -114,8 +116,12 @@
         }
     }
 
-    /// Returns the leases that VMs may still have which do not answer and are awaited.
+    /// Returns the leases that VMs may still have which do not answer and are awaited; none while
+    /// this member is saturated, since then it is late itself and late answers still count.
     pub(super) fn remaining_leases(&self) -> Vec<(CompactString, u64)> {
+        if self.answer_times.is_saturated(self.now) {
+            return Vec::new();
+        }
         let rows = self.vms.iter().filter_map(|(_, vm)| {
             let awaited = vm.may_have_unknown_runs(self.now) || !vm.runs.is_empty();
             if !awaited || !vm.is_silent(self.now) {
@@ -137,9 +143,12 @@
         if !runs.all(is_sent) {
             return None;
         }
-        let starts = vm.unanswered_starts.values();
-        let starts = starts.map(|&sent| vms::lease_end(sent, lease_max, drift));
-        starts.chain([vm.leases_expire_at(drift)]).max()
+        let known = vm.leases_expire_at(drift);
+        Some(match vm.unanswered_starts.is_empty() {
+            true => known,
+            // The clock of an unannounced incarnation begins anew, so that any lease is long.
+            false => known.max(vms::lease_end(vm.lease_sent_at, lease_max, drift)),
+        })
     }
 
     /// Withholds leases from the VMs of a record of leases that is about to be stored.
