--- a/crates/monsoonnotch_jobs/src/journal/mod.rs
+++ b/crates/monsoonnotch_jobs/src/journal/mod.rs
@@ -85,6 +85,10 @@
     /// Indexes of the tasks that failed, each with its failed attempts; empty if the stage
     /// is complete.
     pub failed: Vec<(u32, Vec<u64>)>,
+    /// Indexes of the suspects, each with the attempts under which a VM crashed and the VM's id;
+    /// empty if the stage is complete.
+    #[serde(default)]
+    pub crashes: Vec<(u32, Vec<(u64, CompactString)>)>,
     /// Latest checkpoints by task index, of tasks that have no run and have not succeeded.
     #[serde(rename = "saved")]
     pub checkpoints: Vec<(u32, CompactString)>,
--- a/crates/monsoonnotch_jobs/src/scheduler/flush.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/flush.rs
@@ -244,6 +244,8 @@
         let complete = stage.is_complete();
         let done = tasks().filter(|(_, t)| t.done && !complete);
         let failed = tasks().filter(|(_, t)| !t.failed.is_empty() && !complete);
+        let suspects = tasks().filter(|(_, t)| !t.crashes.is_empty() && !t.done);
+        let crashes = |t: &super::job::Task| t.crashes.clone().into_iter().collect();
         let checkpoint =
             tasks().filter(|(_, t)| !t.checkpoint.is_empty() && !t.done && t.run.is_none());
         let progress = StageProgress {
@@ -254,9 +256,11 @@
             failed: failed
                 .map(|(i, t)| (i, t.failed.iter().copied().collect()))
                 .collect(),
+            crashes: suspects.map(|(i, t)| (i, crashes(t))).collect(),
             checkpoints: checkpoint.map(|(i, t)| (i, t.checkpoint.clone())).collect(),
         };
         let has_content = complete || !progress.done.is_empty() || !progress.failed.is_empty();
+        let has_content = has_content || !progress.crashes.is_empty();
         (has_content || !progress.checkpoints.is_empty()).then_some(progress)
     });
     Progress {
--- a/crates/monsoonnotch_jobs/src/scheduler/job.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/job.rs
@@ -154,6 +154,8 @@
     Gang,
     /// Too many starts have no answer yet, because this member is saturated.
     Saturated,
+    /// A suspect waits for a VM on which it can be told apart.
+    Suspect,
 }
 
 /// One task of a stage.
@@ -164,6 +166,8 @@
     /// Numbers of the attempts that failed. A set, because a finished run may be listed
     /// more than once, and late.
     pub(super) failed: BTreeSet<u64>,
+    /// VMs that crashed under the task since it was last cleared, by attempt.
+    pub(super) crashes: BTreeMap<u64, CompactString>,
     /// Highest attempt number used so far.
     pub(super) attempt: u64,
     /// Whether it was placed on a VM before.
@@ -291,6 +295,11 @@
                 stage.gang_failed.extend(attempts);
             }
         }
+        for (i, attempts) in &p.crashes {
+            if let Some(task) = stage.tasks.get_mut(*i as usize) {
+                task.crashes.extend(attempts.iter().cloned());
+            }
+        }
         for (i, checkpoint) in &p.checkpoints {
             if let Some(task) = stage.tasks.get_mut(*i as usize) {
                 task.checkpoint = checkpoint.clone();
--- a/crates/monsoonnotch_jobs/src/scheduler/mod.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/mod.rs
@@ -14,6 +14,7 @@
 mod gang;
 mod job;
 mod placement;
+mod poison;
 mod polls;
 mod predecessor;
 mod queries;
@@ -90,6 +91,7 @@
     ready_queue: BTreeSet<(job::Rank, StageKey)>,
     approval_requests: approvals::ApprovalRequests,
     flush: flush::Flush,
+    poison: poison::PoisonTasks,
     /// Estimates from finished runs and answered approval requests, by queue.
     queue_stats: BTreeMap<CompactString, job::QueueStats>,
     /// Recent rate of orders that responsive VMs left unanswered.
@@ -137,6 +139,7 @@
             ready_queue: BTreeSet::new(),
             approval_requests: approvals::ApprovalRequests::default(),
             flush: flush::Flush::default(),
+            poison: poison::PoisonTasks::default(),
             queue_stats: BTreeMap::new(),
             unanswered_orders: polls::UnansweredRate::default(),
             answer_times: answer_times::AnswerTimes::default(),
@@ -232,6 +235,7 @@
         self.scan_vms();
         self.hedge_overdue_polls();
         self.scan_runs();
+        self.scan_suspects();
         self.scan_jobs();
         self.rerank_late_stages();
         self.scan_approval_requests();
--- a/crates/monsoonnotch_jobs/src/scheduler/placement.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/placement.rs
@@ -232,6 +232,7 @@
         let step = job.step(key.step);
         let stage_tasks = self.tasks_by_vm(stage);
         let mut found = Vec::new();
+        let on_probation = self.vms_on_probation();
         let need = step.allocation();
         let mut consider = |vm: VmKey, ticket: CompactString| {
             let Some(row) = self.vms.get(vm) else { return };
@@ -264,7 +265,7 @@
                 consider(vm, CompactString::default());
             }
         }
-        found.retain(|c| c.stage_tasks < c.stage_tasks_max);
+        found.retain(|c| c.stage_tasks < c.stage_tasks_max && !on_probation.contains(&c.vm));
         found
     }
 
@@ -294,6 +295,7 @@
         let need = step.allocation();
         let total = waiting.len();
         let mut placed = 0;
+        let mut waits = 0;
         for (index, attempt) in waiting {
             if !self.within_limit(rank, &account, &step.need) {
                 self.set_blocked(key, Blocked::Limit);
@@ -303,7 +305,19 @@
                 self.set_blocked(key, Blocked::Reserve);
                 return (placed, true);
             }
-            let Some((vm, ticket)) = allocate_best(&mut candidates, &need) else {
+            let found = match self.is_suspect(key, index) && !candidates.is_empty() {
+                true => {
+                    let found = self.allocate_for_suspect(key.job, &mut candidates, &need);
+                    if found.is_none() {
+                        self.set_blocked(key, Blocked::Suspect);
+                        waits += 1;
+                        continue;
+                    }
+                    found
+                }
+                false => allocate_best(&mut candidates, &need),
+            };
+            let Some((vm, ticket)) = found else {
                 self.set_blocked(key, Blocked::Room);
                 break;
             };
@@ -311,7 +325,7 @@
             self.start(key, index, vm, attempt, ticket);
             placed += 1;
         }
-        (placed, placed == total)
+        (placed, placed + waits == total)
     }
 
     /// Starts all tasks of a gang or none, with the results of [`Self::place_tasks`].
@@ -333,6 +347,12 @@
         let (account, step) = (job.account.clone(), job.step(key.step).clone());
         let need = step.allocation();
         let count = waiting.len() as u64;
+        if self.is_suspect(key, 0)
+            && !self.retain_for_suspect_gang(key.job, &mut candidates, &need, count)
+        {
+            self.set_blocked(key, Blocked::Suspect);
+            return (0, true);
+        }
         let all = step.need.times(count);
         if !self.within_limit(rank, &account, &all) {
             self.set_blocked(key, Blocked::Limit);
@@ -362,6 +382,60 @@
         (waiting.len(), true)
     }
 
+    /// Allocates a suspect on the best candidate on which it can be told apart, where nothing
+    /// else may start then.
+    fn allocate_for_suspect(
+        &self,
+        job: JobKey,
+        candidates: &mut Vec<Candidate>,
+        need: &Resources,
+    ) -> Option<(VmKey, CompactString)> {
+        if !self.may_try_suspect(job) {
+            return None;
+        }
+        let all = std::mem::take(candidates);
+        let (mut fit, others): (Vec<_>, Vec<_>) =
+            all.into_iter().partition(|c| self.can_tell_apart(c.vm));
+        *candidates = others;
+        let best = allocate_best(&mut fit, need);
+        let used = best.as_ref().map(|(vm, _)| *vm);
+        candidates.extend(fit.into_iter().filter(|c| Some(c.vm) != used));
+        best
+    }
+
+    /// Retains the candidates on which a suspect gang can be told apart, on one VM of each
+    /// failure domain if these are enough; returns false if it must wait.
+    fn retain_for_suspect_gang(
+        &self,
+        job: JobKey,
+        candidates: &mut Vec<Candidate>,
+        need: &Resources,
+        count: u64,
+    ) -> bool {
+        if candidates.is_empty() {
+            return true;
+        }
+        candidates.retain(|c| self.can_tell_apart(c.vm));
+        let fits = |c: &Candidate| {
+            let remaining = u64::from(c.stage_tasks_max - c.stage_tasks);
+            fit_count(&c.free, need).min(remaining)
+        };
+        let mut widest: BTreeMap<CompactString, (u64, VmKey)> = BTreeMap::new();
+        for c in candidates.iter() {
+            let Some(vm) = self.vms.get(c.vm) else {
+                continue;
+            };
+            let row = widest.entry(vm.registration.domain.clone());
+            let row = row.or_insert((0, c.vm));
+            *row = (*row).max((fits(c), c.vm));
+        }
+        if widest.values().map(|(n, _)| n).sum::<u64>() >= count {
+            let kept: BTreeSet<VmKey> = widest.into_values().map(|(_, vm)| vm).collect();
+            candidates.retain(|c| kept.contains(&c.vm));
+        }
+        !candidates.is_empty() && self.may_try_suspect(job)
+    }
+
     fn set_blocked(&mut self, key: StageKey, reason: Blocked) {
         if let Some(stage) = self.stage_mut(key) {
             stage.blocked = reason;
--- /dev/null
+++ b/crates/monsoonnotch_jobs/src/scheduler/poison.rs
@@ -0,0 +1,312 @@
+//! Poison tasks: tasks that crash the VMs that start them.
+//!
+//! A VM that restarts has crashed under the runs that had begun there shortly before. Their
+//! tasks become *suspects*, and the attempts are stored as crashes. A suspect starts only where
+//! it can be told apart: on a VM without other fresh runs, one at a time in each failure domain
+//! and in each job. While it is on *probation* nothing else starts there, so that the next
+//! crash convicts it, and one that its VM survives clears it.
+//!
+//! Only a restart is evidence. A VM that is silent may be cut off, and one that drains leaves by
+//! itself. Only runs count that the VM confirmed.
+
+use super::runs::Run;
+use super::runs::State;
+use super::*;
+use crate::journal::Outcome;
+
+/// Time after its start within which a poison task crashes its VM. Answers that are late make
+/// a run look older, so that it grows with their measured times.
+const CRASH_DELAY_MAX: Duration = Duration::from_millis(250);
+/// Number of crashes under a task from which it is given up.
+const CRASHES_MAX: usize = 2;
+/// How long after its leases expired the restart of a VM still counts against its last runs.
+const RESTART_NOTICED_MAX: Duration = Duration::from_secs(30);
+/// How long after the leases of its VM expired a suspect waits for the restart of the VM.
+const SUSPECT_WAIT_MAX: Duration = Duration::from_secs(5);
+
+/// A run that may have crashed its VM.
+#[derive(Debug, Clone)]
+struct Candidate {
+    run: RunKey,
+    stage: StageKey,
+    index: u32,
+    attempt: u64,
+    /// Whether the VM confirmed that it runs.
+    begun: bool,
+}
+
+/// Runs that may turn out to be candidates of a crash.
+#[derive(Debug)]
+struct Doubt {
+    at: Time,
+    candidates: Vec<Candidate>,
+}
+
+/// A run of an unconfirmed start on a VM that crashed.
+#[derive(Debug)]
+struct Unconfirmed {
+    at: Time,
+    candidate: Candidate,
+    vm: CompactString,
+    alone: bool,
+}
+
+/// State of the search for poison tasks.
+#[derive(Debug, Default)]
+pub(super) struct PoisonTasks {
+    /// Runs of suspects whose VMs have not shown that they survived them, and whether a poll
+    /// was sent for it.
+    probation: BTreeMap<RunKey, bool>,
+    /// Last runs of the VMs whose leases have expired.
+    expired: BTreeMap<VmKey, Doubt>,
+    /// Runs on crashed VMs whose start had no answer yet.
+    unconfirmed: BTreeMap<RunKey, Unconfirmed>,
+}
+
+impl PoisonTasks {
+    pub(super) fn remove_run(&mut self, key: RunKey) {
+        self.probation.remove(&key);
+    }
+}
+
+impl Scheduler {
+    /// Whether a task is a suspect because a VM crashed under it, or may have; a gang is one as
+    /// a whole.
+    pub(super) fn is_suspect(&self, key: StageKey, index: u32) -> bool {
+        let doubts = self.poison.expired.values();
+        let mut doubts = doubts.flat_map(|d| &d.candidates);
+        let gang = self.is_gang(key);
+        self.has_crashes(key, index) || doubts.any(|c| c.stage == key && (gang || c.index == index))
+    }
+
+    /// Whether a VM crashed under a task, or under any task of its gang.
+    fn has_crashes(&self, key: StageKey, index: u32) -> bool {
+        let Some(stage) = self.stage(key) else {
+            return false;
+        };
+        let crashed = |t: &job::Task| !t.done && !t.crashes.is_empty();
+        match self.is_gang(key) {
+            true => stage.tasks.iter().any(crashed),
+            false => stage.tasks.get(index as usize).is_some_and(crashed),
+        }
+    }
+
+    fn is_gang(&self, key: StageKey) -> bool {
+        let job = self.jobs.get(key.job);
+        job.is_some_and(|j| j.step(key.step).gang)
+    }
+
+    /// Puts a new run on probation if its task is a suspect.
+    pub(super) fn watch_suspect(&mut self, key: RunKey) {
+        let run = self.runs.get(&key);
+        if run.is_some_and(|r| self.is_suspect(r.stage, r.index)) {
+            self.poison.probation.insert(key, false);
+        }
+    }
+
+    /// Returns the suspects whose VMs fell silent under them a short time ago, after another VM
+    /// had crashed, with the VMs.
+    fn suspects_in_doubt(&self) -> impl Iterator<Item = (VmKey, &Candidate)> {
+        let recent = |d: &&Doubt| self.now <= d.at + SUSPECT_WAIT_MAX;
+        let doubts = self.poison.expired.iter();
+        let doubts = doubts.filter(move |(_, d)| recent(d));
+        let all = doubts.flat_map(|(vm, d)| d.candidates.iter().map(|c| (*vm, c)));
+        all.filter(|(_, c)| self.has_crashes(c.stage, c.index))
+    }
+
+    /// Returns the VMs with a run on probation, where nothing else may start.
+    pub(super) fn vms_on_probation(&self) -> BTreeSet<VmKey> {
+        let runs = self.poison.probation.keys();
+        let runs = runs.filter_map(|r| self.runs.get(r));
+        runs.map(|r| r.vm).collect()
+    }
+
+    /// Whether a suspect of a job may start now at all: none of the job is on probation, or on a
+    /// VM that fell silent.
+    pub(super) fn may_try_suspect(&self, job: JobKey) -> bool {
+        let mut runs = self.poison.probation.keys();
+        let on_probation = runs.any(|r| self.runs.get(r).is_some_and(|r| r.stage.job == job));
+        !on_probation && !self.suspects_in_doubt().any(|(_, c)| c.stage.job == job)
+    }
+
+    /// Whether a crash of a VM would convict a suspect that starts there now: nothing else
+    /// there is fresh, and no other suspect is on probation in the failure domain.
+    pub(super) fn can_tell_apart(&self, key: VmKey) -> bool {
+        let Some(vm) = self.vms.get(key) else {
+            return false;
+        };
+        let delay = self.crash_delay_max();
+        let proven = |run: &Run| {
+            let known = matches!(run.state, State::Running { .. } | State::Stopping { .. });
+            known && self.now > run.sent_at + delay
+        };
+        let domain = &vm.registration.domain;
+        let same_domain = |other: VmKey| {
+            let other = self.vms.get(other);
+            other.is_some_and(|v| v.registration.domain == *domain)
+        };
+        let mut runs = vm.runs.iter().filter_map(|r| self.runs.get(r));
+        let on_probation = self.vms_on_probation().into_iter();
+        let mut tried = on_probation.chain(self.suspects_in_doubt().map(|(vm, _)| vm));
+        runs.all(proven) && !tried.any(same_domain)
+    }
+
+    fn crash_delay_max(&self) -> Duration {
+        self.answer_times.timeout(CRASH_DELAY_MAX)
+    }
+
+    /// Returns when a run began at the earliest; the tasks of a gang begin together.
+    fn began_at(&self, run: &Run) -> Time {
+        let others = self.stage(run.stage).filter(|_| self.is_gang(run.stage));
+        let others = others.into_iter().flat_map(|s| s.runs());
+        let others = others.filter_map(|r| self.runs.get(&r)).map(|r| r.sent_at);
+        others.fold(run.sent_at, Time::max)
+    }
+
+    /// Returns the runs of a VM that had begun shortly before its last sign of life, or later.
+    fn crash_candidates(&self, key: VmKey) -> Vec<Candidate> {
+        let alive = self.vms.get(key).and_then(|v| Some((v, v.alive_at?)));
+        let Some((vm, alive_at)) = alive else {
+            return Vec::new();
+        };
+        let delay = self.crash_delay_max();
+        let runs = vm.runs.iter().filter_map(|r| Some((*r, self.runs.get(r)?)));
+        let fresh = runs.filter(|(_, r)| r.sends > 0 && self.began_at(r) + delay >= alive_at);
+        let candidate = |(key, run): (RunKey, &Run)| Candidate {
+            run: key,
+            stage: run.stage,
+            index: run.index,
+            attempt: run.attempt,
+            begun: run.begun,
+        };
+        fresh.map(candidate).collect()
+    }
+
+    /// Keeps the last runs of a VM whose leases have expired, in case that it has crashed.
+    pub(super) fn keep_crash_candidates(&mut self, key: VmKey) {
+        let candidates = self.crash_candidates(key);
+        let at = self.now;
+        if !candidates.is_empty() {
+            self.poison.expired.insert(key, Doubt { at, candidates });
+        }
+    }
+
+    /// Counts the crash of a VM, which its restart shows, against the runs that may be the cause.
+    pub(super) fn record_crash(&mut self, key: VmKey) {
+        let vm = self.vms.get(key).map(|v| &v.registration);
+        let Some(vm) = vm.filter(|r| !r.draining).map(|r| r.id.clone()) else {
+            return;
+        };
+        let at = self.now;
+        let mut candidates = self.crash_candidates(key);
+        if let Some(doubt) = self.poison.expired.remove(&key) {
+            candidates.extend(doubt.candidates);
+        }
+        let first = candidates.first().map(|c| c.stage.job);
+        let alone = candidates.iter().all(|c| Some(c.stage.job) == first);
+        for candidate in candidates {
+            if candidate.begun {
+                self.count_crash(&candidate, &vm, alone);
+                continue;
+            }
+            let unconfirmed = Unconfirmed {
+                at,
+                vm: vm.clone(),
+                alone,
+                candidate,
+            };
+            let key = unconfirmed.candidate.run;
+            self.poison.unconfirmed.insert(key, unconfirmed);
+        }
+    }
+
+    /// Counts the crash of the VM that the old registrations at an address name.
+    pub(super) fn record_crash_at(&mut self, addr: &str, id: &str) {
+        let replaced = |vm: &vms::Vm| vm.registration.addr == addr && vm.registration.id != id;
+        let replaced = self.vms.iter().filter(|(_, vm)| replaced(vm));
+        for key in replaced.map(|(k, _)| k).collect::<Vec<_>>() {
+            self.record_crash(key);
+        }
+    }
+
+    /// Counts a crash against a run whose start is confirmed only after it was dropped.
+    pub(super) fn start_confirmed_late(&mut self, key: RunKey) {
+        if let Some(run) = self.poison.unconfirmed.remove(&key) {
+            self.count_crash(&run.candidate, &run.vm, run.alone);
+        }
+    }
+
+    fn count_crash(&mut self, candidate: &Candidate, vm: &CompactString, alone: bool) {
+        let (key, index, attempt) = (candidate.stage, candidate.index, candidate.attempt);
+        if self.jobs.get(key.job).is_none_or(job::Job::ended) {
+            return;
+        }
+        let stage = self.stage_mut(key);
+        let Some(task) = stage.and_then(|s| s.tasks.get_mut(index as usize)) else {
+            return;
+        };
+        if task.done || task.crashes.contains_key(&attempt) {
+            return;
+        }
+        task.crashes.insert(attempt, vm.clone());
+        let crashes = task.crashes.iter().map(|(a, vm)| format!("{vm}/{a}"));
+        let crashes = crashes.collect::<Vec<_>>().join(",");
+        let given_up = alone && task.crashes.len() >= CRASHES_MAX;
+        self.flush.mark_dirty(key.job);
+        let id = self.task_id(key, index).stage.job.0;
+        let detail = format!(
+            "step={} occurrence={} index={index} crashes={crashes} alone={alone}",
+            key.step, key.occurrence
+        );
+        if given_up {
+            self.warn(id, "poison task", detail);
+            self.end_job(key.job, Outcome::Failed);
+        } else {
+            self.warn(id, "task suspected", detail);
+        }
+    }
+
+    /// Clears a suspect whose run is listed in the answer to a poll that was sent long enough
+    /// after its start.
+    pub(super) fn clear_suspect(&mut self, key: RunKey, polled_at: Time) {
+        if !self.poison.probation.contains_key(&key) {
+            return;
+        }
+        let Some(run) = self.runs.get(&key) else {
+            return;
+        };
+        if polled_at <= self.began_at(run) + self.crash_delay_max() {
+            return;
+        }
+        let (stage, index) = (run.stage, run.index);
+        let detail = self.describe_run(run);
+        self.poison.remove_run(key);
+        for doubt in self.poison.expired.values_mut() {
+            let same = |c: &Candidate| c.stage == stage && c.index == index;
+            doubt.candidates.retain(|c| !same(c));
+        }
+        if let Some(stage) = self.stage_mut(stage) {
+            stage.tasks[index as usize].crashes.clear();
+        }
+        self.flush.mark_dirty(stage.job);
+        self.placement_needed = true;
+        let id = self.task_id(stage, index).stage.job.0;
+        self.log(id, "suspect cleared", detail);
+    }
+
+    /// Polls the VMs that a suspect should have crashed by now, and forgets old doubts.
+    pub(super) fn scan_suspects(&mut self) {
+        let now = self.now;
+        let recent = |at: Time| now <= at + RESTART_NOTICED_MAX;
+        self.poison.expired.retain(|_, d| recent(d.at));
+        self.poison.unconfirmed.retain(|_, u| recent(u.at));
+        let delay = self.crash_delay_max();
+        let waiting = self.poison.probation.iter().filter(|(_, polled)| !**polled);
+        let waiting = waiting.filter_map(|(key, _)| Some((*key, self.runs.get(key)?)));
+        let due = waiting.filter(|(_, r)| r.begun && now > self.began_at(r) + delay);
+        for (key, vm) in due.map(|(k, r)| (k, r.vm)).collect::<Vec<_>>() {
+            self.poison.probation.insert(key, true);
+            self.poll_now(vm);
+        }
+    }
+}
--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -302,6 +302,7 @@
     /// order may have been sent to an address that a newer registration has replaced.
     fn other_incarnation(&mut self, key: VmKey) {
         let now = self.now;
+        self.record_crash(key);
         let Some(vm) = self.vms.get_mut(key) else {
             return;
         };
@@ -344,6 +345,7 @@
             let known = vm.registration.started_ms > 0;
             vm.registration.started_ms = started_ms;
             if known {
+                self.record_crash(key);
                 return self.reset_incarnation(key);
             }
         }
@@ -353,6 +355,7 @@
             // It refuses orders of a predecessor from now on, but may have a lease from one.
             vm.add_other_lease(now, lease, drift);
         }
+        vm.alive_at = Some(now);
         vm.clock = Some((now, answer.clock_ms));
         vm.finished_acknowledged = vm.finished_acknowledged.max(poll.acknowledged);
         vm.unanswered_starts.retain(|_, sent| *sent > poll.sent_at);
@@ -434,6 +437,7 @@
             match self.match_run(key, running) {
                 Some(run) => {
                     not_listed.remove(&run);
+                    self.clear_suspect(run, polled_at);
                 }
                 None => self.add_orphan(key, running, &mut orphans),
             }
--- a/crates/monsoonnotch_jobs/src/scheduler/runs.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/runs.rs
@@ -62,6 +62,8 @@
     pub(super) ticket: CompactString,
     /// Number of times its start was sent.
     pub(super) sends: u32,
+    /// Whether its VM confirmed that it began.
+    pub(super) begun: bool,
 }
 
 impl Scheduler {
@@ -90,6 +92,7 @@
             serving: step.target_ms > 0,
             ticket: CompactString::default(),
             sends: 0,
+            begun: false,
         };
         self.next_run += 1;
         let key = RunKey(self.next_run);
@@ -104,6 +107,7 @@
         task.placed = true;
         task.attempt = task.attempt.max(attempt);
         self.update_ready_queue(stage);
+        self.watch_suspect(key);
         key
     }
 
@@ -133,6 +137,7 @@
             return;
         };
         let inherited = run.state == State::Inherited;
+        run.begun = true;
         if matches!(
             run.state,
             State::Starting | State::Uncertain | State::Inherited
@@ -230,6 +235,7 @@
             return;
         };
         self.update_usage(&run, key, false);
+        self.poison.remove_run(key);
         if let Some(stage) = self.stage_mut(run.stage) {
             let task = &mut stage.tasks[run.index as usize];
             task.run = None;
--- a/crates/monsoonnotch_jobs/src/scheduler/starts.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/starts.rs
@@ -109,8 +109,12 @@
     pub(super) fn start_answered(&mut self, key: RunKey, answer: StartAnswer) {
         let now = self.now;
         let Some(run) = self.runs.get_mut(&key) else {
+            if answer == StartAnswer::Running {
+                self.start_confirmed_late(key);
+            }
             return;
         };
+        run.begun |= answer == StartAnswer::Running;
         let (vm, stage, index) = (run.vm, run.stage, run.index);
         let starting = matches!(run.state, State::Starting | State::Uncertain);
         let (only_send, sent_at) = (run.sends == 1, run.sent_at);
@@ -125,6 +129,7 @@
         }
         if answered && let Some(row) = self.vms.get_mut(vm) {
             row.unanswered_starts.remove(&key);
+            row.alive_at = row.alive_at.max(Some(sent_at).filter(|_| only_send));
         }
         let needed = self.is_needed(stage, index);
         let Some(run) = self.runs.get_mut(&key) else {
--- a/crates/monsoonnotch_jobs/src/scheduler/vms.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/vms.rs
@@ -39,6 +39,8 @@
     /// Number of its serving runs.
     pub(super) serving: u32,
     pub(super) runs: BTreeSet<RunKey>,
+    /// When its present incarnation last gave a sign of life.
+    pub(super) alive_at: Option<Time>,
     /// When the VM's clock was last read, and what it showed in milliseconds.
     pub(super) clock: Option<(Time, u64)>,
     /// Latest end of any lease or start validity that was sent to it, in milliseconds on
@@ -115,6 +117,7 @@
             backfill_cpu_milli: 0,
             serving: 0,
             runs: BTreeSet::new(),
+            alive_at: None,
             clock: None,
             lease_until_ms: 0,
             other_leases_expire_at,
@@ -241,6 +244,12 @@
         let restarted =
             registration.started_ms > vm.registration.started_ms && vm.registration.started_ms > 0;
         let changed = !vm.listed || vm.registration.draining != registration.draining || restarted;
+        if restarted {
+            self.record_crash(key);
+        }
+        let Some(vm) = self.vms.get_mut(key) else {
+            return;
+        };
         vm.listed = true;
         vm.registration = registration;
         if restarted {
@@ -287,9 +296,11 @@
     }
 
     fn add_registered_vm(&mut self, registration: Registration) {
+        let (id, addr) = (registration.id.clone(), registration.addr.clone());
         let key = self.add_vm(Vm::new(registration, self.settle_at));
         self.placement_needed = true;
         if self.marker.is_some() {
+            self.record_crash_at(&addr, &id);
             self.poll_now(key);
         }
     }
@@ -306,6 +317,7 @@
             return;
         };
         vm.answered = false;
+        vm.alive_at = None;
         vm.clock = None;
         vm.lease_until_ms = 0;
         vm.add_other_lease(now, lease_max, drift);
@@ -433,6 +445,7 @@
             return;
         }
         let id = vm.registration.id.clone();
+        self.keep_crash_candidates(key);
         self.set_orphans(key, Orphans::default());
         let detail = format!("vm={id} runs={} kept={}", lost.len(), kept.len());
         self.warn(0, "leases expired", detail);
