--- a/crates/monsoonnotch_jobs/src/scheduler/placement.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/placement.rs
@@ -296,6 +296,9 @@
         let total = waiting.len();
         let mut placed = 0;
         let mut waits = 0;
+        let suspects: BTreeSet<u32> = waiting.iter().map(|w| w.0).collect();
+        let suspects = &suspects & &self.suspects_of(key);
+        let mut trial = Vec::new();
         for (index, attempt) in waiting {
             if !self.within_limit(rank, &account, &step.need) {
                 self.set_blocked(key, Blocked::Limit);
@@ -305,18 +308,20 @@
                 self.set_blocked(key, Blocked::Reserve);
                 return (placed, true);
             }
-            let found = match self.is_suspect(key, index) && !candidates.is_empty() {
-                true => {
-                    let found = self.allocate_for_suspect(key.job, &mut candidates, &need);
-                    if found.is_none() {
-                        self.set_blocked(key, Blocked::Suspect);
-                        waits += 1;
-                        continue;
-                    }
-                    found
-                }
+            let suspect =
+                suspects.contains(&index) && (!candidates.is_empty() || !trial.is_empty());
+            if suspect && trial.is_empty() {
+                trial.extend(self.take_trial(key.job, &mut candidates, &need, suspects.len()));
+            }
+            let found = match suspect {
+                true => allocate_best(&mut trial, &need),
                 false => allocate_best(&mut candidates, &need),
             };
+            if suspect && found.is_none() {
+                self.set_blocked(key, Blocked::Suspect);
+                waits += 1;
+                continue;
+            }
             let Some((vm, ticket)) = found else {
                 self.set_blocked(key, Blocked::Room);
                 break;
@@ -382,25 +387,28 @@
         (waiting.len(), true)
     }
 
-    /// Allocates a suspect on the best candidate on which it can be told apart, where nothing
-    /// else may start then.
-    fn allocate_for_suspect(
+    /// Takes the candidate out on which the `count` suspects of a stage are tried: one where they
+    /// can be told apart, with room for most of them.
+    fn take_trial(
         &self,
         job: JobKey,
         candidates: &mut Vec<Candidate>,
         need: &Resources,
-    ) -> Option<(VmKey, CompactString)> {
+        count: usize,
+    ) -> Option<Candidate> {
         if !self.may_try_suspect(job) {
             return None;
         }
-        let all = std::mem::take(candidates);
-        let (mut fit, others): (Vec<_>, Vec<_>) =
-            all.into_iter().partition(|c| self.can_tell_apart(c.vm));
-        *candidates = others;
-        let best = allocate_best(&mut fit, need);
-        let used = best.as_ref().map(|(vm, _)| *vm);
-        candidates.extend(fit.into_iter().filter(|c| Some(c.vm) != used));
-        best
+        let fits = |c: &Candidate| {
+            let remaining = u64::from(c.stage_tasks_max - c.stage_tasks);
+            fit_count(&c.free, need).min(remaining).min(count as u64)
+        };
+        let fitting = candidates.iter().enumerate();
+        let fitting = fitting.filter(|(_, c)| self.can_tell_apart(c.vm));
+        let best = fitting
+            .max_by_key(|(_, c)| (fits(c), u64::MAX - c.penalty))?
+            .0;
+        Some(candidates.swap_remove(best))
     }
 
     /// Retains the candidates on which a suspect gang can be told apart, on one VM of each
--- a/crates/monsoonnotch_jobs/src/scheduler/poison.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/poison.rs
@@ -2,8 +2,9 @@
 //!
 //! A VM that restarts has crashed under the runs that had begun there shortly before. Their
 //! tasks become *suspects*, and the attempts are stored as crashes. A suspect starts only where
-//! it can be told apart: on a VM without other fresh runs, one at a time in each failure domain
-//! and in each job. While it is on *probation* nothing else starts there, so that the next
+//! it can be told apart: on a VM without other fresh runs, one VM at a time in each failure domain
+//! and for each job. The suspects of a step are tried together, since one of them is enough for
+//! the job to fail. While it is on *probation* nothing else starts there, so that the next
 //! crash convicts it, and one that its VM survives clears it.
 //!
 //! Only a restart is evidence. A VM that is silent may be cut off, and one that drains leaves by
@@ -79,6 +80,13 @@
         self.has_crashes(key, index) || doubts.any(|c| c.stage == key && (gang || c.index == index))
     }
 
+    /// Returns the tasks of a stage that are suspects.
+    pub(super) fn suspects_of(&self, key: StageKey) -> BTreeSet<u32> {
+        let count = self.stage(key).map_or(0, |s| s.tasks.len());
+        let all = 0..u32::try_from(count).unwrap_or(0);
+        all.filter(|&i| self.is_suspect(key, i)).collect()
+    }
+
     /// Whether a VM crashed under a task, or under any task of its gang.
     fn has_crashes(&self, key: StageKey, index: u32) -> bool {
         let Some(stage) = self.stage(key) else {
@@ -204,11 +212,9 @@
         }
         let first = candidates.first().map(|c| c.stage.job);
         let alone = candidates.iter().all(|c| Some(c.stage.job) == first);
-        for candidate in candidates {
-            if candidate.begun {
-                self.count_crash(&candidate, &vm, alone);
-                continue;
-            }
+        let (begun, unconfirmed): (Vec<_>, Vec<_>) = candidates.into_iter().partition(|c| c.begun);
+        self.count_crashes(&begun, &vm, alone);
+        for candidate in unconfirmed {
             let unconfirmed = Unconfirmed {
                 at,
                 vm: vm.clone(),
@@ -232,38 +238,70 @@
     /// Counts a crash against a run whose start is confirmed only after it was dropped.
     pub(super) fn start_confirmed_late(&mut self, key: RunKey) {
         if let Some(run) = self.poison.unconfirmed.remove(&key) {
-            self.count_crash(&run.candidate, &run.vm, run.alone);
+            self.count_crashes(&[run.candidate], &run.vm, run.alone);
         }
     }
 
-    fn count_crash(&mut self, candidate: &Candidate, vm: &CompactString, alone: bool) {
-        let (key, index, attempt) = (candidate.stage, candidate.index, candidate.attempt);
-        if self.jobs.get(key.job).is_none_or(job::Job::ended) {
+    /// Counts a crash against runs of its VM; gives their job up if it is the only suspect.
+    fn count_crashes(&mut self, runs: &[Candidate], vm: &CompactString, alone: bool) {
+        let mut convicted = Vec::new();
+        for run in runs {
+            let crashes = self.count_crash(run, vm);
+            if alone && crashes >= CRASHES_MAX {
+                convicted.push(run);
+            }
+        }
+        let Some(first) = convicted.first() else {
             return;
+        };
+        let (key, index) = (first.stage, first.index);
+        let indexes: Vec<String> = convicted.iter().map(|c| c.index.to_string()).collect();
+        let detail = format!(
+            "step={} occurrence={} indexes={} crashes={}",
+            key.step,
+            key.occurrence,
+            indexes.join(","),
+            self.describe_crashes(key, index)
+        );
+        let id = self.task_id(key, index).stage.job.0;
+        self.warn(id, "poison task", detail);
+        self.end_job(key.job, Outcome::Failed);
+    }
+
+    /// Counts a crash against a run of its VM; returns the number of crashes under its task, or
+    /// zero if it is counted already.
+    fn count_crash(&mut self, run: &Candidate, vm: &CompactString) -> usize {
+        let (key, index, attempt) = (run.stage, run.index, run.attempt);
+        if self.jobs.get(key.job).is_none_or(job::Job::ended) {
+            return 0;
         }
         let stage = self.stage_mut(key);
         let Some(task) = stage.and_then(|s| s.tasks.get_mut(index as usize)) else {
-            return;
+            return 0;
         };
         if task.done || task.crashes.contains_key(&attempt) {
-            return;
+            return 0;
         }
         task.crashes.insert(attempt, vm.clone());
-        let crashes = task.crashes.iter().map(|(a, vm)| format!("{vm}/{a}"));
-        let crashes = crashes.collect::<Vec<_>>().join(",");
-        let given_up = alone && task.crashes.len() >= CRASHES_MAX;
+        let count = task.crashes.len();
         self.flush.mark_dirty(key.job);
-        let id = self.task_id(key, index).stage.job.0;
         let detail = format!(
-            "step={} occurrence={} index={index} crashes={crashes} alone={alone}",
-            key.step, key.occurrence
+            "step={} occurrence={} index={index} crashes={}",
+            key.step,
+            key.occurrence,
+            self.describe_crashes(key, index)
         );
-        if given_up {
-            self.warn(id, "poison task", detail);
-            self.end_job(key.job, Outcome::Failed);
-        } else {
-            self.warn(id, "task suspected", detail);
-        }
+        let id = self.task_id(key, index).stage.job.0;
+        self.warn(id, "task suspected", detail);
+        count
+    }
+
+    /// Returns the VMs that crashed under a task, each with the attempt.
+    fn describe_crashes(&self, key: StageKey, index: u32) -> String {
+        let task = self.stage(key).and_then(|s| s.tasks.get(index as usize));
+        let crashes = task.into_iter().flat_map(|t| &t.crashes);
+        let crashes: Vec<String> = crashes.map(|(a, vm)| format!("{vm}/{a}")).collect();
+        crashes.join(",")
     }
 
     /// Clears a suspect whose run is listed in the answer to a poll that was sent long enough
