--- a/crates/monsoonnotch_jobs/src/scheduler/poison.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/poison.rs
@@ -60,6 +60,8 @@
     probation: BTreeMap<RunKey, bool>,
     /// Last runs of the VMs whose leases have expired.
     expired: BTreeMap<VmKey, Doubt>,
+    /// Tasks that a crash was counted against, by the id of the VM; some may be cleared since.
+    by_vm: BTreeMap<CompactString, BTreeSet<(StageKey, u32)>>,
     /// Runs on crashed VMs whose start had no answer yet.
     unconfirmed: BTreeMap<RunKey, Unconfirmed>,
 }
@@ -265,7 +267,53 @@
         );
         let id = self.task_id(key, index).stage.job.0;
         self.warn(id, "poison task", detail);
+        let explained = self.crashed_vms(key, index);
         self.end_job(key.job, Outcome::Failed);
+        for vm in explained {
+            self.clear_neighbours(&vm);
+        }
+    }
+
+    /// Returns the ids of the VMs that crashed under a task.
+    fn crashed_vms(&self, key: StageKey, index: u32) -> Vec<CompactString> {
+        let task = self.stage(key).and_then(|s| s.tasks.get(index as usize));
+        let crashes = task.into_iter().flat_map(|t| t.crashes.values());
+        crashes.cloned().collect()
+    }
+
+    /// Takes back the crash of a VM that a poison task explains from the tasks beside it.
+    fn clear_neighbours(&mut self, vm: &CompactString) {
+        for (key, index) in self.poison.by_vm.remove(vm).unwrap_or_default() {
+            if self.jobs.get(key.job).is_none_or(job::Job::ended) {
+                continue;
+            }
+            let stage = self.stage_mut(key);
+            if let Some(task) = stage.and_then(|s| s.tasks.get_mut(index as usize)) {
+                task.crashes.retain(|_, v| v != vm);
+            }
+            self.flush.mark_dirty(key.job);
+        }
+        self.placement_needed = true;
+    }
+
+    /// Notes the suspects of a predecessor, once the journal has been read.
+    pub(super) fn index_suspects(&mut self) {
+        for &job in &self.open_jobs {
+            let stages = self.jobs.get(job).into_iter().flat_map(|j| &j.stages);
+            for (&(occurrence, step), stage) in stages {
+                let key = StageKey {
+                    job,
+                    occurrence,
+                    step,
+                };
+                for (index, task) in (0..).zip(&stage.tasks) {
+                    for vm in task.crashes.values() {
+                        let suspects = self.poison.by_vm.entry(vm.clone()).or_default();
+                        suspects.insert((key, index));
+                    }
+                }
+            }
+        }
     }
 
     /// Counts a crash against a run of its VM; returns the number of crashes under its task, or
@@ -283,6 +331,8 @@
             return 0;
         }
         task.crashes.insert(attempt, vm.clone());
+        let suspects = self.poison.by_vm.entry(vm.clone()).or_default();
+        suspects.insert((key, index));
         let count = task.crashes.len();
         self.flush.mark_dirty(key.job);
         let detail = format!(
