--- a/crates/monsoonnotch_jobs/src/scheduler/poison.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/poison.rs
@@ -331,9 +331,9 @@
             return 0;
         }
         task.crashes.insert(attempt, vm.clone());
+        let count = task.crashes.len();
         let suspects = self.poison.by_vm.entry(vm.clone()).or_default();
         suspects.insert((key, index));
-        let count = task.crashes.len();
         self.flush.mark_dirty(key.job);
         let detail = format!(
             "step={} occurrence={} index={index} crashes={}",
