--- a/crates/monsoonnotch_jobs/src/scheduler/placement.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/placement.rs
@@ -319,9 +319,6 @@
             };
             if suspect && found.is_none() {
                 self.set_blocked(key, Blocked::Suspect);
-                if waits == 0 && placed == 0 {
-                    self.trial_blocked(key.job);
-                }
                 waits += 1;
                 continue;
             }
@@ -399,7 +396,7 @@
         need: &Resources,
         count: usize,
     ) -> Option<Candidate> {
-        if !self.may_try_suspect(job) || self.yields_trial(job) {
+        if !self.may_try_suspect(job) {
             return None;
         }
         let fits = |c: &Candidate| {
--- a/crates/monsoonnotch_jobs/src/scheduler/poison.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/poison.rs
@@ -17,14 +17,11 @@
 
 /// Time after its start within which a poison task crashes its VM. Answers that are late make
 /// a run look older, so that it grows with their measured times.
-const CRASH_DELAY_MAX: Duration = Duration::from_millis(250);
+const CRASH_DELAY_MAX: Duration = Duration::from_millis(100);
 /// Number of crashes under a task from which it is given up.
 const CRASHES_MAX: usize = 2;
 /// How long after its leases expired the restart of a VM still counts against its last runs.
 const RESTART_NOTICED_MAX: Duration = Duration::from_secs(30);
-/// How long the trial of an only suspect yields after another one found no failure domain; longer
-/// than the pause between two placement passes.
-const CONTENTION_PERIOD: Duration = Duration::from_millis(300);
 /// How long after the leases of its VM expired a suspect waits for the restart of the VM.
 const SUSPECT_WAIT_MAX: Duration = Duration::from_secs(5);
 
@@ -65,8 +62,6 @@
     expired: BTreeMap<VmKey, Doubt>,
     /// Tasks that a crash was counted against, by the id of the VM; some may be cleared since.
     by_vm: BTreeMap<CompactString, BTreeSet<(StageKey, u32)>>,
-    /// Until when suspects of ambiguous crashes wait for a failure domain.
-    contended_until: Time,
     /// Runs on crashed VMs whose start had no answer yet.
     unconfirmed: BTreeMap<RunKey, Unconfirmed>,
 }
@@ -144,44 +139,6 @@
         !on_probation && !self.suspects_in_doubt().any(|(_, c)| c.stage.job == job)
     }
 
-    /// Whether a job is the only one left that may have crashed each of the VMs that did under it.
-    fn is_only_suspect(&self, job: JobKey) -> bool {
-        let other = |vm: &CompactString, (key, index): (StageKey, u32)| {
-            let open = self.jobs.get(key.job).is_some_and(|j| !j.ended());
-            let task = self.stage(key).and_then(|s| s.tasks.get(index as usize));
-            let task = task.filter(|t| open && key.job != job && !t.done);
-            task.is_some_and(|t| t.crashes.values().any(|v| v == vm))
-        };
-        let stages = self
-            .jobs
-            .get(job)
-            .into_iter()
-            .flat_map(|j| j.stages.values());
-        let vms = stages
-            .flat_map(|s| &s.tasks)
-            .flat_map(|t| t.crashes.values());
-        let mut vms = vms.filter_map(|vm| Some((vm, self.poison.by_vm.get(vm)?)));
-        !vms.any(|(vm, suspects)| suspects.iter().any(|s| other(vm, *s)))
-    }
-
-    /// Whether the trial of a job waits for those of others. The only suspect of a crash is
-    /// probably its cause, and would keep a failure domain busy until its VM is back, so that no
-    /// two are tried at once while others wait.
-    pub(super) fn yields_trial(&self, job: JobKey) -> bool {
-        let tried = self.poison.probation.keys();
-        let mut tried = tried.filter_map(|r| Some(self.runs.get(r)?.stage.job));
-        self.now < self.poison.contended_until
-            && self.is_only_suspect(job)
-            && tried.any(|j| self.is_only_suspect(j))
-    }
-
-    /// Notes that no failure domain is free for the trial of a job.
-    pub(super) fn trial_blocked(&mut self, job: JobKey) {
-        if self.may_try_suspect(job) && !self.is_only_suspect(job) {
-            self.poison.contended_until = self.now + CONTENTION_PERIOD;
-        }
-    }
-
     /// Whether a crash of a VM would convict a suspect that starts there now: nothing else
     /// there is fresh, and no other suspect is on probation in the failure domain.
     pub(super) fn can_tell_apart(&self, key: VmKey) -> bool {
