--- a/crates/monsoonnotch_jobs/src/scheduler/job.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/job.rs
@@ -154,6 +154,8 @@
     Gang,
     /// Too many starts have no answer yet, because this member is saturated.
     Saturated,
+    /// The job has fresh runs on as many VMs as it may crash at a time.
+    Fresh,
     /// A suspect waits for a VM on which it can be told apart.
     Suspect,
 }
--- a/crates/monsoonnotch_jobs/src/scheduler/placement.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/placement.rs
@@ -41,6 +41,7 @@
 struct PoolCapacity {
     free: u64,
     total: u64,
+    vms: usize,
 }
 
 /// Returns how many times `need` fits into `free`.
@@ -108,6 +109,7 @@
             if let Some(capacity) = capacities.get_mut(pool) {
                 capacity.free += vm.free().cpu_milli;
                 capacity.total += vm.registration.capacity.cpu_milli;
+                capacity.vms += 1;
             }
         }
         capacities
@@ -299,6 +301,8 @@
         let suspects: BTreeSet<u32> = waiting.iter().map(|w| w.0).collect();
         let suspects = &suspects & &self.suspects_of(key);
         let mut trial = Vec::new();
+        let mut fresh = self.fresh_vms(key.job);
+        let fresh_max = Self::fresh_vms_max(capacity.vms);
         for (index, attempt) in waiting {
             if !self.within_limit(rank, &account, &step.need) {
                 self.set_blocked(key, Blocked::Limit);
@@ -313,10 +317,18 @@
             if suspect && trial.is_empty() {
                 trial.extend(self.take_trial(key.job, &mut candidates, &need, suspects.len()));
             }
+            if fresh.len() >= fresh_max {
+                candidates.retain(|c| fresh.contains(&c.vm));
+            }
             let found = match suspect {
                 true => allocate_best(&mut trial, &need),
                 false => allocate_best(&mut candidates, &need),
             };
+            if !suspect && fresh.len() >= fresh_max && found.is_none() {
+                self.set_blocked(key, Blocked::Fresh);
+                self.poll_for_proof(&fresh);
+                return (placed, true);
+            }
             if suspect && found.is_none() {
                 self.set_blocked(key, Blocked::Suspect);
                 waits += 1;
@@ -328,6 +340,7 @@
             };
             capacity.free = capacity.free.saturating_sub(need.cpu_milli);
             self.start(key, index, vm, attempt, ticket);
+            fresh.insert(vm);
             placed += 1;
         }
         (placed, placed + waits == total)
--- a/crates/monsoonnotch_jobs/src/scheduler/poison.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/poison.rs
@@ -22,6 +22,10 @@
 const CRASHES_MAX: usize = 2;
 /// How long after its leases expired the restart of a VM still counts against its last runs.
 const RESTART_NOTICED_MAX: Duration = Duration::from_secs(30);
+/// Part of the VMs of a pool on which a job may have fresh runs, as a divisor.
+const FRESH_VMS_DIVISOR: usize = 4;
+/// Number of VMs on which a job may have fresh runs, however small the pool is.
+const FRESH_VMS_MIN: usize = 4;
 /// How long after the leases of its VM expired a suspect waits for the restart of the VM.
 const SUSPECT_WAIT_MAX: Duration = Duration::from_secs(5);
 
@@ -62,6 +66,8 @@
     expired: BTreeMap<VmKey, Doubt>,
     /// Tasks that a crash was counted against, by the id of the VM; some may be cleared since.
     by_vm: BTreeMap<CompactString, BTreeSet<(StageKey, u32)>>,
+    /// When VMs were last polled to show that they survived the fresh runs of a job that waits.
+    proof_polls: BTreeMap<VmKey, Time>,
     /// Runs on crashed VMs whose start had no answer yet.
     unconfirmed: BTreeMap<RunKey, Unconfirmed>,
 }
@@ -161,6 +167,41 @@
         runs.all(proven) && !tried.any(same_domain)
     }
 
+    /// Returns on how many VMs of a pool of `vms` a job may have fresh runs.
+    pub(super) fn fresh_vms_max(vms: usize) -> usize {
+        (vms / FRESH_VMS_DIVISOR).max(FRESH_VMS_MIN)
+    }
+
+    /// Returns the VMs that have not shown that they survived the runs of a job.
+    pub(super) fn fresh_vms(&self, job: JobKey) -> BTreeSet<VmKey> {
+        let delay = self.crash_delay_max();
+        let runs = self.jobs.get(job).into_iter().flat_map(job::Job::runs);
+        let runs = runs.filter_map(|r| self.runs.get(&r));
+        let survived = |run: &Run| {
+            let alive_at = self.vms.get(run.vm).and_then(|v| v.alive_at);
+            run.begun && alive_at.is_some_and(|at| at > run.sent_at + delay)
+        };
+        runs.filter(|r| !survived(r)).map(|r| r.vm).collect()
+    }
+
+    /// Polls the VMs that may show by now that they survived the runs that a job waits for.
+    pub(super) fn poll_for_proof(&mut self, vms: &BTreeSet<VmKey>) {
+        let (now, delay) = (self.now, self.crash_delay_max());
+        for &key in vms {
+            let Some(vm) = self.vms.get(key) else {
+                continue;
+            };
+            let runs = vm.runs.iter().filter_map(|r| self.runs.get(r));
+            let begun = runs.filter(|r| r.begun).map(|r| r.sent_at + delay);
+            let due = begun.filter(|at| *at < now).max();
+            let last = self.poison.proof_polls.get(&key).copied();
+            if due > last && vm.polls.unanswered == 0 {
+                self.poison.proof_polls.insert(key, now);
+                self.poll_now(key);
+            }
+        }
+    }
+
     fn crash_delay_max(&self) -> Duration {
         self.answer_times.timeout(CRASH_DELAY_MAX)
     }
--- a/crates/monsoonnotch_jobs/tests/promises/poison.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/poison.rs
@@ -258,3 +258,20 @@
     }
     assert!(sim.poison.crashes.len() <= first + 2);
 }
+
+/// A job has more poison tasks than the VMs can take at once. It must not crash all VMs before
+/// the first crash is known.
+#[test]
+fn a_wide_job_of_poison_tasks_crashes_a_part_of_the_vms() {
+    let mut sim = simulation(42, false);
+    let all: Vec<u32> = (0..40).collect();
+    let wide = Step {
+        need: cpu(2_000),
+        ..step(40)
+    };
+    submit(&mut sim, POISON, wide, &all);
+    run(&mut sim, 2_900);
+    assert!(sim.poison.crashes.len() <= (VMS / 3) as usize);
+    run(&mut sim, 10_000);
+    finish(&mut sim);
+}
