--- a/crates/monsoonnotch_jobs/src/scheduler/poison.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/poison.rs
@@ -90,6 +90,9 @@
 
     /// Returns the tasks of a stage that are suspects.
     pub(super) fn suspects_of(&self, key: StageKey) -> BTreeSet<u32> {
+        if self.poison.by_vm.is_empty() && self.poison.expired.is_empty() {
+            return BTreeSet::new();
+        }
         let count = self.stage(key).map_or(0, |s| s.tasks.len());
         let all = 0..u32::try_from(count).unwrap_or(0);
         all.filter(|&i| self.is_suspect(key, i)).collect()
