--- a/crates/monsoonnotch_jobs/src/scheduler/placement.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/placement.rs
@@ -417,7 +417,8 @@
             fit_count(&c.free, need).min(remaining).min(count as u64)
         };
         let fitting = candidates.iter().enumerate();
-        let fitting = fitting.filter(|(_, c)| self.can_tell_apart(c.vm));
+        let taken = self.trial_domains_taken();
+        let fitting = fitting.filter(|(_, c)| self.can_tell_apart(c.vm, &taken));
         let best = fitting
             .max_by_key(|(_, c)| (fits(c), u64::MAX - c.penalty))?
             .0;
@@ -436,7 +437,8 @@
         if candidates.is_empty() {
             return true;
         }
-        candidates.retain(|c| self.can_tell_apart(c.vm));
+        let taken = self.trial_domains_taken();
+        candidates.retain(|c| self.can_tell_apart(c.vm, &taken));
         let fits = |c: &Candidate| {
             let remaining = u64::from(c.stage_tasks_max - c.stage_tasks);
             fit_count(&c.free, need).min(remaining)
--- a/crates/monsoonnotch_jobs/src/scheduler/poison.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/poison.rs
@@ -24,6 +24,8 @@
 const RESTART_NOTICED_MAX: Duration = Duration::from_secs(30);
 /// Part of the VMs of a pool on which a job may have fresh runs, as a divisor.
 const FRESH_VMS_DIVISOR: usize = 4;
+/// Part of the VMs of a failure domain that may be silent under suspects, as a divisor.
+const SILENT_VMS_DIVISOR: usize = 4;
 /// Number of VMs on which a job may have fresh runs, however small the pool is.
 const FRESH_VMS_MIN: usize = 4;
 /// How long after the leases of its VM expired a suspect waits for the restart of the VM.
@@ -148,9 +150,34 @@
         !on_probation && !self.suspects_in_doubt().any(|(_, c)| c.stage.job == job)
     }
 
-    /// Whether a crash of a VM would convict a suspect that starts there now: nothing else
-    /// there is fresh, and no other suspect is on probation in the failure domain.
-    pub(super) fn can_tell_apart(&self, key: VmKey) -> bool {
+    /// Returns the failure domains in which no suspect may be tried now: one is on probation
+    /// there, or as many VMs as may be down are silent under suspects.
+    pub(super) fn trial_domains_taken(&self) -> BTreeSet<CompactString> {
+        let mut silent: BTreeMap<&CompactString, usize> = BTreeMap::new();
+        let mut taken = BTreeSet::new();
+        let mut tried = self.vms_on_probation();
+        tried.extend(self.suspects_in_doubt().map(|(vm, _)| vm));
+        for vm in tried.iter().filter_map(|vm| self.vms.get(*vm)) {
+            let domain = &vm.registration.domain;
+            if vm.polls.unanswered > 0 {
+                *silent.entry(domain).or_default() += 1;
+            } else {
+                taken.insert(domain.clone());
+            }
+        }
+        for (domain, count) in silent {
+            let same = |vm: &vms::Vm| vm.listed && vm.registration.domain == *domain;
+            let all = self.vms.iter().filter(|(_, vm)| same(vm)).count();
+            if count >= (all / SILENT_VMS_DIVISOR).max(1) {
+                taken.insert(domain.clone());
+            }
+        }
+        taken
+    }
+
+    /// Whether a crash of a VM would convict a suspect that starts there now: nothing else there
+    /// is fresh.
+    pub(super) fn can_tell_apart(&self, key: VmKey, taken: &BTreeSet<CompactString>) -> bool {
         let Some(vm) = self.vms.get(key) else {
             return false;
         };
@@ -159,15 +186,8 @@
             let known = matches!(run.state, State::Running { .. } | State::Stopping { .. });
             known && self.now > run.sent_at + delay
         };
-        let domain = &vm.registration.domain;
-        let same_domain = |other: VmKey| {
-            let other = self.vms.get(other);
-            other.is_some_and(|v| v.registration.domain == *domain)
-        };
         let mut runs = vm.runs.iter().filter_map(|r| self.runs.get(r));
-        let on_probation = self.vms_on_probation().into_iter();
-        let mut tried = on_probation.chain(self.suspects_in_doubt().map(|(vm, _)| vm));
-        runs.all(proven) && !tried.any(same_domain)
+        runs.all(proven) && !taken.contains(&vm.registration.domain)
     }
 
     /// Returns on how many VMs of a pool of `vms` a job may have fresh runs.
