--- a/crates/monsoonnotch_jobs/src/scheduler/placement.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/placement.rs
@@ -401,7 +401,7 @@
     }
 
     /// Takes the candidate out on which the `count` suspects of a stage are tried: one where they
-    /// can be told apart, with room for most of them.
+    /// can be told apart, with room for most of them and few other runs.
     fn take_trial(
         &self,
         job: JobKey,
@@ -419,9 +419,10 @@
         let fitting = candidates.iter().enumerate();
         let taken = self.trial_domains_taken();
         let fitting = fitting.filter(|(_, c)| self.can_tell_apart(c.vm, &taken));
-        let best = fitting
-            .max_by_key(|(_, c)| (fits(c), u64::MAX - c.penalty))?
-            .0;
+        let runs = |c: &Candidate| self.vms.get(c.vm).map_or(0, |v| v.runs.len());
+        // A crash costs the other runs of the VM as well.
+        let best = fitting.min_by_key(|(_, c)| (count as u64 - fits(c), runs(c), c.penalty))?;
+        let best = best.0;
         Some(candidates.swap_remove(best))
     }
 
