--- a/crates/monsoonnotch_jobs/src/scheduler/approvals.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/approvals.rs
@@ -255,7 +255,7 @@
                 0 => u64::MAX,
                 n => u64::from(n.saturating_sub(here.get(&vm).copied().unwrap_or(0))),
             };
-            let fits = placement::fit_count(&row.free(), &step.allocation()).min(limit);
+            let fits = candidates::fit_count(&row.free(), &step.allocation()).min(limit);
             rows.push(RequestCandidate {
                 vm,
                 fits,
--- a/crates/monsoonnotch_jobs/src/scheduler/mod.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 
 mod answer_times;
 mod approvals;
+mod candidates;
 mod completions;
 mod drain;
 mod flush;
@@ -22,6 +23,7 @@
 mod runs;
 mod starts;
 mod stops;
+mod trials;
 mod vms;
 
 use std::collections::BTreeMap;
--- a/crates/monsoonnotch_jobs/src/scheduler/placement.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/placement.rs
@@ -5,6 +5,9 @@
 //! start all its tasks starts as many as it can, and the stages behind it may use the
 //! capacity that it cannot. Part of the capacity is reserved for the highest priority.
 
+use super::candidates::Candidate;
+use super::candidates::allocate_best;
+use super::candidates::rack_with_capacity;
 use super::job::Blocked;
 use super::job::Job;
 use super::job::Rank;
@@ -21,22 +24,7 @@
 /// capacity are preferred.
 const SLOWER_THRESHOLD: f64 = 1.15;
 
-/// A VM that may run tasks of a stage.
-#[derive(Debug)]
-struct Candidate {
-    vm: VmKey,
-    free: Resources,
-    /// Number of tasks of the stage on this VM.
-    stage_tasks: u32,
-    /// Maximum number of tasks of the stage on this VM.
-    stage_tasks_max: u32,
-    /// Penalty, see [`penalty`]; lower is better.
-    penalty: u64,
-    rack: CompactString,
-    ticket: CompactString,
-}
-
-/// CPU of the schedulable VMs of a pool, in thousandths of a core.
+/// CPU of the schedulable VMs of a pool, in thousandths of a core, and their number.
 #[derive(Debug, Default, Clone, Copy)]
 struct PoolCapacity {
     free: u64,
@@ -44,14 +32,6 @@
     vms: usize,
 }
 
-/// Returns how many times `need` fits into `free`.
-pub(super) fn fit_count(free: &Resources, need: &Resources) -> u64 {
-    let part = |have: u64, takes: u64| have.checked_div(takes).unwrap_or(u64::MAX);
-    part(free.cpu_milli, need.cpu_milli)
-        .min(part(free.memory_mib, need.memory_mib))
-        .min(part(free.accelerators, need.accelerators))
-}
-
 impl Scheduler {
     /// Starts all tasks that can start, in the order of the ready queue.
     pub(super) fn place_ready_stages(&mut self) {
@@ -298,11 +278,7 @@
         let total = waiting.len();
         let mut placed = 0;
         let mut waits = 0;
-        let suspects: BTreeSet<u32> = waiting.iter().map(|w| w.0).collect();
-        let suspects = &suspects & &self.suspects_of(key);
-        let mut trial = Vec::new();
-        let mut fresh = self.fresh_vms(key.job);
-        let fresh_max = Self::fresh_vms_max(capacity.vms);
+        let mut bounds = self.start_bounds(key, capacity.vms);
         for (index, attempt) in waiting {
             if !self.within_limit(rank, &account, &step.need) {
                 self.set_blocked(key, Blocked::Limit);
@@ -312,36 +288,21 @@
                 self.set_blocked(key, Blocked::Reserve);
                 return (placed, true);
             }
-            let suspect =
-                suspects.contains(&index) && (!candidates.is_empty() || !trial.is_empty());
-            if suspect && trial.is_empty() {
-                trial.extend(self.take_trial(key.job, &mut candidates, &need, suspects.len()));
-            }
-            if fresh.len() >= fresh_max {
-                candidates.retain(|c| fresh.contains(&c.vm));
-            }
-            let found = match suspect {
-                true => allocate_best(&mut trial, &need),
-                false => allocate_best(&mut candidates, &need),
-            };
-            if !suspect && fresh.len() >= fresh_max && found.is_none() {
-                self.set_blocked(key, Blocked::Fresh);
-                self.poll_for_proof(&fresh);
-                return (placed, true);
-            }
-            if suspect && found.is_none() {
-                self.set_blocked(key, Blocked::Suspect);
-                waits += 1;
-                continue;
+            match self.choose_vm(key, index, &mut bounds, &mut candidates, &need) {
+                Ok((vm, ticket)) => {
+                    capacity.free = capacity.free.saturating_sub(need.cpu_milli);
+                    self.start(key, index, vm, attempt, ticket);
+                    placed += 1;
+                }
+                Err(reason) => {
+                    self.set_blocked(key, reason);
+                    match reason {
+                        Blocked::Suspect => waits += 1,
+                        Blocked::Fresh => return (placed, true),
+                        _ => break,
+                    }
+                }
             }
-            let Some((vm, ticket)) = found else {
-                self.set_blocked(key, Blocked::Room);
-                break;
-            };
-            capacity.free = capacity.free.saturating_sub(need.cpu_milli);
-            self.start(key, index, vm, attempt, ticket);
-            fresh.insert(vm);
-            placed += 1;
         }
         (placed, placed + waits == total)
     }
@@ -400,66 +361,6 @@
         (waiting.len(), true)
     }
 
-    /// Takes the candidate out on which the `count` suspects of a stage are tried: one where they
-    /// can be told apart, with room for most of them and few other runs.
-    fn take_trial(
-        &self,
-        job: JobKey,
-        candidates: &mut Vec<Candidate>,
-        need: &Resources,
-        count: usize,
-    ) -> Option<Candidate> {
-        if !self.may_try_suspect(job) {
-            return None;
-        }
-        let fits = |c: &Candidate| {
-            let remaining = u64::from(c.stage_tasks_max - c.stage_tasks);
-            fit_count(&c.free, need).min(remaining).min(count as u64)
-        };
-        let fitting = candidates.iter().enumerate();
-        let taken = self.trial_domains_taken();
-        let fitting = fitting.filter(|(_, c)| self.can_tell_apart(c.vm, &taken));
-        let runs = |c: &Candidate| self.vms.get(c.vm).map_or(0, |v| v.runs.len());
-        // A crash costs the other runs of the VM as well.
-        let best = fitting.min_by_key(|(_, c)| (count as u64 - fits(c), runs(c), c.penalty))?;
-        let best = best.0;
-        Some(candidates.swap_remove(best))
-    }
-
-    /// Retains the candidates on which a suspect gang can be told apart, on one VM of each
-    /// failure domain if these are enough; returns false if it must wait.
-    fn retain_for_suspect_gang(
-        &self,
-        job: JobKey,
-        candidates: &mut Vec<Candidate>,
-        need: &Resources,
-        count: u64,
-    ) -> bool {
-        if candidates.is_empty() {
-            return true;
-        }
-        let taken = self.trial_domains_taken();
-        candidates.retain(|c| self.can_tell_apart(c.vm, &taken));
-        let fits = |c: &Candidate| {
-            let remaining = u64::from(c.stage_tasks_max - c.stage_tasks);
-            fit_count(&c.free, need).min(remaining)
-        };
-        let mut widest: BTreeMap<CompactString, (u64, VmKey)> = BTreeMap::new();
-        for c in candidates.iter() {
-            let Some(vm) = self.vms.get(c.vm) else {
-                continue;
-            };
-            let row = widest.entry(vm.registration.domain.clone());
-            let row = row.or_insert((0, c.vm));
-            *row = (*row).max((fits(c), c.vm));
-        }
-        if widest.values().map(|(n, _)| n).sum::<u64>() >= count {
-            let kept: BTreeSet<VmKey> = widest.into_values().map(|(_, vm)| vm).collect();
-            candidates.retain(|c| kept.contains(&c.vm));
-        }
-        !candidates.is_empty() && self.may_try_suspect(job)
-    }
-
     fn set_blocked(&mut self, key: StageKey, reason: Blocked) {
         if let Some(stage) = self.stage_mut(key) {
             stage.blocked = reason;
@@ -549,49 +450,3 @@
     }
     penalty
 }
-
-/// Allocates one task on the best candidate, and removes the candidate once it is full.
-fn allocate_best(
-    candidates: &mut Vec<Candidate>,
-    need: &Resources,
-) -> Option<(VmKey, CompactString)> {
-    let at = best_candidate(candidates, need)?;
-    let c = &mut candidates[at];
-    let best = (c.vm, c.ticket.clone());
-    c.free.subtract(need);
-    c.stage_tasks += 1;
-    if c.stage_tasks >= c.stage_tasks_max || !c.free.fits(need) {
-        candidates.swap_remove(at);
-    }
-    Some(best)
-}
-
-/// Returns the index of the candidate with the lowest penalty and, among these, with
-/// the least free CPU.
-fn best_candidate(candidates: &[Candidate], need: &Resources) -> Option<usize> {
-    let fitting = candidates.iter().enumerate();
-    let best = fitting.min_by_key(|(_, c)| {
-        let left = match need.cpu_milli {
-            // Tasks that need no CPU allocation go where most CPU is free.
-            0 => u64::MAX - c.free.cpu_milli,
-            _ => c.free.cpu_milli,
-        };
-        (c.penalty, left)
-    });
-    best.map(|(i, _)| i)
-}
-
-/// Returns the rack with the least free capacity that is enough for `count` tasks.
-fn rack_with_capacity(
-    candidates: &[Candidate],
-    need: &Resources,
-    count: u64,
-) -> Option<CompactString> {
-    let mut fits: BTreeMap<&CompactString, u64> = BTreeMap::new();
-    for c in candidates {
-        let remaining = u64::from(c.stage_tasks_max - c.stage_tasks);
-        *fits.entry(&c.rack).or_default() += fit_count(&c.free, need).min(remaining);
-    }
-    let enough = fits.into_iter().filter(|&(_, n)| n >= count);
-    enough.min_by_key(|&(_, n)| n).map(|(r, _)| r.clone())
-}
--- a/crates/monsoonnotch_jobs/src/scheduler/poison.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/poison.rs
@@ -11,7 +11,6 @@
 //! itself. Only runs count that the VM confirmed.
 
 use super::runs::Run;
-use super::runs::State;
 use super::*;
 use crate::journal::Outcome;
 
@@ -22,20 +21,14 @@
 const CRASHES_MAX: usize = 2;
 /// How long after its leases expired the restart of a VM still counts against its last runs.
 const RESTART_NOTICED_MAX: Duration = Duration::from_secs(30);
-/// Part of the VMs of a pool on which a job may have fresh runs, as a divisor.
-const FRESH_VMS_DIVISOR: usize = 4;
-/// Part of the VMs of a failure domain that may be silent under suspects, as a divisor.
-const SILENT_VMS_DIVISOR: usize = 4;
-/// Number of VMs on which a job may have fresh runs, however small the pool is.
-const FRESH_VMS_MIN: usize = 4;
 /// How long after the leases of its VM expired a suspect waits for the restart of the VM.
 const SUSPECT_WAIT_MAX: Duration = Duration::from_secs(5);
 
 /// A run that may have crashed its VM.
 #[derive(Debug, Clone)]
-struct Candidate {
+pub(super) struct CrashCandidate {
     run: RunKey,
-    stage: StageKey,
+    pub(super) stage: StageKey,
     index: u32,
     attempt: u64,
     /// Whether the VM confirmed that it runs.
@@ -46,14 +39,14 @@
 #[derive(Debug)]
 struct Doubt {
     at: Time,
-    candidates: Vec<Candidate>,
+    candidates: Vec<CrashCandidate>,
 }
 
 /// A run of an unconfirmed start on a VM that crashed.
 #[derive(Debug)]
 struct Unconfirmed {
     at: Time,
-    candidate: Candidate,
+    candidate: CrashCandidate,
     vm: CompactString,
     alone: bool,
 }
@@ -63,13 +56,13 @@
 pub(super) struct PoisonTasks {
     /// Runs of suspects whose VMs have not shown that they survived them, and whether a poll
     /// was sent for it.
-    probation: BTreeMap<RunKey, bool>,
+    pub(super) probation: BTreeMap<RunKey, bool>,
     /// Last runs of the VMs whose leases have expired.
     expired: BTreeMap<VmKey, Doubt>,
     /// Tasks that a crash was counted against, by the id of the VM; some may be cleared since.
     by_vm: BTreeMap<CompactString, BTreeSet<(StageKey, u32)>>,
     /// When VMs were last polled to show that they survived the fresh runs of a job that waits.
-    proof_polls: BTreeMap<VmKey, Time>,
+    pub(super) proof_polls: BTreeMap<VmKey, Time>,
     /// Runs on crashed VMs whose start had no answer yet.
     unconfirmed: BTreeMap<RunKey, Unconfirmed>,
 }
@@ -127,7 +120,7 @@
 
     /// Returns the suspects whose VMs fell silent under them a short time ago, after another VM
     /// had crashed, with the VMs.
-    fn suspects_in_doubt(&self) -> impl Iterator<Item = (VmKey, &Candidate)> {
+    pub(super) fn suspects_in_doubt(&self) -> impl Iterator<Item = (VmKey, &CrashCandidate)> {
         let recent = |d: &&Doubt| self.now <= d.at + SUSPECT_WAIT_MAX;
         let doubts = self.poison.expired.iter();
         let doubts = doubts.filter(move |(_, d)| recent(d));
@@ -135,97 +128,7 @@
         all.filter(|(_, c)| self.has_crashes(c.stage, c.index))
     }
 
-    /// Returns the VMs with a run on probation, where nothing else may start.
-    pub(super) fn vms_on_probation(&self) -> BTreeSet<VmKey> {
-        let runs = self.poison.probation.keys();
-        let runs = runs.filter_map(|r| self.runs.get(r));
-        runs.map(|r| r.vm).collect()
-    }
-
-    /// Whether a suspect of a job may start now at all: none of the job is on probation, or on a
-    /// VM that fell silent.
-    pub(super) fn may_try_suspect(&self, job: JobKey) -> bool {
-        let mut runs = self.poison.probation.keys();
-        let on_probation = runs.any(|r| self.runs.get(r).is_some_and(|r| r.stage.job == job));
-        !on_probation && !self.suspects_in_doubt().any(|(_, c)| c.stage.job == job)
-    }
-
-    /// Returns the failure domains in which no suspect may be tried now: one is on probation
-    /// there, or as many VMs as may be down are silent under suspects.
-    pub(super) fn trial_domains_taken(&self) -> BTreeSet<CompactString> {
-        let mut silent: BTreeMap<&CompactString, usize> = BTreeMap::new();
-        let mut taken = BTreeSet::new();
-        let mut tried = self.vms_on_probation();
-        tried.extend(self.suspects_in_doubt().map(|(vm, _)| vm));
-        for vm in tried.iter().filter_map(|vm| self.vms.get(*vm)) {
-            let domain = &vm.registration.domain;
-            if vm.polls.unanswered > 0 {
-                *silent.entry(domain).or_default() += 1;
-            } else {
-                taken.insert(domain.clone());
-            }
-        }
-        for (domain, count) in silent {
-            let same = |vm: &vms::Vm| vm.listed && vm.registration.domain == *domain;
-            let all = self.vms.iter().filter(|(_, vm)| same(vm)).count();
-            if count >= (all / SILENT_VMS_DIVISOR).max(1) {
-                taken.insert(domain.clone());
-            }
-        }
-        taken
-    }
-
-    /// Whether a crash of a VM would convict a suspect that starts there now: nothing else there
-    /// is fresh.
-    pub(super) fn can_tell_apart(&self, key: VmKey, taken: &BTreeSet<CompactString>) -> bool {
-        let Some(vm) = self.vms.get(key) else {
-            return false;
-        };
-        let delay = self.crash_delay_max();
-        let proven = |run: &Run| {
-            let known = matches!(run.state, State::Running { .. } | State::Stopping { .. });
-            known && self.now > run.sent_at + delay
-        };
-        let mut runs = vm.runs.iter().filter_map(|r| self.runs.get(r));
-        runs.all(proven) && !taken.contains(&vm.registration.domain)
-    }
-
-    /// Returns on how many VMs of a pool of `vms` a job may have fresh runs.
-    pub(super) fn fresh_vms_max(vms: usize) -> usize {
-        (vms / FRESH_VMS_DIVISOR).max(FRESH_VMS_MIN)
-    }
-
-    /// Returns the VMs that have not shown that they survived the runs of a job.
-    pub(super) fn fresh_vms(&self, job: JobKey) -> BTreeSet<VmKey> {
-        let delay = self.crash_delay_max();
-        let runs = self.jobs.get(job).into_iter().flat_map(job::Job::runs);
-        let runs = runs.filter_map(|r| self.runs.get(&r));
-        let survived = |run: &Run| {
-            let alive_at = self.vms.get(run.vm).and_then(|v| v.alive_at);
-            run.begun && alive_at.is_some_and(|at| at > run.sent_at + delay)
-        };
-        runs.filter(|r| !survived(r)).map(|r| r.vm).collect()
-    }
-
-    /// Polls the VMs that may show by now that they survived the runs that a job waits for.
-    pub(super) fn poll_for_proof(&mut self, vms: &BTreeSet<VmKey>) {
-        let (now, delay) = (self.now, self.crash_delay_max());
-        for &key in vms {
-            let Some(vm) = self.vms.get(key) else {
-                continue;
-            };
-            let runs = vm.runs.iter().filter_map(|r| self.runs.get(r));
-            let begun = runs.filter(|r| r.begun).map(|r| r.sent_at + delay);
-            let due = begun.filter(|at| *at < now).max();
-            let last = self.poison.proof_polls.get(&key).copied();
-            if due > last && vm.polls.unanswered == 0 {
-                self.poison.proof_polls.insert(key, now);
-                self.poll_now(key);
-            }
-        }
-    }
-
-    fn crash_delay_max(&self) -> Duration {
+    pub(super) fn crash_delay_max(&self) -> Duration {
         self.answer_times.timeout(CRASH_DELAY_MAX)
     }
 
@@ -238,7 +141,7 @@
     }
 
     /// Returns the runs of a VM that had begun shortly before its last sign of life, or later.
-    fn crash_candidates(&self, key: VmKey) -> Vec<Candidate> {
+    fn crash_candidates(&self, key: VmKey) -> Vec<CrashCandidate> {
         let alive = self.vms.get(key).and_then(|v| Some((v, v.alive_at?)));
         let Some((vm, alive_at)) = alive else {
             return Vec::new();
@@ -246,7 +149,7 @@
         let delay = self.crash_delay_max();
         let runs = vm.runs.iter().filter_map(|r| Some((*r, self.runs.get(r)?)));
         let fresh = runs.filter(|(_, r)| r.sends > 0 && self.began_at(r) + delay >= alive_at);
-        let candidate = |(key, run): (RunKey, &Run)| Candidate {
+        let candidate = |(key, run): (RunKey, &Run)| CrashCandidate {
             run: key,
             stage: run.stage,
             index: run.index,
@@ -309,7 +212,7 @@
     }
 
     /// Counts a crash against runs of its VM; gives their job up if it is the only suspect.
-    fn count_crashes(&mut self, runs: &[Candidate], vm: &CompactString, alone: bool) {
+    fn count_crashes(&mut self, runs: &[CrashCandidate], vm: &CompactString, alone: bool) {
         let mut convicted = Vec::new();
         for run in runs {
             let crashes = self.count_crash(run, vm);
@@ -382,7 +285,7 @@
 
     /// Counts a crash against a run of its VM; returns the number of crashes under its task, or
     /// zero if it is counted already.
-    fn count_crash(&mut self, run: &Candidate, vm: &CompactString) -> usize {
+    fn count_crash(&mut self, run: &CrashCandidate, vm: &CompactString) -> usize {
         let (key, index, attempt) = (run.stage, run.index, run.attempt);
         if self.jobs.get(key.job).is_none_or(job::Job::ended) {
             return 0;
@@ -434,7 +337,7 @@
         let detail = self.describe_run(run);
         self.poison.remove_run(key);
         for doubt in self.poison.expired.values_mut() {
-            let same = |c: &Candidate| c.stage == stage && c.index == index;
+            let same = |c: &CrashCandidate| c.stage == stage && c.index == index;
             doubt.candidates.retain(|c| !same(c));
         }
         if let Some(stage) = self.stage_mut(stage) {
