--- a/crates/monsoonnotch_jobs/src/scheduler/poison.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/poison.rs
@@ -156,7 +156,13 @@
             attempt: run.attempt,
             begun: run.begun,
         };
-        fresh.map(candidate).collect()
+        let mut found: Vec<CrashCandidate> = fresh.map(candidate).collect();
+        // The VM has survived whatever was there when the trial of a suspect began.
+        let on_trial = |c: &CrashCandidate| self.poison.probation.contains_key(&c.run);
+        if found.iter().any(on_trial) {
+            found.retain(on_trial);
+        }
+        found
     }
 
     /// Keeps the last runs of a VM whose leases have expired, in case that it has crashed.
