--- a/crates/monsoonnotch_jobs/src/scheduler/job.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/job.rs
@@ -170,6 +170,8 @@
     pub(super) failed: BTreeSet<u64>,
     /// VMs that crashed under the task since it was last cleared, by attempt.
     pub(super) crashes: BTreeMap<u64, CompactString>,
+    /// Attempts among them whose crash a poison task explains. They count, but make no suspect.
+    pub(super) explained: BTreeSet<u64>,
     /// Highest attempt number used so far.
     pub(super) attempt: u64,
     /// Whether it was placed on a VM before.
--- a/crates/monsoonnotch_jobs/src/scheduler/poison.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/poison.rs
@@ -11,6 +11,7 @@
 //! itself. Only runs count that the VM confirmed.
 
 use super::runs::Run;
+use super::runs::State;
 use super::*;
 use crate::journal::Outcome;
 
@@ -35,6 +36,18 @@
     begun: bool,
 }
 
+impl CrashCandidate {
+    fn new(key: RunKey, run: &Run) -> Self {
+        Self {
+            run: key,
+            stage: run.stage,
+            index: run.index,
+            attempt: run.attempt,
+            begun: run.begun,
+        }
+    }
+}
+
 /// Runs that may turn out to be candidates of a crash.
 #[derive(Debug)]
 struct Doubt {
@@ -57,7 +70,8 @@
     /// Runs of suspects whose VMs have not shown that they survived them, and whether a poll
     /// was sent for it.
     pub(super) probation: BTreeMap<RunKey, bool>,
-    /// Last runs of the VMs whose leases have expired.
+    /// Last runs of the VMs whose leases have expired, and runs of a predecessor on VMs that
+    /// crashed.
     expired: BTreeMap<VmKey, Doubt>,
     /// Tasks that a crash was counted against, by the id of the VM; some may be cleared since.
     by_vm: BTreeMap<CompactString, BTreeSet<(StageKey, u32)>>,
@@ -98,7 +112,7 @@
         let Some(stage) = self.stage(key) else {
             return false;
         };
-        let crashed = |t: &job::Task| !t.done && !t.crashes.is_empty();
+        let crashed = |t: &job::Task| !t.done && t.crashes.keys().any(|a| !t.explained.contains(a));
         match self.is_gang(key) {
             true => stage.tasks.iter().any(crashed),
             false => stage.tasks.get(index as usize).is_some_and(crashed),
@@ -149,14 +163,8 @@
         let delay = self.crash_delay_max();
         let runs = vm.runs.iter().filter_map(|r| Some((*r, self.runs.get(r)?)));
         let fresh = runs.filter(|(_, r)| r.sends > 0 && self.began_at(r) + delay >= alive_at);
-        let candidate = |(key, run): (RunKey, &Run)| CrashCandidate {
-            run: key,
-            stage: run.stage,
-            index: run.index,
-            attempt: run.attempt,
-            begun: run.begun,
-        };
-        let mut found: Vec<CrashCandidate> = fresh.map(candidate).collect();
+        let mut found: Vec<CrashCandidate> =
+            fresh.map(|(k, r)| CrashCandidate::new(k, r)).collect();
         // The VM has survived whatever was there when the trial of a suspect began.
         let on_trial = |c: &CrashCandidate| self.poison.probation.contains_key(&c.run);
         if found.iter().any(on_trial) {
@@ -189,6 +197,7 @@
         let alone = candidates.iter().all(|c| Some(c.stage.job) == first);
         let (begun, unconfirmed): (Vec<_>, Vec<_>) = candidates.into_iter().partition(|c| c.begun);
         self.count_crashes(&begun, &vm, alone);
+        self.doubt_inherited(key);
         for candidate in unconfirmed {
             let unconfirmed = Unconfirmed {
                 at,
@@ -201,6 +210,20 @@
         }
     }
 
+    /// Makes suspects of the tasks that a predecessor started on a VM that crashed: when they
+    /// began is unknown, so that the crash does not count.
+    fn doubt_inherited(&mut self, key: VmKey) {
+        let at = self.now;
+        let runs = self.vms.get(key).into_iter().flat_map(|v| &v.runs);
+        let runs = runs.filter_map(|r| Some((*r, self.runs.get(r)?)));
+        let inherited = runs.filter(|(_, r)| r.state == State::Inherited);
+        let new = inherited.filter(|(_, r)| !self.has_crashes(r.stage, r.index));
+        let candidates: Vec<CrashCandidate> = new.map(|(k, r)| CrashCandidate::new(k, r)).collect();
+        if !candidates.is_empty() {
+            self.poison.expired.insert(key, Doubt { at, candidates });
+        }
+    }
+
     /// Counts the crash of the VM that the old registrations at an address name.
     pub(super) fn record_crash_at(&mut self, addr: &str, id: &str) {
         let replaced = |vm: &vms::Vm| vm.registration.addr == addr && vm.registration.id != id;
@@ -262,9 +285,9 @@
             }
             let stage = self.stage_mut(key);
             if let Some(task) = stage.and_then(|s| s.tasks.get_mut(index as usize)) {
-                task.crashes.retain(|_, v| v != vm);
+                let same = task.crashes.iter().filter(|(_, v)| *v == vm);
+                task.explained.extend(same.map(|(attempt, _)| *attempt));
             }
-            self.flush.mark_dirty(key.job);
         }
         self.placement_needed = true;
     }
