--- a/crates/monsoonnotch_jobs/tests/promises/poison.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/poison.rs
@@ -163,6 +163,7 @@
 #[case::killed(true, 3_500)]
 #[case::killed_as_the_vm_returns(true, 3_020)]
 #[case::killed_soon_after_the_next_start(true, 4_800)]
+#[case::killed_before_the_crash_is_known(true, 1_500)]
 #[case::paused(false, 3_500)]
 #[case::paused_as_the_vm_returns(false, 3_020)]
 #[case::paused_soon_after_the_next_start(false, 4_800)]
@@ -181,6 +182,22 @@
     assert!(sim.poison.crashes.len() <= 4);
 }
 
+/// Two poison tasks crash one VM at the same time. The one that is given up first must not take the
+/// crash back from the other.
+#[test]
+fn two_poison_tasks_on_one_vm_are_given_up_alike() {
+    let mut sim = simulation(51, false);
+    let jobs = [JobId(1), JobId(2)];
+    for id in jobs {
+        submit(&mut sim, id, step(1), &[0]);
+    }
+    run_among_others(&mut sim, 12_000);
+    finish(&mut sim);
+    for id in jobs {
+        assert_eq!(sim.poison.under[&task(id, 0)], 2, "job {id}");
+    }
+}
+
 /// VMs crash for reasons of their own, are unreachable and leave, while suspects and other
 /// tasks run there. Nothing of it may convict a task.
 #[rstest]
