--- a/crates/monsoonnotch_jobs/tests/promises/crashes.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/crashes.rs
@@ -21,6 +21,7 @@
 
 use crate::directed::deliver;
 use crate::directed::job_of_one_task;
+use crate::directed::placement;
 use crate::directed::poll_answer;
 use crate::directed::polls;
 use crate::directed::scheduler_with;
@@ -237,6 +238,41 @@
     assert_eq!(progress.outcome, Some(Outcome::Failed));
 }
 
+/// Returns the VM of the start of a task of a job.
+fn start_of(fx: &[Effect], id: JobId) -> Option<String> {
+    fx.iter().find_map(|e| match e {
+        Effect::Start { to, order, .. } if order.task.stage.job == id => Some(to.id.to_string()),
+        _ => None,
+    })
+}
+
+/// A leader dies after it started a task, and the VM has restarted when its successor polls it.
+/// When the run began is unknown, so that the crash does not count, but the task must be tried alone.
+#[test]
+fn a_predecessors_run_on_a_restarted_vm_makes_a_suspect() {
+    let submitted = journal::decode_entry(&job_of_one_task());
+    let Some(journal::Entry::Submitted(_, submission)) = submitted else {
+        panic!("the record is a submission");
+    };
+    let other = journal::submission_record(JobId(6), &submission);
+    let read = vec![job_of_one_task(), placement("v000", 0)];
+    let (mut scheduler, keys) = successor(3, read);
+    let mut fx = Vec::new();
+    for (key, restarted) in keys.into_iter().zip([true, false, false]) {
+        let answer = match restarted {
+            true => Err(PollError::OtherIncarnation),
+            false => Ok(poll_answer(Vec::new())),
+        };
+        fx.extend(polled(&mut scheduler, 10, key, answer));
+    }
+    fx.extend(wait(&mut scheduler, 120..5_200));
+    let first = start_of(&fx, JobId(5)).expect("the task starts again");
+    let fx = deliver(&mut scheduler, 5_210, Event::Journal(vec![(9, other)]));
+    let second = start_of(&fx, JobId(6)).expect("the other job starts");
+    assert_ne!(first, second);
+    assert_eq!(logged(&fx, "task suspected"), 0);
+}
+
 /// Progress of a stage as releases without crashes stored it.
 #[derive(Debug, Serialize)]
 struct OldStageProgress {
