Give up a planned start whose VM has shrunk meanwhile

Placement uses what the VM list says now, and nothing is placed on a VM that is below what runs there (test, passed before). One start ignored it: a task that was placed before starts only once its new placement is stored, which a slow store takes seconds for, and the order was then sent without a look at the VM's capacity.

The run is dropped before its start is sent, and the task is placed again. A VM that grows again is used at once (tests). The test of the planned start failed before the change (2 passed, 1 failed) and passes with it.

--- a/crates/monsoonnotch_jobs/src/scheduler/starts.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/starts.rs
@@ -49,17 +49,22 @@
         }
     }
 
-    /// Sends the start of a planned run, once its placement is stored or need not be.
+    /// Sends the start of a planned run, once its placement is stored or need not be. The VM may
+    /// have shrunk since it was placed.
     pub(super) fn send_planned(&mut self, key: RunKey) {
         let now = self.now;
         let Some(run) = self.runs.get_mut(&key) else {
             return;
         };
-        if run.state == State::Planned {
-            run.state = State::Starting;
-            run.sent_at = now;
-            self.send_start(key);
+        if run.state != State::Planned {
+            return;
+        }
+        if self.vms.get(run.vm).is_some_and(vms::Vm::is_overcommitted) {
+            return self.lose_run(key, "its VM shrank");
         }
+        run.state = State::Starting;
+        run.sent_at = now;
+        self.send_start(key);
     }
 
     /// Sends the start of a run, for the first time or again.
--- a/crates/monsoonnotch_jobs/src/scheduler/vms.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/vms.rs
@@ -188,6 +188,13 @@
             .minus(&self.orphans.allocation)
     }
 
+    /// Whether its runs, also those that are being stopped, occupy more than its capacity.
+    pub(super) fn is_overcommitted(&self) -> bool {
+        let mut used = self.used;
+        used.add(&self.orphans.allocation);
+        !self.registration.capacity.fits(&used)
+    }
+
     /// Whether it has not answered for [`SILENCE_MIN`], or not since before this term.
     pub(super) fn is_silent(&self, now: Time) -> bool {
         let silent_before = self.awaited_by_predecessor || self.registration.addr.is_empty();
--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -5,6 +5,7 @@
 
 mod adverse;
 mod approvals;
+mod capacity;
 mod checks;
 mod clocks;
 mod delegation;
