Soak: VMs that leave for good, leaders that follow each other, long-lived tasks

Change: VMs leave for good, or return under another id after 10 s or more; at most a quarter is away. Leaders are killed 2 to 9 s apart, among the other faults. In about half of the runs VMs fail in no other way, and such a series begins at once. A caller submits long-lived jobs, queries them, and cancels them at the end, when their runs must end and no further one may begin.

New checks: a long-lived task that runs nowhere for more than 13.7 s is a violation: 10.7 s until every lease has expired, from the first term that awaits a VM, and 3 s to start. Only the time counts in which the store responds, half of the members run and reach it, and so does the leader. A VM that crashes or is affected by a fault starts the wait again; further terms do not. After the faults each of these tasks must run again within the bound for jobs.

--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -1,6 +1,5 @@
 //! Random series of faults of members, VMs, the store and the network, which may overlap.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use monsoonnotch_adapter_standins::member::Member;
@@ -13,15 +12,27 @@
 use rand::rngs::StdRng;
 use tokio::time::Instant;
 
+use crate::conditions::Conditions;
+
 /// Response of a store that refuses one member.
 const STORE_REFUSAL: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 /// Largest number of members, and of VMs, between which one fault affects the paths.
 const PATH_SIDE_MAX: usize = 16;
+/// Number of VMs of which at most one has left, as a divisor of the number of VMs.
+const VMS_PER_DEPARTURE: usize = 4;
+/// Pause between the losses of successive leaders, in milliseconds.
+const LEADER_TERM_MS: std::ops::Range<u64> = 2_000..9_000;
+/// Absence of a VM that returns under another id, in milliseconds.
+const ABSENCE_MS: std::ops::Range<u64> = 10_000..15_000;
+/// Latest time of the first departure in a run in which VMs only leave, in milliseconds.
+const DEPARTURE_MS: u64 = 4_000;
+/// Time until a leader is killed of which the successor is not known yet, in milliseconds.
+const SUCCESSOR_PAUSE_MS: u64 = 200;
 
 /// A change at one time. Numbers are indexes of members or VMs.
 #[derive(Debug, Clone)]
-enum Action {
+pub(crate) enum Action {
     Signal(usize, &'static str),
     /// Starts a member again, unless it is running.
     Start(usize),
@@ -31,6 +42,10 @@
     Restart(usize),
     /// Starts a VM again under a new id.
     Rename(usize),
+    /// A VM ends and does not return, except by [`Action::Return`].
+    Leave(usize),
+    /// A VM that left returns under a new id.
+    Return(usize),
     Late(usize, f64),
     Unhealthy(usize, f64),
     Withdrawn(usize, bool),
@@ -40,6 +55,8 @@
     MemberPaths(usize, Vec<usize>, path::Fault),
     /// A random fault of the member that is the leader at that time.
     Leader,
+    /// Kills the leader, and starts its process again after a pause.
+    KillLeader,
 }
 
 /// The changes to come, and what they act upon.
@@ -50,8 +67,11 @@
     pub(crate) program: &'a str,
     began: Instant,
     pending: Vec<(Instant, Action)>,
-    /// Members whose process was ended and not started since.
-    ended: BTreeSet<usize>,
+    pub(crate) conditions: Conditions,
+    /// Whether VMs only fail by leaving, so that leaders that follow each other are the main fault.
+    vms_only_leave: bool,
+    /// When a leader was last killed as such.
+    leader_killed: Option<Instant>,
 }
 
 impl<'a> FaultPlan<'a> {
@@ -60,22 +80,35 @@
         network: &'a Network,
         members: &'a mut [Member],
         program: &'a str,
+        rng: &mut StdRng,
     ) -> Self {
-        Self {
+        let vms_only_leave = rng.random_bool(0.5);
+        let mut plan = Self {
             site,
             network,
             members,
             program,
             began: Instant::now(),
             pending: Vec::new(),
-            ended: BTreeSet::new(),
+            conditions: Conditions::default(),
+            vms_only_leave,
+            leader_killed: None,
+        };
+        if vms_only_leave {
+            plan.remove_vms(rng, DEPARTURE_MS);
+            plan.kill_leaders(rng);
         }
+        plan
     }
 
     /// Adds a random series of faults. Each fault lasts 0.3 to 4 seconds.
     pub(crate) fn add_series(&mut self, rng: &mut StdRng) {
         let ms = rng.random_range(300..4_000);
-        match rng.random_range(0..14) {
+        let kind = match self.vms_only_leave {
+            true => [0, 1, 2, 3, 4, 12, 13, 14, 15][rng.random_range(0..9)],
+            false => rng.random_range(0..16),
+        };
+        match kind {
             0 => self.end_member(rng, "KILL", ms),
             1 => self.pause_member(rng, ms),
             2 => self.end_member(rng, "TERM", ms),
@@ -90,12 +123,34 @@
                     self.at(n * rng.random_range(300..1_500), Action::Leader);
                 }
             }
-            _ => {
+            13 => {
                 for m in 0..self.members.len() {
                     self.at(0, Action::Signal(m, "KILL"));
                     self.at(ms / 4, Action::Start(m));
                 }
             }
+            14 => self.remove_vms(rng, ms),
+            _ => self.kill_leaders(rng),
+        }
+    }
+
+    /// Lets some VMs leave. Some return much later, under another id.
+    fn remove_vms(&mut self, rng: &mut StdRng, ms: u64) {
+        for _ in 0..rng.random_range(1..3) {
+            let v = self.vm(rng);
+            self.at(rng.random_range(0..ms), Action::Leave(v));
+            if rng.random_bool(0.3) {
+                self.at(ms + rng.random_range(ABSENCE_MS), Action::Return(v));
+            }
+        }
+    }
+
+    /// Kills leaders that follow each other.
+    fn kill_leaders(&mut self, rng: &mut StdRng) {
+        let mut after_ms = 0;
+        for _ in 0..rng.random_range(2..5) {
+            after_ms += rng.random_range(LEADER_TERM_MS);
+            self.at(after_ms, Action::KillLeader);
         }
     }
 
@@ -114,21 +169,22 @@
         self.pending.clear();
         self.network.repair();
         self.site.store.set_faults(Faults::default());
-        for vm in &self.site.vms {
+        for (v, vm) in self.site.vms.iter().enumerate() {
             vm.set_late_share(0.0);
             vm.set_unhealthy_share(0.0);
             vm.set_withdrawn(false);
-            if !vm.is_up() {
+            if !vm.is_up() && !self.conditions.departed.contains(&v) {
                 vm.restart();
             }
         }
         for (m, member) in self.members.iter_mut().enumerate() {
             member.store_proxy.set_fault(Fault::None);
             member.signal("CONT");
-            if self.ended.contains(&m) {
+            if self.conditions.ended.contains(&m) {
                 member.start(self.program);
             }
         }
+        self.conditions.repair();
     }
 
     fn at(&mut self, after_ms: u64, action: Action) {
@@ -230,24 +286,18 @@
     /// Returns some members and some VMs. The leader is one of the members in most cases.
     fn sides(&self, rng: &mut StdRng) -> (Vec<usize>, Vec<usize>) {
         let mut members = some(rng, self.members.len());
-        let leader = self.leader().filter(|m| !members.contains(m));
+        let leader = leader(self.site).map(|(m, _)| m);
+        let leader = leader.filter(|m| !members.contains(m));
         members.extend(leader.filter(|_| rng.random_bool(0.8)));
         (members, some(rng, self.site.vms.len()))
     }
 
-    /// Returns the member with the newest leadership claim.
-    fn leader(&self) -> Option<usize> {
-        let claim = self.site.store.last_record("keyed.holder")?;
-        let claim = String::from_utf8_lossy(&claim);
-        let (_, number) = claim.split_once("member-")?;
-        let digits = number.find(|c: char| !c.is_ascii_digit())?;
-        number[..digits].parse().ok()
-    }
-
     /// Adds a random fault of the leader. One of them cuts it off from the store and from some
     /// members while it still reaches the VMs.
     fn fault_leader(&mut self, rng: &mut StdRng) {
-        let Some(m) = self.leader() else { return };
+        let Some((m, _)) = leader(self.site) else {
+            return;
+        };
         let ms = rng.random_range(500..4_000);
         match rng.random_range(0..5) {
             0 => {
@@ -269,21 +319,48 @@
         }
     }
 
+    /// Kills the leader as soon as there is one, unless another was killed shortly before.
+    fn kill_leader(&mut self, rng: &mut StdRng) {
+        let pause = Duration::from_millis(LEADER_TERM_MS.start);
+        if self.leader_killed.is_some_and(|at| at.elapsed() < pause) {
+            return;
+        }
+        match leader(self.site) {
+            Some((m, _)) if !self.conditions.ended.contains(&m) => {
+                self.leader_killed = Some(Instant::now());
+                self.at(0, Action::Signal(m, "KILL"));
+                self.at(rng.random_range(300..4_000), Action::Start(m));
+            }
+            _ => self.at(SUCCESSOR_PAUSE_MS, Action::KillLeader),
+        }
+    }
+
+    /// Returns whether a VM may crash, start or leave now.
+    fn allows_vm_change(&self, action: &Action) -> bool {
+        let departed = &self.conditions.departed;
+        match action {
+            Action::Crash(v) | Action::Restart(v) | Action::Rename(v) => !departed.contains(v),
+            Action::Leave(v) => {
+                let departures_max = self.site.vms.len() / VMS_PER_DEPARTURE;
+                !departed.contains(v) && departed.len() < departures_max
+            }
+            Action::Return(v) => departed.contains(v),
+            _ => true,
+        }
+    }
+
     fn apply(&mut self, action: Action, rng: &mut StdRng) {
+        if !self.allows_vm_change(&action) {
+            return;
+        }
         let ms = self.began.elapsed().as_millis();
         println!("fault: {}.{:03} {action:?}", ms / 1_000, ms % 1_000);
+        let was_ended = matches!(action, Action::Start(m) if self.conditions.ended.contains(&m));
+        self.conditions.record(&action);
         match action {
-            Action::Signal(m, name) => {
-                if ["KILL", "TERM"].contains(&name) {
-                    self.ended.insert(m);
-                }
-                self.members[m].signal(name);
-            }
-            Action::Start(m) => {
-                if self.ended.remove(&m) {
-                    self.members[m].start(self.program);
-                }
-            }
+            Action::Signal(m, name) => self.members[m].signal(name),
+            Action::Start(m) if was_ended => self.members[m].start(self.program),
+            Action::Start(_) => {}
             Action::StorePath(m, fault) => {
                 let proxy = &self.members[m].store_proxy;
                 let begins = fault != Fault::None;
@@ -293,9 +370,9 @@
                 }
             }
             Action::Store(faults) => self.site.store.set_faults(faults),
-            Action::Crash(v) => self.site.vms[v].crash(),
+            Action::Crash(v) | Action::Leave(v) => self.site.vms[v].crash(),
             Action::Restart(v) => self.site.vms[v].restart(),
-            Action::Rename(v) => self.site.vms[v].restart_renamed(),
+            Action::Rename(v) | Action::Return(v) => self.site.vms[v].restart_renamed(),
             Action::Unhealthy(v, share) => self.site.vms[v].set_unhealthy_share(share),
             Action::Late(v, share) => self.site.vms[v].set_late_share(share),
             Action::Withdrawn(v, withdrawn) => self.site.vms[v].set_withdrawn(withdrawn),
@@ -306,10 +383,21 @@
                 self.network.set_member_fault(m, &others, fault);
             }
             Action::Leader => self.fault_leader(rng),
+            Action::KillLeader => self.kill_leader(rng),
         }
     }
 }
 
+/// Returns the member with the newest leadership claim, and the number of claims so far.
+pub(crate) fn leader(site: &Site) -> Option<(usize, usize)> {
+    let claims = site.store.record_count("keyed.holder");
+    let claim = site.store.last_record("keyed.holder")?;
+    let claim = String::from_utf8_lossy(&claim);
+    let (_, number) = claim.split_once("member-")?;
+    let digits = number.find(|c: char| !c.is_ascii_digit())?;
+    Some((number[..digits].parse().ok()?, claims))
+}
+
 /// Returns some random numbers below `count`, at least one.
 fn some(rng: &mut StdRng, count: usize) -> Vec<usize> {
     let share = rng.random_range(0.1..0.7);
--- a/examples/soak/load.rs
+++ b/examples/soak/load.rs
@@ -76,7 +76,7 @@
     }
 
     /// Returns a random member.
-    fn member(&self, rng: &mut StdRng) -> SocketAddr {
+    pub(crate) fn member(&self, rng: &mut StdRng) -> SocketAddr {
         self.addrs[rng.random_range(0..self.addrs.len())]
     }
 
@@ -100,7 +100,7 @@
     }
 
     /// Submits one job, once or at most [`ATTEMPTS_MAX`] times until it is accepted.
-    async fn submit(&mut self, id: u64, body: &str, rng: &mut StdRng) -> SubmitOutcome {
+    pub(crate) async fn submit(&mut self, id: u64, body: &str, rng: &mut StdRng) -> SubmitOutcome {
         let mut certain = true;
         let attempts = if id.is_multiple_of(2) {
             1
@@ -123,7 +123,7 @@
     }
 
     /// Returns the state of a job according to one member; `None` without a response.
-    async fn state_at(&mut self, addr: SocketAddr, id: u64) -> Option<String> {
+    pub(crate) async fn state_at(&mut self, addr: SocketAddr, id: u64) -> Option<String> {
         match self.send(addr, "GET", id, "").await? {
             (200, body) => Some(parse_state(&body).unwrap_or_default()),
             (410, _) => Some(NOT_FOUND.to_owned()),
@@ -140,6 +140,21 @@
         }
         "unavailable".to_owned()
     }
+
+    /// Cancels a job; returns whether a member replied before `deadline` that it is cancelled or
+    /// not known.
+    pub(crate) async fn cancel(&mut self, id: u64, deadline: tokio::time::Instant) -> bool {
+        for addr in self.addrs.clone().into_iter().cycle() {
+            if let Some((200..300 | 410, _)) = self.send(addr, "DELETE", id, "").await {
+                return true;
+            }
+            if tokio::time::Instant::now() >= deadline {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        false
+    }
 }
 
 /// Runs one caller until `stop`: submits jobs one after the other, sends some again, and checks
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -7,8 +7,10 @@
 //!
 //! On a violation, the logs of the members and of the VMs are kept in the folder of logs.
 
+mod conditions;
 mod faults;
 mod load;
+mod long_lived;
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -24,14 +26,18 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::conditions::Conditions;
 use crate::faults::FaultPlan;
 use crate::load::Caller;
 use crate::load::SubmitOutcome;
 use crate::load::SubmitOutcomes;
 use crate::load::Tally;
 use crate::load::lock;
+use crate::long_lived::LongLivedJobs;
+use crate::long_lived::Watch;
 
 /// Minimum number of concurrent callers.
 const CALLERS_MIN: usize = 6;
@@ -57,6 +63,37 @@
     (220, "the same; both runs ended as done"),
 ];
 
+/// All callers, and what they know.
+struct Load {
+    callers: Vec<JoinHandle<()>>,
+    outcomes: SubmitOutcomes,
+    long_lived_caller: JoinHandle<()>,
+    long_lived: LongLivedJobs,
+    tally: Arc<Mutex<Tally>>,
+}
+
+impl Load {
+    /// Starts `callers` callers of jobs that complete, and one of long-lived jobs.
+    fn start(addrs: &[SocketAddr], seed: u64, callers: u64, stop: Instant) -> Self {
+        let (outcomes, long_lived) = (SubmitOutcomes::default(), LongLivedJobs::default());
+        let tally = Arc::new(Mutex::new(Tally::default()));
+        let caller = || Caller::new(addrs.to_vec());
+        let start = |n| {
+            let (outcomes, tally) = (Arc::clone(&outcomes), Arc::clone(&tally));
+            tokio::spawn(load::run(caller(), seed + n, outcomes, tally, stop))
+        };
+        let jobs = (Arc::clone(&long_lived), Arc::clone(&tally));
+        let long_lived_run = long_lived::run(caller(), seed + callers, jobs.0, jobs.1, stop);
+        Self {
+            callers: (0..callers).map(start).collect(),
+            long_lived_caller: tokio::spawn(long_lived_run),
+            outcomes,
+            long_lived,
+            tally,
+        }
+    }
+}
+
 struct Args {
     seeds: Vec<u64>,
     seconds: u64,
@@ -161,21 +198,11 @@
     members.iter_mut().for_each(|m| m.start(program));
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     let addrs: Vec<SocketAddr> = members.iter().map(|m| m.callers).collect();
-    let (outcomes, tally) = (
-        SubmitOutcomes::default(),
-        Arc::new(Mutex::new(Tally::default())),
-    );
     let stop = Instant::now() + Duration::from_secs(args.seconds);
-    let callers = CALLERS_MIN.max(args.vms / VMS_PER_CALLER);
-    let callers: Vec<_> = (0..callers as u64)
-        .map(|n| {
-            let seed = seed * 1_000 + n;
-            let (outcomes, tally) = (Arc::clone(&outcomes), Arc::clone(&tally));
-            let caller = Caller::new(addrs.clone());
-            tokio::spawn(load::run(caller, seed, outcomes, tally, stop))
-        })
-        .collect();
-    let mut plan = FaultPlan::new(&site, &network, &mut members, program);
+    let callers = CALLERS_MIN.max(args.vms / VMS_PER_CALLER) as u64;
+    let load = Load::start(&addrs, seed * 1_000, callers, stop);
+    let mut watch = Watch::new(&site, Arc::clone(&load.long_lived), members.len());
+    let mut plan = FaultPlan::new(&site, &network, &mut members, program, &mut rng);
     let mut next = Instant::now();
     while Instant::now() < stop {
         if Instant::now() >= next {
@@ -183,21 +210,44 @@
             next += Duration::from_millis(rng.random_range(300..1_800));
         }
         plan.advance(&mut rng);
+        watch.observe(&plan.conditions);
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     plan.repair();
-    for caller in callers {
-        caller.await.expect("a caller does not panic");
-    }
-    let mut caller = Caller::new(addrs);
-    let mut violations = wait_for_completion(&mut caller, &outcomes).await;
-    check_refused(&mut caller, &outcomes, &mut violations).await;
-    check(&site, &outcomes, &tally, &mut violations);
+    let violations = finish(&site, load, watch, &plan.conditions, Caller::new(addrs)).await;
     let events = lock(&site.checker).events.join("\n");
     std::fs::write(dir.join("vms.log"), events).expect("the folder can be written");
     violations
 }
 
+/// Runs all checks that follow the faults. Returns the violations.
+async fn finish(
+    site: &Site,
+    load: Load,
+    mut watch: Watch<'_>,
+    conditions: &Conditions,
+    mut caller: Caller,
+) -> Vec<String> {
+    let deadline = Instant::now() + COMPLETION_TIMEOUT;
+    let jobs_end = async {
+        for task in load.callers {
+            task.await.expect("a caller does not panic");
+        }
+        wait_for_completion(&mut caller, &load.outcomes).await
+    };
+    let all_submitted = || load.long_lived_caller.is_finished();
+    let tasks_run = watch.observe_until_all_run(conditions, deadline, all_submitted);
+    let (mut violations, ()) = tokio::join!(jobs_end, tasks_run);
+    watch.print_summary();
+    violations.extend(watch.violations);
+    let ended = load.long_lived_caller.await;
+    ended.expect("a caller does not panic");
+    violations.extend(long_lived::cancel_all(site, &load.long_lived, &mut caller).await);
+    check_refused(&mut caller, &load.outcomes, &mut violations).await;
+    check(site, &load.outcomes, &load.tally, &mut violations);
+    violations
+}
+
 /// Waits until every accepted job has completed. Returns a description of each job that has not
 /// completed within [`COMPLETION_TIMEOUT`].
 async fn wait_for_completion(caller: &mut Caller, outcomes: &SubmitOutcomes) -> Vec<String> {
