Soak: tasks that crash the VMs that start them

Change: `crash_after_ms` in the spec of a task crashes its VM: all runs are gone, and it is back after 2.5 to 3.5 s at the same address, mostly under another id, without any state. With `--poison` the soak submits up to three such jobs, a third of them long-lived.

New checks: once three VMs have crashed under such a task, for whatever reason, it may start at most twice more; its job may be shown as failed only after two crashes under one of its tasks. All other jobs must complete as before.

--- a/examples/soak/long_lived.rs
+++ b/examples/soak/long_lived.rs
@@ -126,6 +126,7 @@
     waits_from: Duration,
     /// Whether no term has begun since VMs were last lost or affected.
     first_term_due: bool,
+    /// Losses of VMs by the plan of faults and by crashes under tasks.
     vm_losses: u64,
     claims: usize,
     /// Claim of the last leader whose process was ended.
@@ -206,13 +207,15 @@
         if !ended && conditions.allow_decisions(self.members, leader) {
             self.clock += passed;
         }
-        let lost = conditions.vm_losses != self.vm_losses;
+        let crashes: u64 = lock(&self.site.checker).crashes.values().sum();
+        let vm_losses = conditions.vm_losses + crashes;
+        let lost = vm_losses != self.vm_losses;
         if lost || conditions.affect_vms() {
             (self.waits_from, self.first_term_due) = (self.clock, true);
         } else if claims != self.claims && self.first_term_due {
             (self.waits_from, self.first_term_due) = (self.clock, false);
         }
-        (self.vm_losses, self.claims) = (conditions.vm_losses, claims);
+        (self.vm_losses, self.claims) = (vm_losses, claims);
     }
 
     /// Observes until every task runs once `all_submitted` holds, or until `deadline`, by which they
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -3,6 +3,8 @@
 //!
 //! `cargo run --release --example soak -- --seed N --seconds S [--members M] [--vms V] [--logs DIR]`
 //!
+//! `--poison` adds jobs whose tasks crash the VMs that start them.
+//!
 //! `--regressions` plays the seeds that failed once instead of one seed.
 //!
 //! On a violation, the logs of the members and of the VMs are kept in the folder of logs.
@@ -11,6 +13,7 @@
 mod faults;
 mod load;
 mod long_lived;
+mod poison;
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -38,6 +41,7 @@
 use crate::load::lock;
 use crate::long_lived::LongLivedJobs;
 use crate::long_lived::Watch;
+use crate::poison::PoisonJobs;
 
 /// Minimum number of concurrent callers.
 const CALLERS_MIN: usize = 6;
@@ -69,6 +73,7 @@
     outcomes: SubmitOutcomes,
     long_lived_caller: JoinHandle<()>,
     long_lived: LongLivedJobs,
+    poison: PoisonJobs,
     tally: Arc<Mutex<Tally>>,
 }
 
@@ -89,6 +94,7 @@
             long_lived_caller: tokio::spawn(long_lived_run),
             outcomes,
             long_lived,
+            poison: PoisonJobs::default(),
             tally,
         }
     }
@@ -99,6 +105,8 @@
     seconds: u64,
     members: usize,
     vms: usize,
+    /// Whether jobs are submitted that crash VMs.
+    poison: bool,
     /// Folder in which logs are kept.
     logs: PathBuf,
 }
@@ -114,6 +122,7 @@
     );
     opts.optopt("", "members", "number of members", "M");
     opts.optopt("", "vms", "number of VMs", "V");
+    opts.optflag("", "poison", "submit jobs that crash VMs");
     opts.optflag("", "regressions", "play the seeds that failed once");
     opts.optopt("", "logs", "folder for logs of violations", "DIR");
     let raw_args: Vec<String> = std::env::args().skip(1).collect();
@@ -136,6 +145,7 @@
         seconds: number("seconds", 15)?,
         members: usize::try_from(number("members", 4)?).ok()?,
         vms: usize::try_from(number("vms", 8)?).ok()?,
+        poison: matches.opt_present("poison"),
         logs: matches
             .opt_str("logs")
             .unwrap_or("target/soak".into())
@@ -200,7 +210,14 @@
     let addrs: Vec<SocketAddr> = members.iter().map(|m| m.callers).collect();
     let stop = Instant::now() + Duration::from_secs(args.seconds);
     let callers = CALLERS_MIN.max(args.vms / VMS_PER_CALLER) as u64;
-    let load = Load::start(&addrs, seed * 1_000, callers, stop);
+    let mut load = Load::start(&addrs, seed * 1_000, callers, stop);
+    if args.poison {
+        let (jobs, checker) = (Arc::clone(&load.poison), Arc::clone(&site.checker));
+        let (tally, seed) = (Arc::clone(&load.tally), seed * 1_000 + callers + 1);
+        let caller = Caller::new(addrs.clone());
+        let poison = poison::run(caller, seed, jobs, checker, tally, stop);
+        load.callers.push(tokio::spawn(poison));
+    }
     let mut watch = Watch::new(&site, Arc::clone(&load.long_lived), members.len());
     let mut plan = FaultPlan::new(&site, &network, &mut members, program, &mut rng);
     let mut next = Instant::now();
@@ -243,6 +260,7 @@
     let ended = load.long_lived_caller.await;
     ended.expect("a caller does not panic");
     violations.extend(long_lived::cancel_all(site, &load.long_lived, &mut caller).await);
+    violations.extend(poison::cancel_all(site, &load.poison, &mut caller, &load.tally).await);
     check_refused(&mut caller, &load.outcomes, &mut violations).await;
     check(site, &load.outcomes, &load.tally, &mut violations);
     violations
