--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -142,6 +142,12 @@
         overtaken
     }
 
+    /// Whether a poll failed since the last answer, or one is overdue.
+    pub(super) fn is_late(&self, now: Time) -> bool {
+        let late = |s: &PendingPoll| now > s.sent_at + s.wait + OVERDUE_AFTER;
+        self.unanswered > 0 || self.pending.values().any(late)
+    }
+
     /// Whether all pending polls are overdue and a hedged poll is still allowed.
     pub(super) fn is_overdue(&self, now: Time) -> bool {
         let late = |s: &PendingPoll| now > s.sent_at + s.wait + OVERDUE_AFTER;
@@ -235,7 +241,9 @@
         // while its answers are lost, and its runs could never be dropped.
         let until = vm.clock_at(now).map(|c| c + lease.as_millis());
         let until = until.filter(|_| vm.polls.unanswered == 0 && !vm.lease_withheld);
-        vm.lease_until_ms = vm.lease_until_ms.max(until.unwrap_or(0));
+        if let Some(until_ms) = until {
+            vm.add_lease(now, until_ms);
+        }
         vm.polls.next_seq += 1;
         let seq = vm.polls.next_seq;
         vm.polls.pending.insert(
--- a/crates/monsoonnotch_jobs/src/scheduler/vms.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/vms.rs
@@ -47,6 +47,8 @@
     /// Latest end of any lease or start validity that was sent to it, in milliseconds on
     /// the VM's clock.
     pub(super) lease_until_ms: u64,
+    /// When the last order was sent that gives it a lease.
+    pub(super) lease_sent_at: Time,
     /// When every lease has expired that it may have from a predecessor.
     pub(super) predecessor_leases_expire_at: Time,
     /// The same, or when every lease has expired from orders that were computed from the clock
@@ -126,6 +128,7 @@
             runs: BTreeSet::new(),
             clock: None,
             lease_until_ms: 0,
+            lease_sent_at: Time::default(),
             predecessor_leases_expire_at,
             other_leases_expire_at: predecessor_leases_expire_at,
             awaited_by_predecessor: false,
@@ -156,6 +159,13 @@
         Some(ms + now.since(at).as_millis())
     }
 
+    /// Takes into account that an order is about to be sent that gives it a lease until `until_ms`
+    /// on its clock.
+    pub(super) fn add_lease(&mut self, now: Time, until_ms: u64) {
+        self.lease_until_ms = self.lease_until_ms.max(until_ms);
+        self.lease_sent_at = now;
+    }
+
     /// Returns when every lease that it may have has expired, even if its clock runs slow by
     /// `drift_milli` thousandths.
     pub(super) fn leases_expire_at(&self, drift_milli: u64) -> Time {
@@ -190,7 +200,8 @@
 
     /// Whether it has not answered for [`SILENCE_MIN`], or not since before this term.
     pub(super) fn is_silent(&self, now: Time) -> bool {
-        let silent_before = self.awaited_by_predecessor || self.registration.addr.is_empty();
+        let silent_before = self.registration.addr.is_empty()
+            || (self.awaited_by_predecessor && self.polls.is_late(now));
         let since = self.polls.silent_since;
         (silent_before && !self.answered) || since.is_some_and(|at| now >= at + SILENCE_MIN)
     }
@@ -457,10 +468,9 @@
         let (now, lease_max) = (self.now, self.tuning.lease_max);
         let drift = self.tuning.drift_milli;
         let Some(vm) = self.vms.get(key) else { return };
-        let may_run = |run: &&RunKey| {
-            let sent = vm.unanswered_starts.get(run);
-            sent.is_some_and(|&sent| now <= lease_end(sent, lease_max, drift))
-        };
+        let longest_lease_expired = now > lease_end(vm.lease_sent_at, lease_max, drift);
+        let may_run =
+            |run: &&RunKey| !longest_lease_expired && vm.unanswered_starts.contains_key(run);
         let (kept, lost): (BTreeSet<RunKey>, BTreeSet<RunKey>) =
             vm.runs.iter().partition(|run| may_run(run));
         if lost.is_empty() && vm.orphans.needs.is_empty() {
