--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -3,12 +3,17 @@
 //!
 //! `cargo run --release --example soak -- --seed N --seconds S [--members M] [--vms V] [--logs DIR]`
 //!
+//! `--poison` adds jobs whose tasks crash the VMs that start them.
+//!
 //! `--regressions` plays the seeds that failed once instead of one seed.
 //!
 //! On a violation, the logs of the members and of the VMs are kept in the folder of logs.
 
+mod conditions;
 mod faults;
 mod load;
+mod long_lived;
+mod poison;
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -24,14 +29,19 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::conditions::Conditions;
 use crate::faults::FaultPlan;
 use crate::load::Caller;
 use crate::load::SubmitOutcome;
 use crate::load::SubmitOutcomes;
 use crate::load::Tally;
 use crate::load::lock;
+use crate::long_lived::LongLivedJobs;
+use crate::long_lived::Watch;
+use crate::poison::PoisonJobs;
 
 /// Minimum number of concurrent callers.
 const CALLERS_MIN: usize = 6;
@@ -41,27 +51,70 @@
 /// of 4 s leases, the restart of a member, and the runs of waiting tasks.
 const COMPLETION_TIMEOUT: Duration = Duration::from_secs(45);
 
-/// Seeds that failed once, each with the cause. The timing of processes varies, so that a failure
+/// Seeds that failed once, each with the shortest duration of fault injection in seconds and the
+/// cause. The timing of processes varies, so that a failure
 /// does not return in every play. A change of what a seed draws makes these other plays: then
 /// look for seeds that fail again on the code before the fix.
-const REGRESSIONS: [(u64, &str); 4] = [
+const REGRESSIONS: [(u64, u64, &str); 5] = [
     (
         201,
+        8,
         "a repeated start could not be sent, and the run was dropped; both runs on one VM",
     ),
     (
         204,
+        8,
         "the same; the first run went on for two seconds beside the second",
     ),
-    (217, "the same; both runs were stopped"),
-    (220, "the same; both runs ended as done"),
+    (217, 8, "the same; both runs were stopped"),
+    (220, 8, "the same; both runs ended as done"),
+    (
+        901,
+        25,
+        "leaders that followed each other waited anew for a VM that had left",
+    ),
 ];
 
+/// All callers, and what they know.
+struct Load {
+    callers: Vec<JoinHandle<()>>,
+    outcomes: SubmitOutcomes,
+    long_lived_caller: JoinHandle<()>,
+    long_lived: LongLivedJobs,
+    poison: PoisonJobs,
+    tally: Arc<Mutex<Tally>>,
+}
+
+impl Load {
+    /// Starts `callers` callers of jobs that complete, and one of long-lived jobs.
+    fn start(addrs: &[SocketAddr], seed: u64, callers: u64, stop: Instant) -> Self {
+        let (outcomes, long_lived) = (SubmitOutcomes::default(), LongLivedJobs::default());
+        let tally = Arc::new(Mutex::new(Tally::default()));
+        let caller = || Caller::new(addrs.to_vec());
+        let start = |n| {
+            let (outcomes, tally) = (Arc::clone(&outcomes), Arc::clone(&tally));
+            tokio::spawn(load::run(caller(), seed + n, outcomes, tally, stop))
+        };
+        let jobs = (Arc::clone(&long_lived), Arc::clone(&tally));
+        let long_lived_run = long_lived::run(caller(), seed + callers, jobs.0, jobs.1, stop);
+        Self {
+            callers: (0..callers).map(start).collect(),
+            long_lived_caller: tokio::spawn(long_lived_run),
+            outcomes,
+            long_lived,
+            poison: PoisonJobs::default(),
+            tally,
+        }
+    }
+}
+
 struct Args {
     seeds: Vec<u64>,
     seconds: u64,
     members: usize,
     vms: usize,
+    /// Whether jobs are submitted that crash VMs.
+    poison: bool,
     /// Folder in which logs are kept.
     logs: PathBuf,
 }
@@ -77,6 +130,7 @@
     );
     opts.optopt("", "members", "number of members", "M");
     opts.optopt("", "vms", "number of VMs", "V");
+    opts.optflag("", "poison", "submit jobs that crash VMs");
     opts.optflag("", "regressions", "play the seeds that failed once");
     opts.optopt("", "logs", "folder for logs of violations", "DIR");
     let raw_args: Vec<String> = std::env::args().skip(1).collect();
@@ -93,12 +147,13 @@
     };
     Some(Args {
         seeds: match matches.opt_present("regressions") {
-            true => REGRESSIONS.iter().map(|(seed, _)| *seed).collect(),
+            true => REGRESSIONS.iter().map(|(seed, ..)| *seed).collect(),
             false => vec![number("seed", 1)?],
         },
         seconds: number("seconds", 15)?,
         members: usize::try_from(number("members", 4)?).ok()?,
         vms: usize::try_from(number("vms", 8)?).ok()?,
+        poison: matches.opt_present("poison"),
         logs: matches
             .opt_str("logs")
             .unwrap_or("target/soak".into())
@@ -132,13 +187,15 @@
 
 /// Plays one seed and prints the result; returns whether there were violations.
 async fn play(args: &Args, seed: u64, program: &str) -> bool {
-    if let Some((_, cause)) = REGRESSIONS.iter().find(|(s, _)| *s == seed) {
+    let mut seconds = args.seconds;
+    if let Some((_, seconds_min, cause)) = REGRESSIONS.iter().find(|(s, ..)| *s == seed) {
         println!("seed {seed} failed once: {cause}");
+        seconds = seconds.max(*seconds_min);
     }
     let dir = args.logs.join(format!("{seed}-{}", std::process::id()));
     let dir = std::path::absolute(dir).expect("a current folder");
     std::fs::create_dir_all(&dir).expect("the folder for logs can be created");
-    let violations = run(args, seed, program, &dir).await;
+    let violations = run(args, seed, seconds, program, &dir).await;
     for v in &violations {
         println!("violation: {v}");
     }
@@ -147,35 +204,31 @@
         false => println!("logs: {}", dir.display()),
     }
     println!(
-        "soak: seed={seed} seconds={} violations={}",
-        args.seconds,
+        "soak: seed={seed} seconds={seconds} violations={}",
         violations.len()
     );
     !violations.is_empty()
 }
 
-async fn run(args: &Args, seed: u64, program: &str, dir: &Path) -> Vec<String> {
+async fn run(args: &Args, seed: u64, seconds: u64, program: &str, dir: &Path) -> Vec<String> {
     let mut rng = StdRng::seed_from_u64(seed);
     let site = Site::start(args.vms).await;
     let (network, mut members) = Network::start(&site, args.members, dir).await;
     members.iter_mut().for_each(|m| m.start(program));
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     let addrs: Vec<SocketAddr> = members.iter().map(|m| m.callers).collect();
-    let (outcomes, tally) = (
-        SubmitOutcomes::default(),
-        Arc::new(Mutex::new(Tally::default())),
-    );
-    let stop = Instant::now() + Duration::from_secs(args.seconds);
-    let callers = CALLERS_MIN.max(args.vms / VMS_PER_CALLER);
-    let callers: Vec<_> = (0..callers as u64)
-        .map(|n| {
-            let seed = seed * 1_000 + n;
-            let (outcomes, tally) = (Arc::clone(&outcomes), Arc::clone(&tally));
-            let caller = Caller::new(addrs.clone());
-            tokio::spawn(load::run(caller, seed, outcomes, tally, stop))
-        })
-        .collect();
-    let mut plan = FaultPlan::new(&site, &network, &mut members, program);
+    let stop = Instant::now() + Duration::from_secs(seconds);
+    let callers = CALLERS_MIN.max(args.vms / VMS_PER_CALLER) as u64;
+    let mut load = Load::start(&addrs, seed * 1_000, callers, stop);
+    if args.poison {
+        let (jobs, checker) = (Arc::clone(&load.poison), Arc::clone(&site.checker));
+        let (tally, seed) = (Arc::clone(&load.tally), seed * 1_000 + callers + 1);
+        let caller = Caller::new(addrs.clone());
+        let poison = poison::run(caller, seed, jobs, checker, tally, stop);
+        load.callers.push(tokio::spawn(poison));
+    }
+    let mut watch = Watch::new(&site, Arc::clone(&load.long_lived), members.len());
+    let mut plan = FaultPlan::new(&site, &network, &mut members, program, &mut rng);
     let mut next = Instant::now();
     while Instant::now() < stop {
         if Instant::now() >= next {
@@ -183,21 +236,45 @@
             next += Duration::from_millis(rng.random_range(300..1_800));
         }
         plan.advance(&mut rng);
+        watch.observe(&plan.conditions);
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     plan.repair();
-    for caller in callers {
-        caller.await.expect("a caller does not panic");
-    }
-    let mut caller = Caller::new(addrs);
-    let mut violations = wait_for_completion(&mut caller, &outcomes).await;
-    check_refused(&mut caller, &outcomes, &mut violations).await;
-    check(&site, &outcomes, &tally, &mut violations);
+    let violations = finish(&site, load, watch, &plan.conditions, Caller::new(addrs)).await;
     let events = lock(&site.checker).events.join("\n");
     std::fs::write(dir.join("vms.log"), events).expect("the folder can be written");
     violations
 }
 
+/// Runs all checks that follow the faults. Returns the violations.
+async fn finish(
+    site: &Site,
+    load: Load,
+    mut watch: Watch<'_>,
+    conditions: &Conditions,
+    mut caller: Caller,
+) -> Vec<String> {
+    let deadline = Instant::now() + COMPLETION_TIMEOUT;
+    let jobs_end = async {
+        for task in load.callers {
+            task.await.expect("a caller does not panic");
+        }
+        wait_for_completion(&mut caller, &load.outcomes).await
+    };
+    let all_submitted = || load.long_lived_caller.is_finished();
+    let tasks_run = watch.observe_until_all_run(conditions, deadline, all_submitted);
+    let (mut violations, ()) = tokio::join!(jobs_end, tasks_run);
+    watch.print_summary();
+    violations.extend(watch.violations);
+    let ended = load.long_lived_caller.await;
+    ended.expect("a caller does not panic");
+    violations.extend(long_lived::cancel_all(site, &load.long_lived, &mut caller).await);
+    violations.extend(poison::cancel_all(site, &load.poison, &mut caller, &load.tally).await);
+    check_refused(&mut caller, &load.outcomes, &mut violations).await;
+    check(site, &load.outcomes, &load.tally, &mut violations);
+    violations
+}
+
 /// Waits until every accepted job has completed. Returns a description of each job that has not
 /// completed within [`COMPLETION_TIMEOUT`].
 async fn wait_for_completion(caller: &mut Caller, outcomes: &SubmitOutcomes) -> Vec<String> {
