Store the addresses of silent VMs, so that a successor polls them

LOST: a VM that crashed is back after some seconds at its address, under another id, and its entry is removed. The leader of that time polls the address and learns that the runs have ended; a successor did not know it and waited for the leases.

The record of leases names the address.

--- a/crates/monsoonnotch_jobs/src/journal/mod.rs
+++ b/crates/monsoonnotch_jobs/src/journal/mod.rs
@@ -126,9 +126,20 @@
 pub struct RemainingLeases {
     /// The token of that leader.
     pub token: u64,
-    /// Ids of the VMs, each with the time until all its leases have expired, in milliseconds
-    /// from when the record was written.
-    pub remaining_ms: Vec<(CompactString, u64)>,
+    /// The VMs.
+    pub vms: Vec<RemainingLease>,
+}
+
+/// The leases that one VM may still have.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct RemainingLease {
+    /// The VM's id.
+    pub vm: CompactString,
+    /// Its address, as `ip:port`, where another VM shows that this one has ended.
+    pub addr: CompactString,
+    /// The time until all its leases have expired, in milliseconds from when the record was
+    /// written.
+    pub ms: u64,
 }
 
 /// A decoded record.
--- a/crates/monsoonnotch_jobs/src/scheduler/flush.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/flush.rs
@@ -8,6 +8,7 @@
 use crate::journal::Placed;
 use crate::journal::Placements;
 use crate::journal::Progress;
+use crate::journal::RemainingLease;
 use crate::journal::RemainingLeases;
 use crate::journal::StageProgress;
 
@@ -44,7 +45,7 @@
     fleet: Vec<CompactString>,
     next_fleet_at: Time,
     /// The leases in the stored record, and when they were written.
-    leases: Vec<(CompactString, u64)>,
+    leases: Vec<RemainingLease>,
     leases_at: Time,
     next_leases_at: Time,
 }
@@ -60,7 +61,7 @@
     /// The new fleet, if the append updates the fleet record.
     fleet: Option<Vec<CompactString>>,
     /// The new leases, if the append updates the leases record.
-    leases: Option<Vec<(CompactString, u64)>>,
+    leases: Option<Vec<RemainingLease>>,
     sent_at: Time,
 }
 
@@ -129,7 +130,7 @@
             self.withhold_leases(leases);
             records.push(journal::leases_record(&RemainingLeases {
                 token: self.token,
-                remaining_ms: leases.clone(),
+                vms: leases.clone(),
             }));
         }
         while size < APPEND_BYTES_MAX
@@ -185,14 +186,14 @@
     }
 
     /// Returns the leases that VMs may still have if a successor must know, and an update is due.
-    fn changed_leases(&mut self) -> Option<Vec<(CompactString, u64)>> {
+    fn changed_leases(&mut self) -> Option<Vec<RemainingLease>> {
         let now = self.now;
         if now < self.flush.next_leases_at {
             return None;
         }
         let leases = self.remaining_leases();
         let (old, new) = (self.flush.leases.iter(), leases.iter());
-        let same_vms = old.map(|(id, _)| id).eq(new.map(|(id, _)| id));
+        let same_vms = old.map(|l| &l.vm).eq(new.map(|l| &l.vm));
         let is_current = leases.is_empty() || now < self.flush.leases_at + LEASES_UPDATE_INTERVAL;
         if same_vms && is_current {
             self.flush.next_leases_at = now + SCAN_INTERVAL;
--- a/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
@@ -16,6 +16,7 @@
 use super::job::Stage;
 use super::*;
 use crate::journal::Placements;
+use crate::journal::RemainingLease;
 use crate::journal::RemainingLeases;
 
 /// Shortest wait for a VM in the record of leases: it may be back and answer the first poll.
@@ -94,18 +95,21 @@
         if self.marker.is_some() || leases.token + 1 != self.token {
             return;
         }
-        for (id, ms) in &leases.remaining_ms {
-            let expire_at = self.now + Duration::from_millis(*ms).max(FIRST_ANSWER_MAX);
-            let key = self.vm_by_id(id);
+        for lease in &leases.vms {
+            let expire_at = self.now + Duration::from_millis(lease.ms).max(FIRST_ANSWER_MAX);
+            let key = self.vm_by_id(&lease.vm);
             if let Some(vm) = self.vms.get_mut(key) {
                 vm.limit_predecessor_leases(expire_at);
+                if vm.registration.addr.is_empty() {
+                    vm.registration.addr = lease.addr.clone();
+                }
             }
         }
     }
 
     /// Returns the leases that VMs may still have which do not answer and are awaited; none while
     /// this member is saturated, since then it is late itself and late answers still count.
-    pub(super) fn remaining_leases(&self) -> Vec<(CompactString, u64)> {
+    pub(super) fn remaining_leases(&self) -> Vec<RemainingLease> {
         if self.answer_times.is_saturated(self.now) {
             return Vec::new();
         }
@@ -115,7 +119,11 @@
                 return None;
             }
             let left = self.all_leases_expire_at(vm)?.since(self.now);
-            Some((vm.registration.id.clone(), left.as_millis() + 1))
+            Some(RemainingLease {
+                vm: vm.registration.id.clone(),
+                addr: vm.registration.addr.clone(),
+                ms: left.as_millis() + 1,
+            })
         });
         rows.collect()
     }
@@ -139,9 +147,9 @@
     }
 
     /// Withholds leases from the VMs of a record of leases that is about to be stored.
-    pub(super) fn withhold_leases(&mut self, leases: &[(CompactString, u64)]) {
-        for (id, _) in leases {
-            let key = self.vm_by_id(id);
+    pub(super) fn withhold_leases(&mut self, leases: &[RemainingLease]) {
+        for lease in leases {
+            let key = self.vm_by_id(&lease.vm);
             if let Some(vm) = self.vms.get_mut(key) {
                 vm.lease_withheld = true;
             }
@@ -149,8 +157,8 @@
     }
 
     /// Gives leases again to all VMs outside the stored record of leases.
-    pub(super) fn resume_leases(&mut self, stored: &[(CompactString, u64)]) {
-        let listed: BTreeSet<&CompactString> = stored.iter().map(|(id, _)| id).collect();
+    pub(super) fn resume_leases(&mut self, stored: &[RemainingLease]) {
+        let listed: BTreeSet<&CompactString> = stored.iter().map(|l| &l.vm).collect();
         let resumed = |vm: &vms::Vm| vm.lease_withheld && !listed.contains(&vm.registration.id);
         let resumed = self.vms.iter().filter(|(_, vm)| resumed(vm));
         for key in resumed.map(|(k, _)| k).collect::<Vec<_>>() {
--- a/crates/monsoonnotch_jobs/tests/promises/terms.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/terms.rs
@@ -41,6 +41,15 @@
 /// The newest records of the journal.
 type Records = BTreeMap<String, KeyedRecord>;
 
+/// Returns a row of the record of leases.
+pub(crate) fn remaining_lease(vm: &str, ms: u64) -> journal::RemainingLease {
+    journal::RemainingLease {
+        vm: vm.into(),
+        ms,
+        ..Default::default()
+    }
+}
+
 fn store(records: &mut Records, stored: impl IntoIterator<Item = KeyedRecord>) {
     let rows = stored.into_iter().map(|r| (r.key.to_string(), r));
     records.extend(rows);
@@ -153,9 +162,7 @@
 /// Returns the VMs that a record says may still have leases; `None` for any other record.
 fn awaited(stored: &KeyedRecord) -> Option<Vec<String>> {
     match journal::decode_entry(stored) {
-        Some(journal::Entry::Leases(l)) => {
-            Some(l.remaining_ms.iter().map(|r| r.0.to_string()).collect())
-        }
+        Some(journal::Entry::Leases(l)) => Some(l.vms.iter().map(|l| l.vm.to_string()).collect()),
         _ => None,
     }
 }
@@ -233,7 +240,7 @@
     let fleet = fleet_record_of(["v000", "v001"]);
     let leases = journal::leases_record(&journal::RemainingLeases {
         token: 1,
-        remaining_ms: vec![("v001".into(), 100)],
+        vms: vec![remaining_lease("v001", 100)],
     });
     let stored = [job_of_one_task(), fleet, placement("v001", 0), leases];
     store(&mut records, stored);
@@ -287,3 +294,26 @@
     assert_eq!(stored.vms.len(), 1);
     assert_eq!(stored.vms[0].vm, "v777");
 }
+
+/// Guards against a wait for a VM that has ended: another one answers at its address, which the
+/// VM list does not show any more.
+#[test]
+fn a_silent_vm_whose_address_has_another_one_is_not_awaited() {
+    let mut records = Records::new();
+    let fleet = fleet_record_of(["v000", "v777"]);
+    let leases = journal::leases_record(&journal::RemainingLeases {
+        token: 1,
+        vms: vec![journal::RemainingLease {
+            addr: "10.0.0.9:1".into(),
+            ..remaining_lease("v777", 9_000)
+        }],
+    });
+    let stored = [job_of_one_task(), fleet, placement("v777", 0), leases];
+    store(&mut records, stored);
+    let (mut scheduler, fx) = begin_term(&mut records, 2, 0);
+    let fx = run_polls(&mut scheduler, fx, 0..START_MAX_MS, |id, _| match id {
+        "v777" => Some(Err(PollError::OtherIncarnation)),
+        _ => Some(Ok(poll_answer(Vec::new()))),
+    });
+    assert!(!starts(&fx).is_empty(), "its run has ended with it");
+}
--- a/crates/monsoonnotch_jobs/tests/promises/terms_timed.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/terms_timed.rs
@@ -29,6 +29,7 @@
 use crate::random::fleet;
 use crate::random::site;
 use crate::simulation::START_UNIX_MS;
+use crate::terms::remaining_lease;
 
 /// Time after the start of a term by which every lease of its predecessors has expired, in
 /// milliseconds.
@@ -169,8 +170,8 @@
         let stored = self.records.get(journal::LEASES_KEY);
         match stored.and_then(journal::decode_entry) {
             Some(journal::Entry::Leases(l)) => {
-                let rows = l.remaining_ms.iter();
-                rows.map(|r| (r.0.to_string(), r.1)).collect()
+                let rows = l.vms.iter();
+                rows.map(|l| (l.vm.to_string(), l.ms)).collect()
             }
             _ => Vec::new(),
         }
@@ -223,7 +224,7 @@
     let mut records = records_with(Some("v001"));
     let leases = journal::leases_record(&journal::RemainingLeases {
         token: 2,
-        remaining_ms: vec![("v001".into(), 1_000)],
+        vms: vec![remaining_lease("v001", 1_000)],
     });
     records.insert(leases.key.to_string(), leases);
     let mut driver = Driver::begin(records, 3, 0, fleet(2, 8_000));
@@ -349,10 +350,10 @@
 fn listed(driver: &Driver) -> Vec<String> {
     let rows = driver.appends.iter().flat_map(|(_, records)| records);
     let on_way = rows.filter_map(|r| match journal::decode_entry(r) {
-        Some(journal::Entry::Leases(l)) => Some(l.remaining_ms),
+        Some(journal::Entry::Leases(l)) => Some(l.vms),
         _ => None,
     });
-    let on_way = on_way.flatten().map(|r| r.0.to_string());
+    let on_way = on_way.flatten().map(|l| l.vm.to_string());
     let stored = driver.stored_leases().into_iter().map(|r| r.0);
     stored.chain(on_way).collect()
 }
@@ -385,7 +386,7 @@
     records.remove(job.key.as_str());
     let leases = journal::leases_record(&journal::RemainingLeases {
         token: 2,
-        remaining_ms: vec![("v000".into(), 5_000)],
+        vms: vec![remaining_lease("v000", 5_000)],
     });
     records.insert(leases.key.to_string(), leases);
     let fleet_record = journal::fleet_record(&["v000".into()]);
