--- a/crates/monsoonnotch_jobs/src/journal/mod.rs
+++ b/crates/monsoonnotch_jobs/src/journal/mod.rs
@@ -85,6 +85,10 @@
     /// Indexes of the tasks that failed, each with its failed attempts; empty if the stage
     /// is complete.
     pub failed: Vec<(u32, Vec<u64>)>,
+    /// Indexes of the suspects, each with the attempts under which a VM crashed and the VM's id;
+    /// empty if the stage is complete.
+    #[serde(default)]
+    pub crashes: Vec<(u32, Vec<(u64, CompactString)>)>,
     /// Latest checkpoints by task index, of tasks that have no run and have not succeeded.
     #[serde(rename = "saved")]
     pub checkpoints: Vec<(u32, CompactString)>,
@@ -122,9 +126,20 @@
 pub struct RemainingLeases {
     /// The token of that leader.
     pub token: u64,
-    /// Ids of the VMs, each with the time until all its leases have expired, in milliseconds
-    /// from when the record was written.
-    pub remaining_ms: Vec<(CompactString, u64)>,
+    /// The VMs.
+    pub vms: Vec<RemainingLease>,
+}
+
+/// The leases that one VM may still have.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct RemainingLease {
+    /// The VM's id.
+    pub vm: CompactString,
+    /// Its address, as `ip:port`, where another VM shows that this one has ended.
+    pub addr: CompactString,
+    /// The time until all its leases have expired, in milliseconds from when the record was
+    /// written.
+    pub ms: u64,
 }
 
 /// A decoded record.
--- a/crates/monsoonnotch_jobs/src/scheduler/mod.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/mod.rs
@@ -8,12 +8,14 @@
 
 mod answer_times;
 mod approvals;
+mod candidates;
 mod completions;
 mod drain;
 mod flush;
 mod gang;
 mod job;
 mod placement;
+mod poison;
 mod polls;
 mod predecessor;
 mod queries;
@@ -21,6 +23,7 @@
 mod runs;
 mod starts;
 mod stops;
+mod trials;
 mod vms;
 
 use std::collections::BTreeMap;
@@ -90,6 +93,7 @@
     ready_queue: BTreeSet<(job::Rank, StageKey)>,
     approval_requests: approvals::ApprovalRequests,
     flush: flush::Flush,
+    poison: poison::PoisonTasks,
     /// Estimates from finished runs and answered approval requests, by queue.
     queue_stats: BTreeMap<CompactString, job::QueueStats>,
     /// Recent rate of orders that responsive VMs left unanswered.
@@ -139,6 +143,7 @@
             ready_queue: BTreeSet::new(),
             approval_requests: approvals::ApprovalRequests::default(),
             flush: flush::Flush::default(),
+            poison: poison::PoisonTasks::default(),
             queue_stats: BTreeMap::new(),
             unanswered_orders: polls::UnansweredRate::default(),
             answer_times: answer_times::AnswerTimes::default(),
@@ -236,6 +241,7 @@
         self.hedge_overdue_polls();
         self.scan_runs();
         self.log_awaited();
+        self.scan_suspects();
         self.scan_jobs();
         self.rerank_late_stages();
         self.scan_approval_requests();
--- a/crates/monsoonnotch_jobs/src/scheduler/runs.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/runs.rs
@@ -62,6 +62,8 @@
     pub(super) ticket: CompactString,
     /// Number of times its start was sent.
     pub(super) sends: u32,
+    /// Whether its VM confirmed that it began.
+    pub(super) begun: bool,
 }
 
 impl Scheduler {
@@ -90,6 +92,7 @@
             serving: step.target_ms > 0,
             ticket: CompactString::default(),
             sends: 0,
+            begun: false,
         };
         self.next_run += 1;
         let key = RunKey(self.next_run);
@@ -105,6 +108,7 @@
         task.last_vm = Some(vm);
         task.attempt = task.attempt.max(attempt);
         self.update_ready_queue(stage);
+        self.watch_suspect(key);
         key
     }
 
@@ -134,6 +138,7 @@
             return;
         };
         let inherited = run.state == State::Inherited;
+        run.begun = true;
         if matches!(
             run.state,
             State::Starting | State::Uncertain | State::Inherited
@@ -231,6 +236,7 @@
             return;
         };
         self.update_usage(&run, key, false);
+        self.poison.remove_run(key);
         if let Some(stage) = self.stage_mut(run.stage) {
             let task = &mut stage.tasks[run.index as usize];
             task.run = None;
--- a/crates/monsoonnotch_jobs/src/scheduler/starts.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/starts.rs
@@ -49,17 +49,22 @@
         }
     }
 
-    /// Sends the start of a planned run, once its placement is stored or need not be.
+    /// Sends the start of a planned run, once its placement is stored or need not be. The VM may
+    /// have shrunk since it was placed.
     pub(super) fn send_planned(&mut self, key: RunKey) {
         let now = self.now;
         let Some(run) = self.runs.get_mut(&key) else {
             return;
         };
-        if run.state == State::Planned {
-            run.state = State::Starting;
-            run.sent_at = now;
-            self.send_start(key);
+        if run.state != State::Planned {
+            return;
+        }
+        if self.vms.get(run.vm).is_some_and(vms::Vm::is_overcommitted) {
+            return self.lose_run(key, "its VM shrank");
         }
+        run.state = State::Starting;
+        run.sent_at = now;
+        self.send_start(key);
     }
 
     /// Sends the start of a run, for the first time or again.
@@ -109,8 +114,12 @@
     pub(super) fn start_answered(&mut self, key: RunKey, answer: StartAnswer) {
         let now = self.now;
         let Some(run) = self.runs.get_mut(&key) else {
+            if answer == StartAnswer::Running {
+                self.start_confirmed_late(key);
+            }
             return;
         };
+        run.begun |= answer == StartAnswer::Running;
         let (vm, stage, index) = (run.vm, run.stage, run.index);
         let starting = matches!(run.state, State::Starting | State::Uncertain);
         let (only_send, sent_at) = (run.sends == 1, run.sent_at);
@@ -125,6 +134,7 @@
         }
         if answered && let Some(row) = self.vms.get_mut(vm) {
             row.unanswered_starts.remove(&key);
+            row.alive_at = row.alive_at.max(Some(sent_at).filter(|_| only_send));
         }
         let needed = self.is_needed(stage, index);
         let Some(run) = self.runs.get_mut(&key) else {
--- a/crates/monsoonnotch_jobs/src/scheduler/vms.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/vms.rs
@@ -14,6 +14,9 @@
 /// Silence after which a VM gets no lease until the stored record of leases is replaced. Shorter
 /// ones are common on lossy links, and the store may be unavailable for longer than a lease.
 const SILENCE_MIN: Duration = Duration::from_millis(1_000);
+/// Failed polls in a row after which it is silent as well. On a lossy link each of them takes
+/// most of [`SILENCE_MIN`]; after a crash connections are refused at once.
+const FAILED_POLLS_MIN: u32 = 2;
 /// Consecutive failures of starts or runs after which a VM is quarantined.
 const QUARANTINE_AFTER_FAILURES: u32 = 3;
 /// Slowness above which a VM gets new tasks only if no other VM has free capacity. Run
@@ -42,6 +45,8 @@
     /// Number of its serving runs.
     pub(super) serving: u32,
     pub(super) runs: BTreeSet<RunKey>,
+    /// When its present incarnation last gave a sign of life.
+    pub(super) alive_at: Option<Time>,
     /// When the VM's clock was last read, and what it showed in milliseconds.
     pub(super) clock: Option<(Time, u64)>,
     /// Latest end of any lease or start validity that was sent to it, in milliseconds on
@@ -126,6 +131,7 @@
             backfill_cpu_milli: 0,
             serving: 0,
             runs: BTreeSet::new(),
+            alive_at: None,
             clock: None,
             lease_until_ms: 0,
             lease_sent_at: Time::default(),
@@ -198,12 +204,22 @@
             .minus(&self.orphans.allocation)
     }
 
-    /// Whether it has not answered for [`SILENCE_MIN`], or not since before this term.
+    /// Whether its runs, also those that are being stopped, occupy more than its capacity.
+    pub(super) fn is_overcommitted(&self) -> bool {
+        let mut used = self.used;
+        used.add(&self.orphans.allocation);
+        !self.registration.capacity.fits(&used)
+    }
+
+    /// Whether it has not answered for [`SILENCE_MIN`], [`FAILED_POLLS_MIN`] polls in a row, or
+    /// since before this term.
     pub(super) fn is_silent(&self, now: Time) -> bool {
         let silent_before = self.registration.addr.is_empty()
             || (self.awaited_by_predecessor && self.polls.is_late(now));
         let since = self.polls.silent_since;
-        (silent_before && !self.answered) || since.is_some_and(|at| now >= at + SILENCE_MIN)
+        let silent = since.is_some_and(|at| now >= at + SILENCE_MIN)
+            || self.polls.unanswered >= FAILED_POLLS_MIN;
+        silent || (silent_before && !self.answered)
     }
 
     /// Whether a predecessor may have started runs there that are not known yet.
@@ -286,6 +302,12 @@
         let restarted =
             registration.started_ms > vm.registration.started_ms && vm.registration.started_ms > 0;
         let changed = !vm.listed || vm.registration.draining != registration.draining || restarted;
+        if restarted {
+            self.record_crash(key);
+        }
+        let Some(vm) = self.vms.get_mut(key) else {
+            return;
+        };
         vm.listed = true;
         vm.registration = registration;
         if restarted {
@@ -332,9 +354,11 @@
     }
 
     fn add_registered_vm(&mut self, registration: Registration) {
+        let (id, addr) = (registration.id.clone(), registration.addr.clone());
         let key = self.add_vm(Vm::new(registration, self.settle_at));
         self.placement_needed = true;
         if self.marker.is_some() {
+            self.record_crash_at(&addr, &id);
             self.poll_now(key);
         }
     }
@@ -351,6 +375,7 @@
             return;
         };
         vm.answered = false;
+        vm.alive_at = None;
         vm.clock = None;
         vm.lease_until_ms = 0;
         vm.add_other_lease(now, lease_max, drift);
@@ -477,6 +502,7 @@
             return;
         }
         let id = vm.registration.id.clone();
+        self.keep_crash_candidates(key);
         self.set_orphans(key, Orphans::default());
         let detail = format!("vm={id} runs={} kept={}", lost.len(), kept.len());
         self.warn(0, "leases expired", detail);
