Do not await the unknown runs of a VM that has ended

LOST, the same class: another VM answers at the address of one in the stored fleet, so that all its runs have ended. The runs known there were dropped, but tasks without a stored placement waited for its leases all the same.

The unplaced case of a_silent_vm_whose_address_has_another_one_is_not_awaited failed before (24 passed, 1 failed) and passes now.

--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -317,12 +317,15 @@
             return;
         };
         vm.answered = false;
+        // Whatever a predecessor started there has ended with it.
+        vm.in_predecessor_fleet = false;
         vm.polls.unanswered += 1;
         vm.polls.silent_since.get_or_insert(now);
         vm.polls.next_at = Some(now + POLL_RETRY_MAX);
         for run in vm.runs.clone() {
             self.lose_run(run, "another incarnation answered");
         }
+        self.placement_needed = true;
     }
 
     fn poll_unanswered(&mut self, key: PollKey) {
--- a/crates/monsoonnotch_jobs/tests/promises/terms.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/terms.rs
@@ -297,8 +297,10 @@
 
 /// Guards against a wait for a VM that has ended: another one answers at its address, which the
 /// VM list does not show any more.
-#[test]
-fn a_silent_vm_whose_address_has_another_one_is_not_awaited() {
+#[rstest]
+#[case::placed(true)]
+#[case::unplaced(false)]
+fn a_silent_vm_whose_address_has_another_one_is_not_awaited(#[case] placed: bool) {
     let mut records = Records::new();
     let fleet = fleet_record_of(["v000", "v777"]);
     let leases = journal::leases_record(&journal::RemainingLeases {
@@ -308,8 +310,10 @@
             ..remaining_lease("v777", 9_000)
         }],
     });
-    let stored = [job_of_one_task(), fleet, placement("v777", 0), leases];
-    store(&mut records, stored);
+    store(&mut records, [job_of_one_task(), fleet, leases]);
+    if placed {
+        store(&mut records, [placement("v777", 0)]);
+    }
     let (mut scheduler, fx) = begin_term(&mut records, 2, 0);
     let fx = run_polls(&mut scheduler, fx, 0..START_MAX_MS, |id, _| match id {
         "v777" => Some(Err(PollError::OtherIncarnation)),
