--- a/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
@@ -33,6 +33,7 @@
         let Some(&job) = self.jobs_by_id.get(&id) else {
             return;
         };
+        let unplaced: BTreeSet<&(u32, u16, u32)> = placements.unplaced.iter().collect();
         for placed in &placements.vms {
             let vm = self.vm_by_id(&placed.vm);
             for &(occurrence, step, index, attempt) in &placed.runs {
@@ -41,7 +42,7 @@
                     occurrence,
                     step,
                 };
-                let exists = !placements.unplaced.contains(&(occurrence, step, index));
+                let exists = !unplaced.contains(&(occurrence, step, index));
                 self.inherit_run(stage, index, vm, attempt, exists);
             }
         }
@@ -245,7 +246,7 @@
         }
         self.next_awaited_log = now + AWAITED_LOG_INTERVAL;
         let left_ms = |vm: &vms::Vm| vm.predecessor_leases_expire_at.since(now).as_millis();
-        let awaited = |vm: &vms::Vm| vm.in_predecessor_fleet || !vm.runs.is_empty();
+        let awaited = |vm: &vms::Vm| vm.may_have_unknown_runs(now) || !vm.runs.is_empty();
         let vms = self.vms.iter().map(|(_, vm)| vm);
         let vms = vms.filter(|vm| !vm.answered && awaited(vm));
         let vms: Vec<String> = vms
