--- a/crates/monsoonnotch_jobs/src/scheduler/placement.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/placement.rs
@@ -5,6 +5,9 @@
 //! start all its tasks starts as many as it can, and the stages behind it may use the
 //! capacity that it cannot. Part of the capacity is reserved for the highest priority.
 
+use super::candidates::Candidate;
+use super::candidates::allocate_best;
+use super::candidates::rack_with_capacity;
 use super::job::Blocked;
 use super::job::Job;
 use super::job::Rank;
@@ -21,34 +24,12 @@
 /// capacity are preferred.
 const SLOWER_THRESHOLD: f64 = 1.15;
 
-/// A VM that may run tasks of a stage.
-#[derive(Debug)]
-struct Candidate {
-    vm: VmKey,
-    free: Resources,
-    /// Number of tasks of the stage on this VM.
-    stage_tasks: u32,
-    /// Maximum number of tasks of the stage on this VM.
-    stage_tasks_max: u32,
-    /// Penalty, see [`penalty`]; lower is better.
-    penalty: u64,
-    rack: CompactString,
-    ticket: CompactString,
-}
-
-/// CPU of the schedulable VMs of a pool, in thousandths of a core.
+/// CPU of the schedulable VMs of a pool, in thousandths of a core, and their number.
 #[derive(Debug, Default, Clone, Copy)]
 struct PoolCapacity {
     free: u64,
     total: u64,
-}
-
-/// Returns how many times `need` fits into `free`.
-pub(super) fn fit_count(free: &Resources, need: &Resources) -> u64 {
-    let part = |have: u64, takes: u64| have.checked_div(takes).unwrap_or(u64::MAX);
-    part(free.cpu_milli, need.cpu_milli)
-        .min(part(free.memory_mib, need.memory_mib))
-        .min(part(free.accelerators, need.accelerators))
+    vms: usize,
 }
 
 impl Scheduler {
@@ -108,6 +89,7 @@
             if let Some(capacity) = capacities.get_mut(pool) {
                 capacity.free += vm.free().cpu_milli;
                 capacity.total += vm.registration.capacity.cpu_milli;
+                capacity.vms += 1;
             }
         }
         capacities
@@ -232,6 +214,7 @@
         let step = job.step(key.step);
         let stage_tasks = self.tasks_by_vm(stage);
         let mut found = Vec::new();
+        let on_probation = self.vms_on_probation();
         let need = step.allocation();
         let mut consider = |vm: VmKey, ticket: CompactString| {
             let Some(row) = self.vms.get(vm) else { return };
@@ -264,7 +247,7 @@
                 consider(vm, CompactString::default());
             }
         }
-        found.retain(|c| c.stage_tasks < c.stage_tasks_max);
+        found.retain(|c| c.stage_tasks < c.stage_tasks_max && !on_probation.contains(&c.vm));
         found
     }
 
@@ -294,6 +277,8 @@
         let need = step.allocation();
         let total = waiting.len();
         let mut placed = 0;
+        let mut waits = 0;
+        let mut bounds = self.start_bounds(key, capacity.vms);
         for (index, attempt) in waiting {
             if !self.within_limit(rank, &account, &step.need) {
                 self.set_blocked(key, Blocked::Limit);
@@ -303,15 +288,23 @@
                 self.set_blocked(key, Blocked::Reserve);
                 return (placed, true);
             }
-            let Some((vm, ticket)) = allocate_best(&mut candidates, &need) else {
-                self.set_blocked(key, Blocked::Room);
-                break;
-            };
-            capacity.free = capacity.free.saturating_sub(need.cpu_milli);
-            self.start(key, index, vm, attempt, ticket);
-            placed += 1;
+            match self.choose_vm(key, index, &mut bounds, &mut candidates, &need) {
+                Ok((vm, ticket)) => {
+                    capacity.free = capacity.free.saturating_sub(need.cpu_milli);
+                    self.start(key, index, vm, attempt, ticket);
+                    placed += 1;
+                }
+                Err(reason) => {
+                    self.set_blocked(key, reason);
+                    match reason {
+                        Blocked::Suspect => waits += 1,
+                        Blocked::Fresh => return (placed, true),
+                        _ => break,
+                    }
+                }
+            }
         }
-        (placed, placed == total)
+        (placed, placed + waits == total)
     }
 
     /// Starts all tasks of a gang or none, with the results of [`Self::place_tasks`].
@@ -333,6 +326,12 @@
         let (account, step) = (job.account.clone(), job.step(key.step).clone());
         let need = step.allocation();
         let count = waiting.len() as u64;
+        if self.is_suspect(key, 0)
+            && !self.retain_for_suspect_gang(key.job, &mut candidates, &need, count)
+        {
+            self.set_blocked(key, Blocked::Suspect);
+            return (0, true);
+        }
         let all = step.need.times(count);
         if !self.within_limit(rank, &account, &all) {
             self.set_blocked(key, Blocked::Limit);
@@ -451,49 +450,3 @@
     }
     penalty
 }
-
-/// Allocates one task on the best candidate, and removes the candidate once it is full.
-fn allocate_best(
-    candidates: &mut Vec<Candidate>,
-    need: &Resources,
-) -> Option<(VmKey, CompactString)> {
-    let at = best_candidate(candidates, need)?;
-    let c = &mut candidates[at];
-    let best = (c.vm, c.ticket.clone());
-    c.free.subtract(need);
-    c.stage_tasks += 1;
-    if c.stage_tasks >= c.stage_tasks_max || !c.free.fits(need) {
-        candidates.swap_remove(at);
-    }
-    Some(best)
-}
-
-/// Returns the index of the candidate with the lowest penalty and, among these, with
-/// the least free CPU.
-fn best_candidate(candidates: &[Candidate], need: &Resources) -> Option<usize> {
-    let fitting = candidates.iter().enumerate();
-    let best = fitting.min_by_key(|(_, c)| {
-        let left = match need.cpu_milli {
-            // Tasks that need no CPU allocation go where most CPU is free.
-            0 => u64::MAX - c.free.cpu_milli,
-            _ => c.free.cpu_milli,
-        };
-        (c.penalty, left)
-    });
-    best.map(|(i, _)| i)
-}
-
-/// Returns the rack with the least free capacity that is enough for `count` tasks.
-fn rack_with_capacity(
-    candidates: &[Candidate],
-    need: &Resources,
-    count: u64,
-) -> Option<CompactString> {
-    let mut fits: BTreeMap<&CompactString, u64> = BTreeMap::new();
-    for c in candidates {
-        let remaining = u64::from(c.stage_tasks_max - c.stage_tasks);
-        *fits.entry(&c.rack).or_default() += fit_count(&c.free, need).min(remaining);
-    }
-    let enough = fits.into_iter().filter(|&(_, n)| n >= count);
-    enough.min_by_key(|&(_, n)| n).map(|(r, _)| r.clone())
-}
--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -312,16 +312,20 @@
     /// order may have been sent to an address that a newer registration has replaced.
     fn other_incarnation(&mut self, key: VmKey) {
         let now = self.now;
+        self.record_crash(key);
         let Some(vm) = self.vms.get_mut(key) else {
             return;
         };
         vm.answered = false;
+        // Whatever a predecessor started there has ended with it.
+        vm.in_predecessor_fleet = false;
         vm.polls.unanswered += 1;
         vm.polls.silent_since.get_or_insert(now);
         vm.polls.next_at = Some(now + POLL_RETRY_MAX);
         for run in vm.runs.clone() {
             self.lose_run(run, "another incarnation answered");
         }
+        self.placement_needed = true;
     }
 
     fn poll_unanswered(&mut self, key: PollKey) {
@@ -356,6 +360,7 @@
             let known = vm.registration.started_ms > 0;
             vm.registration.started_ms = started_ms;
             if known {
+                self.record_crash(key);
                 return self.reset_incarnation(key);
             }
         }
@@ -366,6 +371,7 @@
             // It refuses orders of a predecessor from now on, but may have a lease from one.
             vm.add_other_lease(now, lease, drift);
         }
+        vm.alive_at = Some(now);
         vm.clock = Some((now, answer.clock_ms));
         vm.finished_acknowledged = vm.finished_acknowledged.max(poll.acknowledged);
         vm.unanswered_starts.retain(|_, sent| *sent > poll.sent_at);
@@ -447,6 +453,7 @@
             match self.match_run(key, running) {
                 Some(run) => {
                     not_listed.remove(&run);
+                    self.clear_suspect(run, polled_at);
                 }
                 None => self.add_orphan(key, running, &mut orphans),
             }
--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -5,8 +5,10 @@
 
 mod adverse;
 mod approvals;
+mod capacity;
 mod checks;
 mod clocks;
+mod crashes;
 mod delegation;
 mod directed;
 mod faults;
@@ -16,6 +18,8 @@
 mod load;
 mod network;
 mod orders;
+mod poison;
+mod poison_tasks;
 mod random;
 mod restarts;
 mod saturated_link;
