Derive the suspects beside a poison task from the tasks themselves

The search for poison tasks kept an index of suspects by VM. It was filled at each crash and at each take-over, and an entry left only when a job was given up, so that it grew with every VM that crashed for other reasons and its emptiness no longer spared placement anything. Each task already holds the crashes under it.

The tasks of the open jobs are searched when a job is given up, which is rare; a placement pass looks at the tasks of the stage that it places. No decision changes; found by reading the change as a whole.

--- a/crates/monsoonnotch_jobs/src/scheduler/poison.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/poison.rs
@@ -76,8 +76,6 @@
     /// Last runs of the VMs whose leases have expired, and runs of a predecessor on VMs that
     /// crashed.
     expired: BTreeMap<VmKey, Doubt>,
-    /// Tasks that a crash was counted against, by the id of the VM; some may be cleared since.
-    by_vm: BTreeMap<CompactString, BTreeSet<(StageKey, u32)>>,
     /// When VMs were last polled to show that they survived the fresh runs of a job that waits.
     pub(super) proof_polls: BTreeMap<VmKey, Time>,
     /// Runs on crashed VMs whose start had no answer yet.
@@ -102,11 +100,14 @@
 
     /// Returns the tasks of a stage that are suspects.
     pub(super) fn suspects_of(&self, key: StageKey) -> BTreeSet<u32> {
-        if self.poison.by_vm.is_empty() && self.poison.expired.is_empty() {
+        let Some(stage) = self.stage(key) else {
+            return BTreeSet::new();
+        };
+        let no_crashes = stage.tasks.iter().all(|t| t.crashes.is_empty());
+        if no_crashes && self.poison.expired.is_empty() {
             return BTreeSet::new();
         }
-        let count = self.stage(key).map_or(0, |s| s.tasks.len());
-        let all = 0..u32::try_from(count).unwrap_or(0);
+        let all = 0..u32::try_from(stage.tasks.len()).unwrap_or(0);
         all.filter(|&i| self.is_suspect(key, i)).collect()
     }
 
@@ -279,12 +280,10 @@
 
     /// Takes back the crash of a VM that a poison task explains from the tasks beside it.
     fn clear_neighbours(&mut self, vm: &CompactString) {
-        for (key, index) in self.poison.by_vm.remove(vm).unwrap_or_default() {
-            if self.jobs.get(key.job).is_none_or(job::Job::ended) {
-                continue;
-            }
-            let stage = self.stage_mut(key);
-            if let Some(task) = stage.and_then(|s| s.tasks.get_mut(index as usize)) {
+        for &key in &self.open_jobs {
+            let stages = self.jobs.get_mut(key).into_iter();
+            let stages = stages.flat_map(|j| j.stages.values_mut());
+            for task in stages.flat_map(|s| &mut s.tasks) {
                 let same = task.crashes.iter().filter(|(_, v)| *v == vm);
                 task.explained.extend(same.map(|(attempt, _)| *attempt));
             }
@@ -292,26 +291,6 @@
         self.placement_needed = true;
     }
 
-    /// Notes the suspects of a predecessor, once the journal has been read.
-    pub(super) fn index_suspects(&mut self) {
-        for &job in &self.open_jobs {
-            let stages = self.jobs.get(job).into_iter().flat_map(|j| &j.stages);
-            for (&(occurrence, step), stage) in stages {
-                let key = StageKey {
-                    job,
-                    occurrence,
-                    step,
-                };
-                for (index, task) in (0..).zip(&stage.tasks) {
-                    for vm in task.crashes.values() {
-                        let suspects = self.poison.by_vm.entry(vm.clone()).or_default();
-                        suspects.insert((key, index));
-                    }
-                }
-            }
-        }
-    }
-
     /// Counts a crash against a run of its VM; returns the number of crashes under its task, or
     /// zero if it is counted already.
     fn count_crash(&mut self, run: &CrashCandidate, vm: &CompactString) -> usize {
@@ -328,8 +307,6 @@
         }
         task.crashes.insert(attempt, vm.clone());
         let count = task.crashes.len();
-        let suspects = self.poison.by_vm.entry(vm.clone()).or_default();
-        suspects.insert((key, index));
         self.flush.mark_dirty(key.job);
         let detail = format!(
             "step={} occurrence={} index={index} crashes={}",
--- a/crates/monsoonnotch_jobs/src/scheduler/replay.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/replay.rs
@@ -290,7 +290,6 @@
         self.marker = Some(marker);
         self.read_to = self.read_to.max(marker + 1);
         self.recompute_shares();
-        self.index_suspects();
         let keys: Vec<JobKey> = self.open_jobs.iter().copied().collect();
         let open = self.open_jobs.len();
         self.log(
--- a/crates/monsoonnotch_jobs/src/scheduler/trials.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/trials.rs
@@ -13,6 +13,7 @@
 const SILENT_VMS_DIVISOR: usize = 4;
 /// Number of VMs on which a job may have fresh runs, however small the pool is.
 const FRESH_VMS_MIN: usize = 4;
+
 /// What bounds the starts of a stage in one placement pass.
 #[derive(Debug)]
 pub(super) struct StartBounds {
