Check that the crash under a predecessor's run counts

It now looks at all effects: the crash is reported and stored once, and nothing is given up. It passes on this code, and fails with the count taken out.

--- a/crates/monsoonnotch_jobs/tests/promises/crashes.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/crashes.rs
@@ -246,8 +246,9 @@
     })
 }
 
-/// A leader dies after it started a task, and the VM has restarted when its successor polls it.
-/// When the run began is unknown, so that the crash does not count, but the task must be tried alone.
+/// Guards against a crash that is forgotten with its leader: it dies after it started a task, and
+/// the VM has restarted when its successor polls it. The crash must count once and give nothing up,
+/// since it is unknown when the run began, and the task must be tried alone.
 #[test]
 fn a_predecessors_run_on_a_restarted_vm_makes_a_suspect() {
     let submitted = journal::decode_entry(&job_of_one_task());
@@ -267,10 +268,14 @@
     }
     fx.extend(wait(&mut scheduler, 120..5_200));
     let first = start_of(&fx, JobId(5)).expect("the task starts again");
-    let fx = deliver(&mut scheduler, 5_210, Event::Journal(vec![(9, other)]));
-    let second = start_of(&fx, JobId(6)).expect("the other job starts");
+    let other_fx = deliver(&mut scheduler, 5_210, Event::Journal(vec![(9, other)]));
+    let second = start_of(&other_fx, JobId(6)).expect("the other job starts");
     assert_ne!(first, second);
-    assert_eq!(logged(&fx, "task suspected"), 0);
+    fx.extend(other_fx);
+    assert_eq!(logged(&fx, "task suspected"), 1);
+    assert_eq!(logged(&fx, "poison task"), 0);
+    let progress = stored_progress(&fx).expect("the crash is stored");
+    assert_eq!(progress.stages[0].crashes.len(), 1);
 }
 
 /// Progress of a stage as releases without crashes stored it.
