Use one piece of code for overdue polls, longest leases and waits that are logged

Three places computed when a poll is overdue, two when the longest lease has expired, and a second constant had the interval at which waits are logged; the tests of terms built the same answer twice. No decision, bound or assertion changes.

--- a/crates/monsoonnotch_jobs/src/scheduler/job.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/job.rs
@@ -10,8 +10,9 @@
 use crate::plan::StageId;
 use crate::site::Queue;
 
-/// A stage that waits this long is logged, and again each time this period passes.
-const WAIT_LOG_INTERVAL: Duration = Duration::from_millis(1_500);
+/// A stage that waits this long is logged, and again each time this period passes; so is a VM that
+/// is awaited.
+pub(super) const WAIT_LOG_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Weight of the newest sample in the moving averages of [`QueueStats`]; shares of approved
 /// VMs count twice.
 const STATS_WEIGHT: f64 = 0.1;
--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -86,6 +86,13 @@
     timed: bool,
 }
 
+impl PendingPoll {
+    /// Whether its answer is overdue.
+    fn is_overdue(&self, now: Time) -> bool {
+        now > self.sent_at + self.wait + OVERDUE_AFTER
+    }
+}
+
 /// State of the polls of one VM.
 #[derive(Debug, Default)]
 pub(super) struct Polls {
@@ -134,7 +141,7 @@
         self.last_answered = self.last_answered.max(seq);
         let mut overtaken = 0;
         for (_, s) in self.pending.range_mut(..seq) {
-            if !s.overtaken && now > s.sent_at + s.wait + OVERDUE_AFTER {
+            if !s.overtaken && s.is_overdue(now) {
                 s.overtaken = true;
                 overtaken += 1;
             }
@@ -144,14 +151,13 @@
 
     /// Whether a poll failed since the last answer, or one is overdue.
     pub(super) fn is_late(&self, now: Time) -> bool {
-        let late = |s: &PendingPoll| now > s.sent_at + s.wait + OVERDUE_AFTER;
-        self.unanswered > 0 || self.pending.values().any(late)
+        self.unanswered > 0 || self.pending.values().any(|s| s.is_overdue(now))
     }
 
     /// Whether all pending polls are overdue and a hedged poll is still allowed.
     pub(super) fn is_overdue(&self, now: Time) -> bool {
-        let late = |s: &PendingPoll| now > s.sent_at + s.wait + OVERDUE_AFTER;
-        (1..CONCURRENT_POLLS_MAX).contains(&self.pending.len()) && self.pending.values().all(late)
+        (1..CONCURRENT_POLLS_MAX).contains(&self.pending.len())
+            && self.pending.values().all(|s| s.is_overdue(now))
     }
 }
 
--- a/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
@@ -21,8 +21,6 @@
 
 /// Shortest wait for a VM in the record of leases: it may be back and answer the first poll.
 const FIRST_ANSWER_MAX: Duration = Duration::from_millis(300);
-/// Pause between two reports of the VMs and runs that are awaited.
-pub(super) const AWAITED_LOG_INTERVAL: Duration = Duration::from_millis(1_500);
 
 impl Scheduler {
     /// Applies the stored placements of a job; ignored once the journal has been read.
@@ -143,7 +141,7 @@
         Some(match vm.unanswered_starts.is_empty() {
             true => known,
             // The clock of an unannounced incarnation begins anew, so that any lease is long.
-            false => known.max(vms::lease_end(vm.lease_sent_at, lease_max, drift)),
+            false => known.max(vm.longest_lease_expires_at(lease_max, drift)),
         })
     }
 
@@ -244,7 +242,7 @@
         if now < self.next_awaited_log {
             return;
         }
-        self.next_awaited_log = now + AWAITED_LOG_INTERVAL;
+        self.next_awaited_log = now + job::WAIT_LOG_INTERVAL;
         let left_ms = |vm: &vms::Vm| vm.predecessor_leases_expire_at.since(now).as_millis();
         let awaited = |vm: &vms::Vm| vm.may_have_unknown_runs(now) || !vm.runs.is_empty();
         let vms = self.vms.iter().map(|(_, vm)| vm);
--- a/crates/monsoonnotch_jobs/src/scheduler/replay.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/replay.rs
@@ -300,7 +300,7 @@
         for key in keys {
             self.advance(key);
         }
-        self.next_awaited_log = self.now + predecessor::AWAITED_LOG_INTERVAL;
+        self.next_awaited_log = self.now + job::WAIT_LOG_INTERVAL;
         self.poll_all();
         self.apply_reported();
     }
--- a/crates/monsoonnotch_jobs/src/scheduler/vms.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/vms.rs
@@ -189,6 +189,12 @@
         self.other_leases_expire_at = self.predecessor_leases_expire_at;
     }
 
+    /// Returns when every lease of `lease_max` has expired that an order from this scheduler may have
+    /// given it, whatever its clock showed.
+    pub(super) fn longest_lease_expires_at(&self, lease_max: Duration, drift_milli: u64) -> Time {
+        lease_end(self.lease_sent_at, lease_max, drift_milli)
+    }
+
     /// Takes into account that it may have got a lease of `lease` at `now` at the latest, by
     /// an order that this scheduler did not compute from its clock.
     pub(super) fn add_other_lease(&mut self, now: Time, lease: Duration, drift_milli: u64) {
@@ -247,7 +253,7 @@
 
 /// Returns when a lease that a VM got at `at` or before has expired, even if the VM's clock
 /// runs slow by `drift_milli` thousandths.
-pub(super) fn lease_end(at: Time, lease: Duration, drift_milli: u64) -> Time {
+fn lease_end(at: Time, lease: Duration, drift_milli: u64) -> Time {
     let longest_ms = lease.as_millis() * 1_000 / (1_000 - drift_milli.min(500));
     at + Duration::from_millis(longest_ms) + CLOCK_SLACK
 }
@@ -493,7 +499,7 @@
         let (now, lease_max) = (self.now, self.tuning.lease_max);
         let drift = self.tuning.drift_milli;
         let Some(vm) = self.vms.get(key) else { return };
-        let longest_lease_expired = now > lease_end(vm.lease_sent_at, lease_max, drift);
+        let longest_lease_expired = now > vm.longest_lease_expires_at(lease_max, drift);
         let may_run =
             |run: &&RunKey| !longest_lease_expired && vm.unanswered_starts.contains_key(run);
         let (kept, lost): (BTreeSet<RunKey>, BTreeSet<RunKey>) =
--- a/crates/monsoonnotch_jobs/tests/promises/terms.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/terms.rs
@@ -11,13 +11,8 @@
 use monsoonnotch_jobs::event::PollError;
 use monsoonnotch_jobs::journal;
 use monsoonnotch_jobs::journal::KeyedRecord;
-use monsoonnotch_jobs::plan::JobId;
-use monsoonnotch_jobs::plan::StageId;
-use monsoonnotch_jobs::plan::TaskId;
 use monsoonnotch_jobs::scheduler::Scheduler;
 use monsoonnotch_jobs::tuning::Tuning;
-use monsoonnotch_jobs::vm::PollAnswer;
-use monsoonnotch_jobs::vm::RunningRun;
 use rstest::rstest;
 
 use crate::directed::at;
@@ -30,6 +25,7 @@
 use crate::incarnations::run_polls;
 use crate::random::fleet;
 use crate::random::site;
+use crate::terms_timed::with_run;
 
 /// Time after the start of a term by which every lease of its predecessors has expired, in
 /// milliseconds.
@@ -139,26 +135,6 @@
     }
 }
 
-/// Returns the answer of a VM that runs the task of [`placement`].
-fn running_answer() -> PollAnswer {
-    let stage = StageId {
-        job: JobId(5),
-        occurrence: 0,
-        step: 0,
-    };
-    let running = RunningRun {
-        task: TaskId { stage, index: 0 },
-        attempt: 1_000,
-        checkpoint: "".into(),
-        percent: 50,
-        latency_or_usage: 0,
-    };
-    PollAnswer {
-        running: vec![running],
-        ..poll_answer(Vec::new())
-    }
-}
-
 /// Returns the VMs that a record says may still have leases; `None` for any other record.
 fn awaited(stored: &KeyedRecord) -> Option<Vec<String>> {
     match journal::decode_entry(stored) {
@@ -213,7 +189,7 @@
     let (mut scheduler, fx) = begin_term(&mut records, 2, 0);
     let fx = run_polls(&mut scheduler, fx, 0..NEXT_TERM_MS, |id, ms| match id {
         "v001" if ms < ANSWERS_MS => Some(Err(PollError::Unresponsive)),
-        "v001" => Some(Ok(running_answer())),
+        "v001" => Some(Ok(with_run(0, 1_000))),
         _ => Some(Ok(poll_answer(Vec::new()))),
     });
     assert!(check_leases(&fx, "v001") > 0, "its lease is never renewed");
--- a/crates/monsoonnotch_jobs/tests/promises/terms_timed.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/terms_timed.rs
@@ -192,7 +192,7 @@
 }
 
 /// The answer of the VM that runs the only task.
-fn with_run(now: u64, attempt: u64) -> PollAnswer {
+pub(crate) fn with_run(now: u64, attempt: u64) -> PollAnswer {
     let stage = StageId {
         job: JobId(5),
         occurrence: 0,
