--- a/crates/monsoonnotch_jobs/src/scheduler/job.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/job.rs
@@ -175,13 +175,18 @@
     pub(super) explained: BTreeSet<u64>,
     /// Highest attempt number used so far.
     pub(super) attempt: u64,
-    /// Whether it was placed on a VM before.
-    pub(super) placed: bool,
     /// The VM that it was placed on last.
     pub(super) last_vm: Option<VmKey>,
     pub(super) checkpoint: CompactString,
 }
 
+impl Task {
+    /// Whether it was placed on a VM before.
+    pub(super) fn was_placed(&self) -> bool {
+        self.last_vm.is_some()
+    }
+}
+
 impl Stage {
     fn new(count: u32, attempt: u64) -> Self {
         let task = Task {
--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -496,7 +496,7 @@
         let ended = self.jobs.get(stage.job).is_none_or(super::job::Job::ended);
         // Only a first placement may be missing from the journal. Any other unknown run
         // was dropped before.
-        if task.done || ended || task.placed {
+        if task.done || ended || task.was_placed() {
             self.stop_orphan(vm, running);
             return None;
         }
--- a/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
@@ -14,6 +14,7 @@
 
 use super::job::Job;
 use super::job::Stage;
+use super::job::Task;
 use super::*;
 use crate::journal::Placements;
 use crate::journal::RemainingLease;
@@ -65,7 +66,6 @@
         if exists {
             self.add_run(key, index, vm, attempt, runs::State::Inherited);
         } else {
-            task.placed = true;
             task.last_vm = Some(vm);
             task.attempt = task.attempt.max(attempt);
         }
@@ -178,7 +178,10 @@
 
     /// Whether a waiting task of a stage certainly runs nowhere.
     pub(super) fn runs_nowhere(&self, job: &Job, stage: &Stage, index: u32, settled: bool) -> bool {
-        let placed = stage.tasks.get(index as usize).is_some_and(|t| t.placed);
+        let placed = stage
+            .tasks
+            .get(index as usize)
+            .is_some_and(Task::was_placed);
         settled || job.new_in_term || placed
     }
 
--- a/crates/monsoonnotch_jobs/src/scheduler/runs.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/runs.rs
@@ -104,7 +104,6 @@
         stage_state.last_run_at = now;
         let task = &mut stage_state.tasks[index as usize];
         task.run = Some(key);
-        task.placed = true;
         task.last_vm = Some(vm);
         task.attempt = task.attempt.max(attempt);
         self.update_ready_queue(stage);
--- a/crates/monsoonnotch_jobs/src/scheduler/starts.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/starts.rs
@@ -31,7 +31,7 @@
         ticket: CompactString,
     ) {
         let task = self.stage(stage).and_then(|s| s.tasks.get(index as usize));
-        let again = task.is_some_and(|t| t.placed);
+        let again = task.is_some_and(job::Task::was_placed);
         let key = self.add_run(stage, index, vm, attempt, State::Planned);
         self.runs
             .get_mut(&key)
