--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -10,6 +10,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -29,6 +30,8 @@
 REQUEST_BYTES = 2_097_152
 # Connections that a worker takes; it resets further ones. It closes none that is idle.
 CONNECTIONS = 64
+# How long an order may be on its way when it gets no answer.
+LATE_S = (2.0, 12.0)
 
 
 class Record:
@@ -324,9 +327,14 @@
 class Worker:
     """A worker with a machine of its own. `spec` of a task is JSON: how long it works."""
 
-    def __init__(self, site, number, zone, cpu):
+    def __init__(self, site, number, zone, cpu, same_id=False):
         self.site = site
         self.number = number
+        # Whether it starts again under the id that it had.
+        self.same_id = same_id
+        # Share of start orders that stay on their way to it for seconds, without an answer.
+        self.late_share = 0.0
+        self.late = []
         self.zone = zone
         self.cpu = cpu
         self.life = 0
@@ -336,7 +344,7 @@
         self.port = 0
 
     def id(self):
-        return f"i-{self.number:04x}{self.life:04x}"
+        return f"i-{self.number:04x}{1 if self.same_id else self.life:04x}"
 
     def clock(self):
         return int((time.monotonic() - self.clock_began) * 1_000)
@@ -428,6 +436,27 @@
         return 200, json.dumps({"clock-ms": self.clock()}).encode()
 
     async def handle(self, method, target, headers, body):
+        if target == "/run-start" and random.random() < self.late_share:
+            order = json.loads(body)
+            after = random.uniform(*LATE_S)
+            self.site.record(
+                f"worker {self.number}: the start of {order['task']} run {order['attempt']} is on its way for {after:.1f} s"
+            )
+            self.late.append(time.monotonic() + after)
+            task = asyncio.create_task(self.arrive_late(after, target, headers, body))
+            self.site.tasks.append(task)
+            return None
+        return await self.execute(target, headers, body)
+
+    async def arrive_late(self, after, target, headers, body):
+        await asyncio.sleep(after)
+        order = json.loads(body)
+        answer = await self.execute(target, headers, body)
+        self.site.record(
+            f"worker {self.number}: the late start of {order['task']} run {order['attempt']} arrives: {answer}"
+        )
+
+    async def execute(self, target, headers, body):
         life = self.life
         if not self.up:
             return None
@@ -575,17 +604,19 @@
         self.members = []
         # Runs at work now, by task: {(worker, attempt)}.
         self.running = {}
+        # When a run of a task first ended `done`, and when such an end was first taken note of.
         self.done = {}
+        self.noted_done = {}
         self.ends = []
         self.starts = {}
         self.broken = []
         self.tasks = []
 
-    async def start(self, workers, members, zones, cpu=16_000, routes=(), tenants=()):
+    async def start(self, workers, members, zones, cpu=16_000, routes=(), tenants=(), same_id=False):
         await self.store.start()
         self.publish(1, routes, tenants)
         for number in range(workers):
-            worker = Worker(self, number + 1, zones[number % len(zones)], cpu)
+            worker = Worker(self, number + 1, zones[number % len(zones)], cpu, same_id)
             self.workers.append(worker)
             await worker.begin()
         self.tasks.append(asyncio.create_task(self.tick()))
@@ -646,9 +677,13 @@
         self.record(f"worker {worker.number} ({worker.id()}) ends {task} run {attempt}: {how}")
         self.running.get(task, set()).discard((worker.number, attempt))
         self.ends.append((task, attempt, how))
+        if how == "done":
+            self.done.setdefault(task, self.record.now())
 
     def noted(self, worker, end):
-        pass
+        """An end is taken note of when `last-seen` reaches it."""
+        if end[3] == "done":
+            self.noted_done.setdefault(end[1], self.record.now())
 
     def leader(self):
         """Returns the member that wrote to the store under a condition last."""
