--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -80,6 +80,13 @@
         self.server.addr
     }
 
+    /// Returns the newest record of a topic; empty if there is none.
+    pub fn newest_record(&self, topic: &str) -> Bytes {
+        let topics = self.topics.lock().unwrap();
+        let last = topics.get(topic).and_then(|t| t.records.last().cloned());
+        last.unwrap_or_default()
+    }
+
     /// Writes a record, as operators and workers do. An empty value drops the key.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
         let mut record = vec![u8::try_from(key.len()).expect("a short key")];
