Fence a restarted VM against the orders to its previous incarnation

Behind a cut the tasks ran on until 43.0 s, while the leader gave them up at 36.7 s and started them elsewhere.

Hypotheses: the leader counts the longest lease from the discovery of the restart; it counts only with its own orders; a predecessor gave the lease; it computed with the old clock. The last two are ruled out (all starts have one token; the clock is forgotten at the restart). The first two both happen and neither is the cause: no bound that begins at the discovery covers an order that arrives later.

Cause: a VM that restarts has seen no token, and the token did not change with the restart, so that the VM carries out whatever was meant for its previous incarnation: late polls, acknowledgements and starts.

Change: the token of an order is the term's token times 2^20 plus the number of restarts of the VM that the leader knows of. The first poll under the new token makes the VM refuse all that is in transit, whoever sent it. Nothing was placed on a VM before it has answered since its restart, so nothing else has to wait; the 10 s without starts after an unanswered acknowledgement are gone. What arrives before that answer is covered by the longest lease, counted from the answer. A start or stop that a restarted VM refuses for its token no longer ends the term; the poll that follows does, if another member leads. `vm restarted` says the number of restarts, the token and how long stale orders may arrive.

The model's orders carry their own tokens.

--- a/crates/monsoonnotch_jobs/src/delegation/order.rs
+++ b/crates/monsoonnotch_jobs/src/delegation/order.rs
@@ -124,6 +124,9 @@
     /// Clock of the VM when it was last read, in milliseconds.
     #[serde(rename = "c")]
     min_clock_ms: u64,
+    /// Number of restarts of the VM in the leader term.
+    #[serde(rename = "b")]
+    restarts: u32,
     #[serde(rename = "r")]
     request: Request,
 }
@@ -202,6 +205,7 @@
             addr: to.addr.clone(),
             id: to.id.clone(),
             min_clock_ms: to.min_clock_ms,
+            restarts: to.restarts,
             request,
         }
     }
@@ -213,6 +217,7 @@
             id: self.id,
             domain: CompactString::default(),
             min_clock_ms: self.min_clock_ms,
+            restarts: self.restarts,
         };
         let call = match self.request {
             Request::Start {
--- a/crates/monsoonnotch_jobs/src/effect/mod.rs
+++ b/crates/monsoonnotch_jobs/src/effect/mod.rs
@@ -54,6 +54,9 @@
     /// The VM's clock when it was last read, in milliseconds; zero if it was never read. A
     /// response with a lower clock comes from a later incarnation.
     pub min_clock_ms: u64,
+    /// Number of restarts of the VM that the leader knows of in its term; decides the order's token,
+    /// see [`order_token`](crate::fencing::order_token).
+    pub restarts: u32,
 }
 
 /// The state of a job as callers see it.
--- a/crates/monsoonnotch_jobs/src/lib.rs
+++ b/crates/monsoonnotch_jobs/src/lib.rs
@@ -1,8 +1,8 @@
 //! Scheduling of jobs on a platform that stores the state and fences writers.
 //!
 //! One member at a time is the leader: it schedules every job on every VM. The
-//! store numbers each leadership claim. That number is the fencing token: VMs and
-//! the journal refuse a token once they have seen a higher one. The crate is a
+//! store numbers each leadership claim. That number is the token of the term: the journal
+//! refuses it once it has seen a higher one, and so do VMs ([`fencing`]). The crate is a
 //! pure function of events and time; the caller executes the effects.
 
 pub mod admission;
@@ -12,6 +12,7 @@
 pub mod effect;
 pub mod event;
 pub mod explanation;
+pub mod fencing;
 pub mod fitness;
 pub mod journal;
 pub mod order;
--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -109,25 +109,15 @@
     last_answered: u64,
     /// Whether the next poll is deferred until finished runs are stored.
     deferred: bool,
-    /// When the newest poll that acknowledges finished runs and failed was sent.
-    failed_acknowledgement: Option<Time>,
 }
 
 impl Polls {
     /// Discards the pending polls of the previous incarnation.
     pub(super) fn clear(&mut self) {
-        self.failed_acknowledgement = self.acknowledging_since();
         self.pending.clear();
         self.deferred = false;
     }
 
-    /// Returns when the newest poll without an answer was sent that acknowledges finished runs.
-    pub(super) fn acknowledging_since(&self) -> Option<Time> {
-        let pending = self.pending.values().filter(|s| s.acknowledged > 0);
-        let pending = pending.map(|s| s.sent_at).max();
-        pending.max(self.failed_acknowledgement)
-    }
-
     /// Whether the next poll should be sent now.
     pub(super) fn is_due(&self, now: Time) -> bool {
         let lost = |s: &PendingPoll| now > s.sent_at + POLL_TIMEOUT;
@@ -295,11 +285,6 @@
         };
         let overtaken = match answer {
             Ok(_) => vm.polls.mark_answered(key.seq, now),
-            Err(_) if pending.acknowledged > 0 => {
-                let failed = &mut vm.polls.failed_acknowledgement;
-                *failed = (*failed).max(Some(pending.sent_at));
-                0
-            }
             Err(_) => 0,
         };
         if answer.is_ok() && pending.timed {
@@ -368,7 +353,7 @@
     }
 
     fn apply_poll_answer(&mut self, key: VmKey, poll: PendingPoll, answer: PollAnswer) {
-        let (now, lease, drift) = (self.now, self.tuning.lease, self.tuning.drift_milli);
+        let now = self.now;
         let Some(vm) = self.vms.get_mut(key) else {
             return;
         };
@@ -386,8 +371,7 @@
         vm.polls.silent_since = None;
         let first = !std::mem::replace(&mut vm.answered, true);
         if first {
-            // It refuses orders of a predecessor from now on, but may have a lease from one.
-            vm.add_other_lease(now, lease, drift);
+            vm.fence_incarnation(now, &self.tuning);
         }
         vm.alive_at = Some(now);
         vm.clock = Some((now, answer.clock_ms));
--- a/crates/monsoonnotch_jobs/src/scheduler/starts.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/starts.rs
@@ -116,6 +116,12 @@
     /// Applies the answer to a start.
     pub(super) fn start_answered(&mut self, key: RunKey, answer: StartAnswer) {
         let now = self.now;
+        if answer == StartAnswer::Fenced {
+            self.order_fenced(self.runs.get(&key).map(|run| run.vm));
+            if self.stopped {
+                return;
+            }
+        }
         let Some(run) = self.runs.get_mut(&key) else {
             if answer == StartAnswer::Running {
                 self.start_confirmed_late(key);
@@ -152,7 +158,6 @@
                 }
             }
             StartAnswer::Running => {}
-            StartAnswer::Fenced => self.step_down(),
             // The poll that follows shows which incarnation is at the VM's address, and
             // whether it has the run.
             StartAnswer::OtherIncarnation if starting => self.mark_uncertain(key, answer),
--- a/crates/monsoonnotch_jobs/src/scheduler/stops.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/stops.rs
@@ -126,7 +126,7 @@
     pub(super) fn stop_answered(&mut self, key: RunKey, answer: StopAnswer) {
         let now = self.now;
         if answer == StopAnswer::Fenced {
-            return self.step_down();
+            return self.order_fenced(self.runs.get(&key).map(|run| run.vm));
         }
         let Some(run) = self.runs.get_mut(&key) else {
             return;
--- a/crates/monsoonnotch_jobs/src/scheduler/vms.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/vms.rs
@@ -2,10 +2,12 @@
 
 use super::*;
 use crate::effect::Target;
+use crate::fencing;
 use crate::vm::Registration;
 
-/// Longest time for which a request that had no answer may still arrive.
-const IN_TRANSIT_MAX: Duration = Duration::from_secs(10);
+/// Longest time for which an order without an answer may still be in transit. The platform
+/// executes such orders up to 12 s late.
+const IN_TRANSIT_MAX: Duration = Duration::from_millis(12_500);
 /// Slack for message delay and clock granularity.
 const CLOCK_SLACK: Duration = Duration::from_millis(60);
 /// Time beyond the leases of an unresponsive VM for which its runs are kept while this member is
@@ -34,6 +36,11 @@
     pub(super) kind: kinds::KindKey,
     /// Whether the VM list contains it.
     pub(super) listed: bool,
+    /// Number of its restarts that are known in this term.
+    pub(super) restarts: u32,
+    /// Until when an order may arrive that was computed from the clock of a previous incarnation;
+    /// `None` if there is none.
+    stale_orders_until: Option<Time>,
     /// Whether its present incarnation has answered a poll in this term.
     pub(super) answered: bool,
     /// Whether a predecessor may have started runs there without a stored placement.
@@ -129,6 +136,8 @@
             registration,
             kind: kinds::KindKey::default(),
             listed: true,
+            restarts: 0,
+            stale_orders_until: None,
             answered: false,
             in_predecessor_fleet: false,
             enrolled: false,
@@ -161,6 +170,7 @@
             id: self.registration.id.clone(),
             domain: self.registration.domain.clone(),
             min_clock_ms: self.clock.map_or(0, |(_, ms)| ms),
+            restarts: self.restarts,
         }
     }
 
@@ -201,9 +211,48 @@
         lease_end(self.lease_sent_at, lease_max, drift_milli)
     }
 
+    /// Begins a new incarnation, whose clock and completion numbers start anew. It is fenced against
+    /// orders to the previous one as soon as it has answered.
+    ///
+    /// Until then such an order may give it the longest lease that VMs grant, because it was
+    /// computed from the clock of the previous incarnation.
+    fn begin_incarnation(&mut self, now: Time, tuning: &Tuning) {
+        let leased = self.lease_sent_at > Time::default();
+        // What a predecessor has sent is unknown.
+        let sent_at = if leased { self.lease_sent_at } else { now };
+        let stale_until = self.stale_orders_until.max(Some(sent_at + IN_TRANSIT_MAX));
+        self.stale_orders_until = stale_until;
+        self.add_stale_lease(now, tuning);
+        self.restarts += 1;
+        self.answered = false;
+        self.alive_at = None;
+        self.clock = None;
+        self.lease_until_ms = 0;
+        self.finished_seen = 0;
+        self.finished_stored = 0;
+        self.finished_acknowledged = 0;
+        self.unanswered_starts.clear();
+        self.health = Health::default();
+        self.polls.clear();
+    }
+
+    /// Takes into account that the present incarnation has answered for the first time. It refuses
+    /// orders under lower tokens from now on, but may have a lease from one.
+    pub(super) fn fence_incarnation(&mut self, now: Time, tuning: &Tuning) {
+        self.add_other_lease(now, tuning.lease, tuning.drift_milli);
+        self.add_stale_lease(now, tuning);
+    }
+
+    /// Takes into account that an order to a previous incarnation may have arrived by `now`.
+    fn add_stale_lease(&mut self, now: Time, tuning: &Tuning) {
+        if let Some(until) = self.stale_orders_until {
+            self.add_other_lease(now.min(until), tuning.lease_max, tuning.drift_milli);
+        }
+    }
+
     /// Takes into account that it may have got a lease of `lease` at `now` at the latest, by
     /// an order that this scheduler did not compute from its clock.
-    pub(super) fn add_other_lease(&mut self, now: Time, lease: Duration, drift_milli: u64) {
+    fn add_other_lease(&mut self, now: Time, lease: Duration, drift_milli: u64) {
         let end = lease_end(now, lease, drift_milli);
         self.other_leases_expire_at = self.other_leases_expire_at.max(end);
     }
@@ -380,49 +429,51 @@
         }
     }
 
-    /// Resets the state of a VM for a new incarnation, which numbers its finished runs from
-    /// one again. Its runs have to be confirmed again.
-    ///
-    /// Its clock starts anew as well. An order in transit that was computed from the clock of
-    /// the previous incarnation may give the new one the longest lease that VMs grant.
+    /// Resets the state of a VM for a new incarnation. Its runs have to be confirmed again.
     pub(super) fn reset_incarnation(&mut self, key: VmKey) {
-        let (now, lease_max) = (self.now, self.tuning.lease_max);
-        let drift = self.tuning.drift_milli;
-        let Some(vm) = self.vms.get_mut(key) else {
-            return;
-        };
-        vm.answered = false;
-        vm.alive_at = None;
-        vm.clock = None;
-        vm.lease_until_ms = 0;
-        vm.add_other_lease(now, lease_max, drift);
-        vm.finished_seen = 0;
-        vm.finished_stored = 0;
-        vm.finished_acknowledged = 0;
-        vm.unanswered_starts.clear();
-        vm.health = Health::default();
-        // A poll in transit may make the new incarnation forget finished runs that it has not
-        // listed, so nothing is started there until it has arrived.
-        if let Some(sent_at) = vm.polls.acknowledging_since() {
-            vm.health.quarantined_until = sent_at + IN_TRANSIT_MAX;
-        }
-        vm.polls.clear();
+        let now = self.now;
         self.set_orphans(key, Orphans::default());
         let Some(vm) = self.vms.get_mut(key) else {
             return;
         };
+        vm.begin_incarnation(now, &self.tuning);
         let (id, runs) = (vm.registration.id.clone(), vm.runs.clone());
-        self.warn(
-            0,
-            "vm restarted",
-            format!("vm={id} runs_in_doubt={}", runs.len()),
+        let (restarts, in_doubt) = (vm.restarts, runs.len());
+        let order_token = fencing::order_token(self.token, restarts);
+        let stale_ms = vm
+            .stale_orders_until
+            .map_or(0, |at| at.since(now).as_millis());
+        let detail = format!(
+            "vm={id} restarts={restarts} order_token={order_token} runs_in_doubt={in_doubt} stale_orders_ms={stale_ms}"
         );
+        self.warn(0, "vm restarted", detail);
+        if restarts > fencing::RESTARTS_MAX {
+            // The successor's term has tokens left.
+            return self.step_down();
+        }
         for run in runs {
             self.mark_unconfirmed(run);
         }
         self.poll_now(key);
     }
 
+    /// Handles an order that a VM refused because it has seen a higher token: another member is
+    /// the leader, unless the order was meant for an earlier incarnation. Then the next poll of the
+    /// VM decides, because answers to polls of earlier incarnations are discarded.
+    pub(super) fn order_fenced(&mut self, vm: Option<VmKey>) {
+        let restarted = |vm: &Vm| vm.restarts > 0;
+        let row = vm.and_then(|key| self.vms.get(key));
+        let may_be_stale = match row {
+            Some(row) => restarted(row),
+            None => self.vms.iter().any(|(_, row)| restarted(row)),
+        };
+        match vm {
+            _ if !may_be_stale => self.step_down(),
+            Some(key) => self.poll_now(key),
+            None => {}
+        }
+    }
+
     /// Replaces the orphaned runs of a VM and updates the usage of their accounts.
     pub(super) fn set_orphans(&mut self, key: VmKey, orphans: Orphans) {
         let Some(vm) = self.vms.get_mut(key) else {
--- a/crates/monsoonnotch_jobs/tests/promises/directed.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/directed.rs
@@ -104,6 +104,11 @@
 
 /// Returns the record of a job with `count` tasks.
 pub(crate) fn job_with_tasks(count: u32) -> KeyedRecord {
+    numbered_job(JobId(5), count)
+}
+
+/// The same for the job with an id.
+pub(crate) fn numbered_job(id: JobId, count: u32) -> KeyedRecord {
     let submission = journal::Submission {
         queue: "quick".into(),
         account: "ann".into(),
@@ -119,7 +124,7 @@
             ..Default::default()
         },
     };
-    journal::submission_record(JobId(5), &submission)
+    journal::submission_record(id, &submission)
 }
 
 /// Submits a job with one task and returns the run that is started for it.
--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -28,6 +28,7 @@
 mod saturated_link;
 mod simulation;
 mod slow_store;
+mod stale_orders;
 mod terms;
 mod terms_timed;
 mod uneven;
--- a/crates/monsoonnotch_jobs/tests/promises/network.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/network.rs
@@ -3,10 +3,12 @@
 use monsoonnotch_jobs::effect::Effect;
 use monsoonnotch_jobs::effect::PollKey;
 use monsoonnotch_jobs::effect::StartOrder;
+use monsoonnotch_jobs::effect::Target;
 use monsoonnotch_jobs::event::Event;
 use monsoonnotch_jobs::event::PollError;
 use monsoonnotch_jobs::event::StartAnswer;
 use monsoonnotch_jobs::event::StopAnswer;
+use monsoonnotch_jobs::fencing::order_token;
 use monsoonnotch_jobs::plan::StageId;
 use monsoonnotch_jobs::plan::TaskId;
 use monsoonnotch_jobs::scheduler::RunKey;
@@ -42,6 +44,8 @@
     repeated: bool,
     /// Clock of the VM below which an answer comes from a later incarnation.
     min_clock_ms: u64,
+    /// Token of the order.
+    token: u64,
 }
 
 /// A status poll.
@@ -81,8 +85,7 @@
         let after = after + self.link.send(&effect, self.now);
         match effect {
             Effect::Start { run, to, order } => {
-                let mut route = self.route(m, &to.id, unanswered);
-                route.min_clock_ms = to.min_clock_ms;
+                let route = self.route(m, &to, unanswered);
                 let request = route.request;
                 let timeout = order.timeout.as_millis();
                 let started = |answer| Event::Started { run, answer };
@@ -101,8 +104,7 @@
                 attempt,
                 timeout,
             } => {
-                let mut route = self.route(m, &to.id, unanswered);
-                route.min_clock_ms = to.min_clock_ms;
+                let route = self.route(m, &to, unanswered);
                 let request = route.request;
                 let answer = StopAnswer::Unknown;
                 let event = Event::Stopped { run, answer };
@@ -128,7 +130,7 @@
                     wait_ms: wait.as_millis(),
                     timeout_ms: timeout.as_millis(),
                 };
-                self.send_poll(m, &to.id, poll, after);
+                self.send_poll(m, &to, poll, after);
             }
             Effect::RequestApproval {
                 key, stage, vms, ..
@@ -168,15 +170,16 @@
         *known
     }
 
-    fn route(&mut self, m: usize, id: &str, unanswered: bool) -> Route {
+    fn route(&mut self, m: usize, to: &Target, unanswered: bool) -> Route {
         self.last_request += 1;
         Route {
-            vm: id.to_owned(),
-            started_ms: self.connected_incarnation(m, id),
+            vm: to.id.to_string(),
+            started_ms: self.connected_incarnation(m, &to.id),
             unanswered,
             request: self.last_request,
             repeated: unanswered && self.chance(self.faults.repeated),
-            min_clock_ms: 0,
+            min_clock_ms: to.min_clock_ms,
+            token: order_token(self.members[m].token, to.restarts),
         }
     }
 
@@ -287,7 +290,6 @@
     }
 
     fn start(&mut self, m: usize, run: RunKey, order: &StartOrder, route: &Route) {
-        let token = self.members[m].token;
         let now = self.now;
         let submission = &self.jobs[&order.task.stage.job];
         let step = submission.plan.steps[usize::from(order.task.stage.step)].clone();
@@ -328,7 +330,7 @@
             }
             return;
         }
-        let (mut answer, began) = vm.start(order.task, order.expires_ms, token, work, now);
+        let (mut answer, began) = vm.start(order.task, order.expires_ms, route.token, work, now);
         if vm.clock(now) < route.min_clock_ms {
             answer = StartAnswer::OtherIncarnation;
         }
@@ -372,7 +374,6 @@
         if let Some(after) = self.retransmission(m, &route.vm) {
             return self.post(after, Msg::Stop(m, run, task, attempt, route));
         }
-        let token = self.members[m].token;
         let now = self.now;
         let grace_ms = match self.vms[&route.vm].traits().stop_grace_ms {
             0 => 0,
@@ -384,7 +385,7 @@
         let Some(vm) = self.route_target(&route).filter(|_| reached) else {
             return self.connection_broken(m, &route, answer_of(StopAnswer::Unknown));
         };
-        let mut answer = vm.stop(task, attempt, token, grace_ms, now);
+        let mut answer = vm.stop(task, attempt, route.token, grace_ms, now);
         if vm.clock(now) < route.min_clock_ms {
             answer = StopAnswer::OtherIncarnation;
         }
@@ -406,8 +407,8 @@
         }
     }
 
-    fn send_poll(&mut self, m: usize, id: &str, poll: PollRequest, after: u64) {
-        let route = self.route(m, id, false);
+    fn send_poll(&mut self, m: usize, to: &Target, poll: PollRequest, after: u64) {
+        let route = self.route(m, to, false);
         if !self.faults.timeouts {
             return self.post(1, Msg::Poll(m, poll, route));
         }
@@ -416,7 +417,7 @@
             answer: Err(PollError::Unresponsive),
         };
         let (request, timeout) = (route.request, poll.wait_ms + poll.timeout_ms);
-        if self.fails_to_send(m, id) {
+        if self.fails_to_send(m, &to.id) {
             return self.fail_to_send(m, request, timeout, unresponsive);
         }
         let after = self.delivery_delay(after);
@@ -428,7 +429,7 @@
         if let Some(after) = self.retransmission(m, &route.vm) {
             return self.post(after, Msg::Poll(m, poll, route));
         }
-        let (token, now) = (self.members[m].token, self.now);
+        let now = self.now;
         let key = poll.key;
         let unresponsive = Event::Polled {
             key,
@@ -449,7 +450,7 @@
                 false => self.post(POLL_MARGIN_MS, Msg::Event(m, unresponsive)),
             };
         };
-        if let Err(e) = vm.renew_lease(token, poll.acknowledged, poll.until_ms, now) {
+        if let Err(e) = vm.renew_lease(route.token, poll.acknowledged, poll.until_ms, now) {
             let answer = Err(e);
             return self.answer(m, &route, Event::Polled { key, answer });
         }
--- a/crates/monsoonnotch_member/src/executor/orders.rs
+++ b/crates/monsoonnotch_member/src/executor/orders.rs
@@ -8,6 +8,7 @@
 use monsoonnotch_jobs::delegation::Call;
 use monsoonnotch_jobs::delegation::Outcome;
 use monsoonnotch_jobs::effect::Target;
+use monsoonnotch_jobs::fencing::order_token;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
@@ -57,9 +58,10 @@
     }
 }
 
-/// Calls a VM under the leader's `token`.
-pub(super) async fn call_vm(cx: &Cx, token: u64, to: &Target, call: Call) -> Outcome {
+/// Calls a VM in the leader term with token `term`.
+pub(super) async fn call_vm(cx: &Cx, term: u64, to: &Target, call: Call) -> Outcome {
     let vms = &cx.vm_client;
+    let token = order_token(term, to.restarts);
     match call {
         Call::Start(order) => Outcome::Started(vms.start(to, &order, token).await),
         Call::Stop {
