Keep a run while some send of its start may reach a later incarnation

A start is sent up to four times. The answer to one send says nothing about the others, and the platform executes a send without an answer up to 12 s late. If the VM restarts meanwhile, unannounced and behind a cut, the late send begins the task there, with the longest lease. The leader gave such a run up with the usual lease, 4.1 s after the VM fell silent, if a later send had been answered, and 10.2 s after the last order if none had: in both cases the task could run twice.

Ruled out: waiting for every run of a silent VM. A start that was sent once and answered cannot arrive again, and one that was sent 12.5 s before the last sign of life of the VM has arrived in an incarnation that the leader knows.

Change: a run with an unanswered send is kept on a silent VM until an order that was sent last may have arrived, 12.5 s, and the longest lease has passed after that. The stored record of leases covers the same time.

a_run_with_a_send_in_transit_is_kept_for_the_longest_lease failed before; a_run_without_a_send_in_transit_ends_with_its_lease (2 cases) passed before and passes now. Four tests had bounds without the 12 s: an_unanswered_start_may_run_for_the_longest_lease, a_poll_after_an_unanswered_start_may_give_the_longest_lease, the_stored_time_covers_an_unanswered_start and the_stored_time_covers_polls_after_an_unanswered_start now ask for them, and fail on the code before. Where the first one bounds the wait, the bound is as long after the last possible lease as it was.

--- a/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
@@ -130,18 +130,16 @@
     /// Returns when every lease of a VM has expired, also of an incarnation that nothing has
     /// announced; `None` while a start that gives it a lease may still be sent.
     fn all_leases_expire_at(&self, vm: &vms::Vm) -> Option<Time> {
-        let (lease_max, drift) = (self.tuning.lease_max, self.tuning.drift_milli);
-        let mut runs = vm.runs.iter().filter_map(|r| self.runs.get(r));
+        let runs = || vm.runs.iter().filter_map(|r| self.runs.get(r));
         let is_sent =
             |r: &runs::Run| !matches!(r.state, runs::State::Planned | runs::State::Starting);
-        if !runs.all(is_sent) {
+        if !runs().all(is_sent) {
             return None;
         }
-        let known = vm.leases_expire_at(drift);
-        Some(match vm.unanswered_starts.is_empty() {
-            true => known,
-            // The clock of an unannounced incarnation begins anew, so that any lease is long.
-            false => known.max(vm.longest_lease_expires_at(lease_max, drift)),
+        let known = vm.leases_expire_at(self.tuning.drift_milli);
+        Some(match runs().any(|r| vm.may_start_unannounced(r)) {
+            true => known.max(vm.unannounced_leases_expire_at(&self.tuning)),
+            false => known,
         })
     }
 
--- a/crates/monsoonnotch_jobs/src/scheduler/runs.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/runs.rs
@@ -62,12 +62,22 @@
     pub(super) ticket: CompactString,
     /// Number of times its start was sent.
     pub(super) sends: u32,
+    /// When its start was last sent.
+    pub(super) last_sent_at: Time,
     /// Whether its VM confirmed that it began.
     pub(super) begun: bool,
     /// Whether its VM last listed it as started up and at work.
     pub(super) at_work: bool,
 }
 
+impl Run {
+    /// Whether some send of its start may not have been executed yet. An answer does not show
+    /// which of several sends it belongs to.
+    pub(super) fn has_unanswered_send(&self) -> bool {
+        self.sends > 1 || (self.sends == 1 && !self.begun)
+    }
+}
+
 impl Scheduler {
     /// Creates a run and adds it to the usage of its VM and account.
     pub(super) fn add_run(
@@ -94,6 +104,7 @@
             serving: step.target_ms > 0,
             ticket: CompactString::default(),
             sends: 0,
+            last_sent_at: Time::default(),
             begun: false,
             at_work: false,
         };
--- a/crates/monsoonnotch_jobs/src/scheduler/starts.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/starts.rs
@@ -81,6 +81,7 @@
         let timeout = START_TIMEOUTS[(run.sends as usize).min(START_TIMEOUTS.len() - 1)];
         let timeout = self.answer_times.timeout(timeout);
         run.sends += 1;
+        run.last_sent_at = now;
         let (stage, index, vm) = (run.stage, run.index, run.vm);
         let (attempt, ticket) = (run.attempt, run.ticket.clone());
         let task = self.task_id(stage, index);
--- a/crates/monsoonnotch_jobs/src/scheduler/vms.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/vms.rs
@@ -205,10 +205,19 @@
         self.other_leases_expire_at = self.predecessor_leases_expire_at;
     }
 
-    /// Returns when every lease of `lease_max` has expired that an order from this scheduler may have
-    /// given it, whatever its clock showed.
-    pub(super) fn longest_lease_expires_at(&self, lease_max: Duration, drift_milli: u64) -> Time {
-        lease_end(self.lease_sent_at, lease_max, drift_milli)
+    /// Returns when every lease has expired that orders of this scheduler may have given to an
+    /// incarnation that nothing has announced. Its clock starts anew, so that it grants the longest
+    /// lease, and the last order may reach it after [`IN_TRANSIT_MAX`].
+    pub(super) fn unannounced_leases_expire_at(&self, tuning: &Tuning) -> Time {
+        let arrives_by = self.lease_sent_at + IN_TRANSIT_MAX;
+        lease_end(arrives_by, tuning.lease_max, tuning.drift_milli)
+    }
+
+    /// Whether a start of a run may be in transit that the next incarnation would execute. Whatever
+    /// arrived before the last sign of life reached an incarnation that is known.
+    pub(super) fn may_start_unannounced(&self, run: &runs::Run) -> bool {
+        let arrives_by = run.last_sent_at + IN_TRANSIT_MAX;
+        run.has_unanswered_send() && self.alive_at.is_none_or(|at| arrives_by > at)
     }
 
     /// Begins a new incarnation, whose clock and completion numbers start anew. It is fenced against
@@ -555,17 +564,18 @@
 
     /// Drops the runs of a VM whose leases have expired.
     ///
-    /// A start without an answer may have reached an incarnation that nothing has announced. Its
-    /// clock starts anew, so that it grants the longest lease, and the run is kept for that long.
+    /// A run is kept for longer if an incarnation that nothing has announced may have started it.
     fn expire_leases(&mut self, key: VmKey) {
-        let (now, lease_max) = (self.now, self.tuning.lease_max);
-        let drift = self.tuning.drift_milli;
         let Some(vm) = self.vms.get(key) else { return };
-        let longest_lease_expired = now > vm.longest_lease_expires_at(lease_max, drift);
-        let may_run =
-            |run: &&RunKey| !longest_lease_expired && vm.unanswered_starts.contains_key(run);
-        let (kept, lost): (BTreeSet<RunKey>, BTreeSet<RunKey>) =
-            vm.runs.iter().partition(|run| may_run(run));
+        let all_expired = self.now > vm.unannounced_leases_expire_at(&self.tuning);
+        let may_start = |key: &RunKey| {
+            let run = self.runs.get(key);
+            run.is_some_and(|run| vm.may_start_unannounced(run))
+        };
+        let (kept, lost): (BTreeSet<RunKey>, BTreeSet<RunKey>) = vm
+            .runs
+            .iter()
+            .partition(|run| !all_expired && may_start(run));
         if lost.is_empty() && vm.orphans.needs.is_empty() {
             return;
         }
--- a/crates/monsoonnotch_jobs/tests/promises/restarts.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/restarts.rs
@@ -24,6 +24,9 @@
 use crate::incarnations::stops;
 use crate::simulation::START_UNIX_MS;
 
+/// How late the platform may execute an order that got no answer, in milliseconds.
+pub(crate) const LATE_ORDER_MAX_MS: u64 = 12_000;
+
 /// Returns a scheduler whose only start had no answer and was sent again, with its run and the
 /// id of its VM.
 fn repeated_start() -> (Scheduler, RunKey, String) {
@@ -90,9 +93,9 @@
     assert_eq!(starts(&fx).len(), 1, "the task is not started again");
 }
 
-/// Guards against two runs of one task: a start without an answer reached a new incarnation of
-/// the VM, which nothing has announced yet. Its clock starts anew, so that it grants the longest
-/// lease, and it is cut off.
+/// Guards against two runs of one task: a start without an answer reaches a new incarnation of
+/// the VM, which nothing has announced yet, as late as the platform executes orders. The clock
+/// of that incarnation starts anew, so that it grants the longest lease, and it is cut off.
 #[test]
 fn an_unanswered_start_may_run_for_the_longest_lease() {
     let (mut scheduler, run, vm) = repeated_start();
@@ -101,7 +104,7 @@
         let answer = StartAnswer::Unknown;
         fx = deliver(&mut scheduler, ms, Event::Started { run, answer });
     }
-    let until = 880 + Tuning::default().lease_max.as_millis();
+    let until = 880 + LATE_ORDER_MAX_MS + Tuning::default().lease_max.as_millis();
     let fx = cut_off(&mut scheduler, fx, &vm, 1_300..until);
     assert_eq!(starts(&fx), Vec::new(), "the new incarnation may run it");
     let failed = |id: &str, _| (id == vm).then_some(Err(PollError::Unresponsive));
@@ -109,8 +112,8 @@
     assert_eq!(starts(&fx).len(), 1, "every lease has expired");
 }
 
-/// Guards against two runs of one task: the same, and a poll after the last send of the start gave
-/// the new incarnation the longest lease.
+/// Guards against two runs of one task: the same, and a poll after the last send of the start gives
+/// the new incarnation the longest lease, as late.
 #[test]
 fn a_poll_after_an_unanswered_start_may_give_the_longest_lease() {
     const SLOWEST_CLOCK_MILLI: u64 = 980;
@@ -131,7 +134,7 @@
     };
     let mut leased_at = 1_280;
     let mut started_at = None;
-    for ms in (1_280..20_000).step_by(10) {
+    for ms in (1_280..40_000).step_by(10) {
         // The first poll has no result at all, so that the next one asks for a lease as well.
         let failed =
             |id: &str, ms| (id == vm && ms > 2_000).then_some(Err(PollError::Unresponsive));
@@ -149,7 +152,7 @@
     let lease = Tuning::default().lease_max.as_millis() * 1_000 / SLOWEST_CLOCK_MILLI;
     let started_at = started_at.expect("the task starts again");
     assert!(
-        started_at >= leased_at + lease,
-        "started at {started_at} ms, a lease given at {leased_at} ms may last for {lease} ms"
+        started_at >= leased_at + LATE_ORDER_MAX_MS + lease,
+        "started at {started_at} ms, a lease given {LATE_ORDER_MAX_MS} ms after {leased_at} ms may last for {lease} ms"
     );
 }
--- a/crates/monsoonnotch_jobs/tests/promises/stale_orders.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/stale_orders.rs
@@ -32,10 +32,9 @@
 use crate::incarnations::restart_empty;
 use crate::incarnations::run_polls;
 use crate::incarnations::start_running;
+use crate::restarts::LATE_ORDER_MAX_MS;
 use crate::simulation::START_UNIX_MS;
 
-/// How late the platform may execute an order that got no answer, in milliseconds.
-const LATE_ORDER_MAX_MS: u64 = 12_000;
 /// When the second incarnation of a VM starts, in Unix milliseconds.
 const RESTARTED_UNIX_MS: u64 = START_UNIX_MS + 900;
 /// Time after the end of a wait by which the task must start, in milliseconds.
@@ -149,6 +148,52 @@
     assert!(fx.iter().any(expired), "its lease has expired");
 }
 
+/// Guards against two runs of one task: of two sends of a start the VM answered the second. The first
+/// is late and reaches an incarnation that nothing has announced, behind a cut.
+#[test]
+fn a_run_with_a_send_in_transit_is_kept_for_the_longest_lease() {
+    let (mut scheduler, _, vm, waiting) = confirmed_after(2);
+    let fx = end_pending(&mut scheduler, 1_000, &waiting, &vm, unresponsive());
+    // The poll that waited at the VM was the last order with a lease; it was sent at 2 ms.
+    let until = 230 + LATE_ORDER_MAX_MS + lease_max_ms();
+    let fx = cut_off(&mut scheduler, fx, &vm, 1_000..until);
+    assert_eq!(starts(&fx), Vec::new(), "the first send may have arrived");
+    let fx = cut_off(&mut scheduler, fx, &vm, until..until + 2_000);
+    assert_eq!(starts(&fx).len(), 1, "every lease has expired");
+}
+
+/// Guards against a needless wait: the only send of a start was answered, or the VM has answered since
+/// whatever was in transit has arrived.
+#[rstest]
+#[case::one_send(1, 1_000)]
+#[case::old_sends(2, 900 + LATE_ORDER_MAX_MS + 1_000)]
+fn a_run_without_a_send_in_transit_ends_with_its_lease(#[case] sends: u64, #[case] silent_ms: u64) {
+    let (mut scheduler, task, vm, waiting) = confirmed_after(sends);
+    let mut fx = Vec::new();
+    if silent_ms > 1_000 {
+        let listed = Ok(listing(START_UNIX_MS - 1_000, &[task]));
+        fx = end_pending(&mut scheduler, 1_000, &waiting, &vm, listed);
+        let answer = |id: &str, _| (id == vm).then(|| Ok(listing(START_UNIX_MS - 1_000, &[task])));
+        fx = run_polls(&mut scheduler, fx, 1_010..silent_ms, answer);
+    } else {
+        fx.extend(end_pending(
+            &mut scheduler,
+            1_000,
+            &waiting,
+            &vm,
+            unresponsive(),
+        ));
+    }
+    let lease = Tuning::default().lease.as_millis();
+    let fx = cut_off(
+        &mut scheduler,
+        fx,
+        &vm,
+        silent_ms..silent_ms + lease + 1_000,
+    );
+    assert_eq!(starts(&fx).len(), 1, "its lease has expired");
+}
+
 /// Guards against a leader that steps down: the new incarnation of a VM refuses an order that was
 /// meant for the previous one. Only a poll shows that another member is the leader.
 #[rstest]
--- a/crates/monsoonnotch_jobs/tests/promises/terms_timed.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/terms_timed.rs
@@ -28,6 +28,7 @@
 use crate::directed::placement;
 use crate::random::fleet;
 use crate::random::site;
+use crate::restarts::LATE_ORDER_MAX_MS;
 use crate::simulation::START_UNIX_MS;
 use crate::terms::remaining_lease;
 
@@ -303,7 +304,7 @@
     let leased = driver.polls.iter().filter(|p| p.2.is_some());
     let last_lease = leased.map(|p| p.0).max().expect("a lease");
     assert!(last_lease > last_start);
-    let may_hold = last_lease + 10_000 * 1_000 / 980;
+    let may_hold = last_lease + LATE_ORDER_MAX_MS + 10_000 * 1_000 / 980;
     assert!(
         covered >= may_hold,
         "stored until {covered}, may hold until {may_hold}; last start {last_start}, last lease {last_lease}"
@@ -438,7 +439,8 @@
         }
     }
     let last_start = driver.starts.last().expect("a start").0;
-    assert!(covered >= last_start + 10_204, "stored until {covered}");
+    let may_hold = last_start + LATE_ORDER_MAX_MS + 10_204;
+    assert!(covered >= may_hold, "stored until {covered}");
 }
 
 /// Guards against a task that runs again after its success: a leader that is late itself takes
