--- a/crates/monsoonnotch_jobs/src/fencing/mod.rs
+++ b/crates/monsoonnotch_jobs/src/fencing/mod.rs
@@ -6,11 +6,11 @@
 //! answered, it refuses what was sent to the previous one and is still in transit: a late order
 //! neither starts a run there, nor extends its lease, nor acknowledges its finished runs.
 
-/// Number of tokens that a term has for each VM. Tokens stay below 2^53, which JSON exchanges
-/// exactly, for 2^33 terms.
-const TOKENS_PER_TERM: u64 = 1 << 20;
-/// Number of restarts of one VM in a term that tokens can tell apart.
+/// Number of restarts of one VM in a term that tokens can tell apart. For 2^33 terms they stay
+/// below 2^53, up to which JSON exchanges numbers exactly.
 pub const RESTARTS_MAX: u32 = (1 << 20) - 1;
+/// Number of tokens that a term has for each VM.
+const TOKENS_PER_TERM: u64 = RESTARTS_MAX as u64 + 1;
 
 /// Returns the token of an order to a VM that has restarted `restarts` times in the leader term
 /// with token `term`.
