Poll with a token that is above the order tokens of any leader

a_leader_that_the_store_does_not_confirm_lets_leases_expire asks the VM itself whether the run has lapsed, with 1,000,000 as a token that no leader has reached. It now uses the highest number that JSON exchanges exactly. What the test asks for is the same: the lease must have expired 10.52 s after the store fell silent.

--- a/tests/members.rs
+++ b/tests/members.rs
@@ -18,6 +18,8 @@
 use monsoonnotch_standins::fault_injection::Fault;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_monsoonnotch");
+/// A token above that of any leader: the highest that JSON exchanges exactly.
+const HIGHEST_TOKEN: u64 = (1 << 53) - 1;
 
 /// Starts a simulated site with two members.
 async fn start(name: &str, vms: usize) -> (Site, Vec<Member>, PathBuf) {
@@ -504,8 +506,8 @@
     members[0].store_proxy.silence_open_connections();
     // What a successor waits for after its claim: certainty, lease, clock error and slack.
     tokio::time::sleep(Duration::from_millis(6_000 + 4_120 + 400)).await;
-    let poll = r#"{"fencing-token":1000000,"last-seen":0}"#;
-    let response = send_request(site.vms[0].addr(), "POST", "/hold", &[], poll).await;
+    let poll = format!(r#"{{"fencing-token":{HIGHEST_TOKEN},"last-seen":0}}"#);
+    let response = send_request(site.vms[0].addr(), "POST", "/hold", &[], &poll).await;
     let response = response.expect("the VM responds");
     let listed = String::from_utf8_lossy(&response.body).into_owned();
     assert!(
