Name the stand-in's late orders by what they ask, not by their path

The tests of restarted VMs named paths of the platform's interface, which stand in `platform/` alone.

--- a/tests/restarted_vms.rs
+++ b/tests/restarted_vms.rs
@@ -13,6 +13,7 @@
 use monsoonnotch_adapter_standins::site::Site;
 use monsoonnotch_adapter_standins::site::job_body;
 use monsoonnotch_adapter_standins::site::run_job;
+use monsoonnotch_adapter_standins::vm::Order;
 use monsoonnotch_standins::caller::wait_until;
 use rstest::rstest;
 
@@ -100,7 +101,7 @@
     let vm = &fleet.site.vms[0];
     fleet.run_job("00000000000000e1").await;
     tokio::time::sleep(FIRST_INCARNATION).await;
-    vm.delay_next("/hold", LATE);
+    vm.delay_next(Order::LeasePoll, LATE);
     fleet.restart_beside_late_order().await;
     vm.executed_late(1).await;
     let left = vm.lease_left();
@@ -121,7 +122,7 @@
     let vm = &fleet.site.vms[0];
     fleet.run_job("00000000000000e2").await;
     tokio::time::sleep(FIRST_INCARNATION).await;
-    vm.delay_next("/run-start", LATE);
+    vm.delay_next(Order::Start, LATE);
     fleet.run_job("00000000000000e3").await;
     fleet.restart_beside_late_order().await;
     vm.executed_late(1).await;
@@ -135,11 +136,11 @@
     let fleet = Fleet::start("late-acknowledgement", "").await;
     let vm = &fleet.site.vms[0];
     fleet.run_job("00000000000000e4").await;
-    vm.delay_next("/hold", LATE);
+    vm.delay_next(Order::LeasePoll, LATE);
     fleet.restart_beside_late_order().await;
     fleet.run_job("00000000000000e5").await;
     assert!(
-        vm.late_requests() == 0,
+        vm.late_orders() == 0,
         "the VM was not used before the late order"
     );
     vm.executed_late(1).await;
