Let every start leave the window for certain, and widen it without answers

Cause: the window that bounds the starts without an answer counted a start until it was answered, a later poll of its VM was answered, or the VM restarted under its id. A VM that crashes and comes back under another id, or never, does none of these, so that its starts counted until the next term. Nothing was started any more, hence nothing answered in time, and answers were the only thing that widened the window.

Ruled out by the log: a leader that is still full, VMs that answer, results that were lost on their way.

Change: the window is a type of its own with the starts that count. A start leaves it with its answer, with the end of its run, with a later answer or a restart of its VM, and after 2 s in any case, when VMs refuse it. Resends do not extend that. While this member is not saturated and no answer was late for a second, the window doubles each second, so that it depends on no answer. `unanswered_starts` of a VM stays as it is: it keeps acknowledgements from reaching a later incarnation, and gates nothing else.

--- a/crates/monsoonnotch_jobs/src/scheduler/answer_times.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/answer_times.rs
@@ -3,13 +3,13 @@
 //! A link or a processor that is full delays the answers of all VMs. An order that is sent
 //! again before its answer can arrive adds to the load, and so does every further start.
 //! Timeouts therefore follow the measured times, like the retransmission timeout of TCP,
-//! and the number of starts without an answer is bounded by a window that shrinks with each
-//! late answer.
+//! and the starts without an answer are bounded by a [window](super::start_window).
 //!
 //! A VM is then not unresponsive by its own fault, and its silence does not show that its
 //! lease has expired: finished runs may have been listed in answers that arrived too late.
 
 use super::job::WAIT_LOG_INTERVAL;
+use super::start_window::StartWindow;
 use super::*;
 
 /// Weight of the newest sample in the mean.
@@ -27,38 +27,18 @@
 /// How long this member counts as saturated after the mean was last above its limit. Answers
 /// that were held up arrive in this time.
 const SATURATION_PERIOD: Duration = Duration::from_secs(5);
-/// Factor of the window for each late answer.
-const WINDOW_DECREASE: f64 = 0.97;
-/// Sum by which the window grows with as many timely answers as it admits starts.
-const WINDOW_INCREASE: f64 = 4.0;
-/// Smallest number of starts without an answer that are admitted.
-const WINDOW_MIN: f64 = 8.0;
-/// Window from which starts are not counted.
-const WINDOW_MAX: f64 = 2_048.0;
 
 /// Measured times of answers, and the window of starts.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct AnswerTimes {
     mean_ms: f64,
     deviation_ms: f64,
-    window: f64,
+    pub(super) window: StartWindow,
     saturated_until: Time,
     /// When it is logged next that no start is admitted.
     next_log: Time,
 }
 
-impl Default for AnswerTimes {
-    fn default() -> Self {
-        Self {
-            mean_ms: 0.0,
-            deviation_ms: 0.0,
-            window: WINDOW_MAX,
-            saturated_until: Time::default(),
-            next_log: Time::default(),
-        }
-    }
-}
-
 impl AnswerTimes {
     /// Records the time of an answer, or the time after which an order was given up.
     pub(super) fn record(&mut self, took: Duration, now: Time) {
@@ -69,10 +49,16 @@
         if self.are_late() {
             self.saturated_until = now + SATURATION_PERIOD;
         }
-        self.window = match took > LATE_AFTER {
-            true => (self.window * WINDOW_DECREASE).max(WINDOW_MIN),
-            false => (self.window + WINDOW_INCREASE / self.window).min(WINDOW_MAX),
-        };
+        match took > LATE_AFTER {
+            true => self.window.shrink(now),
+            false => self.window.widen(),
+        }
+    }
+
+    /// Handles what is due by time alone.
+    pub(super) fn scan(&mut self, now: Time) {
+        let saturated = self.is_saturated(now);
+        self.window.scan(now, saturated);
     }
 
     /// Returns the timeout of an order that is at least `usual`.
@@ -90,45 +76,29 @@
     pub(super) fn is_saturated(&self, now: Time) -> bool {
         now < self.saturated_until
     }
-
-    /// Returns how many starts may be without an answer; `None` if they are not bounded.
-    pub(super) fn window(&self) -> Option<usize> {
-        (self.window < WINDOW_MAX).then_some(self.window as usize)
-    }
 }
 
 impl Scheduler {
-    /// Returns how many more starts may be sent now.
-    pub(super) fn starts_admitted(&self) -> usize {
-        let Some(window) = self.answer_times.window() else {
-            return usize::MAX;
-        };
-        let unanswered = self.vms.iter().map(|(_, vm)| vm.unanswered_starts.len());
-        window.saturating_sub(unanswered.sum())
-    }
     /// Logs why no start is admitted: which starts have no answer yet, and how many of them were sent
-    /// to VMs that do not answer polls either, or belong to runs that have ended.
+    /// to VMs that do not answer polls either.
     pub(super) fn log_starts_held_back(&mut self) {
         let now = self.now;
         if now < self.answer_times.next_log {
             return;
         }
         self.answer_times.next_log = now + WAIT_LOG_INTERVAL;
-        let (mut unanswered, mut silent, mut ended) = (0, 0, 0);
-        let mut oldest = now;
-        for (_, vm) in self.vms.iter() {
-            let runs = vm.unanswered_starts.keys();
-            let is_silent = !vm.answered || vm.polls.unanswered > 0;
-            unanswered += vm.unanswered_starts.len();
-            silent += vm.unanswered_starts.len() * usize::from(is_silent);
-            ended += runs.filter(|run| !self.runs.contains_key(run)).count();
-            oldest = vm.unanswered_starts.values().fold(oldest, |a, b| a.min(*b));
-        }
         let times = &self.answer_times;
+        let vm_of = |run| self.vms.get(self.runs.get(run)?.vm);
+        let is_silent = |vm: &vms::Vm| !vm.answered || vm.polls.unanswered > 0;
+        let open = times.window.open();
+        let silent = open.filter(|(run, _)| vm_of(run).is_some_and(is_silent));
+        let oldest = times.window.open().map(|(_, sent)| *sent).min();
         let detail = format!(
-            "window={} unanswered={unanswered} silent={silent} ended={ended} oldest_ms={} mean_ms={} saturated={}",
-            times.window as u64,
-            now.since(oldest).as_millis(),
+            "window={} unanswered={} silent={} oldest_ms={} mean_ms={} saturated={}",
+            times.window.size(),
+            times.window.open().count(),
+            silent.count(),
+            now.since(oldest.unwrap_or(now)).as_millis(),
             times.mean_ms as u64,
             times.is_saturated(now)
         );
--- a/crates/monsoonnotch_jobs/src/scheduler/mod.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/mod.rs
@@ -26,6 +26,7 @@
 mod ranks;
 mod replay;
 mod runs;
+mod start_window;
 mod starts;
 mod stops;
 mod trials;
@@ -275,6 +276,7 @@
             self.next_retry = self.now + PLACEMENT_RETRY_PAUSE;
             self.placement_needed |= !self.ready_queue.is_empty();
         }
+        self.answer_times.scan(self.now);
         self.scan_vms();
         self.hedge_overdue_polls();
         self.scan_runs();
--- a/crates/monsoonnotch_jobs/src/scheduler/placement.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/placement.rs
@@ -59,7 +59,7 @@
         self.pool_totals = totals.collect();
         let queued: Vec<(Rank, StageKey)> = self.ready_queue.iter().copied().collect();
         let mut pass = Pass {
-            admitted: self.starts_admitted(),
+            admitted: self.answer_times.window.admitted(),
             settled,
             shares: self.shares(&queued),
             capacity,
--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -376,7 +376,10 @@
         vm.alive_at = Some(now);
         vm.clock = Some((now, answer.clock_ms));
         vm.finished_acknowledged = vm.finished_acknowledged.max(poll.acknowledged);
-        vm.unanswered_starts.retain(|_, sent| *sent > poll.sent_at);
+        let known = |_: &RunKey, sent: &mut Time| *sent <= poll.sent_at;
+        for (run, _) in vm.unanswered_starts.extract_if(.., known) {
+            self.answer_times.window.closed(run);
+        }
         if answer.running.is_empty() {
             // Without runs, nothing else would ever lower the slowness.
             vm.health.record_slowness(1.0, IDLE_SLOWNESS_WEIGHT);
--- a/crates/monsoonnotch_jobs/src/scheduler/runs.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/runs.rs
@@ -250,6 +250,7 @@
             return;
         };
         self.update_usage(&run, key, false);
+        self.answer_times.window.closed(key);
         self.poison.remove_run(key);
         if let Some(stage) = self.stage_mut(run.stage) {
             let task = &mut stage.tasks[run.index as usize];
--- a/crates/monsoonnotch_jobs/src/scheduler/starts.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/starts.rs
@@ -80,6 +80,7 @@
         };
         let timeout = START_TIMEOUTS[(run.sends as usize).min(START_TIMEOUTS.len() - 1)];
         let timeout = self.answer_times.timeout(timeout);
+        let first = run.sends == 0;
         run.sends += 1;
         run.last_sent_at = now;
         let (stage, index, vm) = (run.stage, run.index, run.vm);
@@ -97,6 +98,9 @@
         let expires_ms = row.clock_at(now).unwrap_or(0).saturating_add(valid);
         row.add_lease(now, expires_ms);
         row.unanswered_starts.insert(key, now);
+        if first {
+            self.answer_times.window.sent(key, now);
+        }
         let to = row.target();
         let order = StartOrder {
             task,
@@ -142,6 +146,9 @@
         if only_send && (answered || is_responsive && answer == StartAnswer::Unknown) {
             self.answer_times.record(now.since(sent_at), now);
         }
+        if answered {
+            self.answer_times.window.closed(key);
+        }
         if answered && let Some(row) = self.vms.get_mut(vm) {
             row.unanswered_starts.remove(&key);
             row.alive_at = row.alive_at.max(Some(sent_at).filter(|_| only_send));
--- a/crates/monsoonnotch_jobs/src/scheduler/vms.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/vms.rs
@@ -461,6 +461,7 @@
             return self.step_down();
         }
         for run in runs {
+            self.answer_times.window.closed(run);
             self.mark_unconfirmed(run);
         }
         self.poll_now(key);
--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -29,6 +29,7 @@
 mod simulation;
 mod slow_store;
 mod stale_orders;
+mod start_window;
 mod terms;
 mod terms_timed;
 mod uneven;
