Give up a link whose other end takes no data

The task of a link sends a frame within its loop. If the other end takes no data and its connection stays open (it hangs, or has lost power with a full buffer), that send waits for ever: missed heartbeats are not looked at any more, and a follower does not even look at a newer claim.

At the leader such a follower stays a candidate for leadership, which is asked again and again to claim, and keeps its approval slot, so that each request that goes there costs its whole timeout. A follower stays at a leader that has gone.

A frame that is not taken within 5 s ends the link now (`link stalled`, then `follower left` or `leader link lost`). The longest message takes 3.4 s at 10 Mbit/s, so that a bound of a few heartbeats would end links for large configurations.

--- a/crates/monsoonnotch_member/src/links/follower.rs
+++ b/crates/monsoonnotch_member/src/links/follower.rs
@@ -7,7 +7,6 @@
 use std::time::Instant;
 
 use compact_str::CompactString;
-use futures_util::SinkExt;
 use futures_util::StreamExt;
 use monsoonnotch_adapter::approval;
 use tokio::net::TcpStream;
@@ -16,10 +15,11 @@
 
 use super::FRAME_QUEUE_MAX;
 use super::Frame;
+use super::Socket;
 use super::StoreResult;
 use super::decode_frame;
-use super::encode_frame;
 use super::is_control_message;
+use super::send_frame;
 use super::socket_config;
 use crate::cx::Cx;
 use crate::cx::Leadership;
@@ -136,8 +136,9 @@
     let addr = &peers[rand::random_range(0..peers.len())];
     let exchange = async {
         let mut socket = dial(addr).await.ok()?;
-        let hello = encode_frame(&hello(cx, leadership));
-        socket.send(hello).await.ok()?;
+        let hello = hello(cx, leadership);
+        let sent = send_frame(&mut socket, &hello).await;
+        sent.then_some(())?;
         decode_frame(&socket.next().await?.ok()?)
     };
     if let Ok(Some(Frame::Newer(newer))) = tokio::time::timeout(DIAL_TIMEOUT, exchange).await {
@@ -169,8 +170,9 @@
         }
         Err(_) => return None,
     };
-    let sent = socket.send(encode_frame(&hello(cx, leadership))).await;
-    sent.is_ok().then_some(socket)
+    let hello = hello(cx, leadership);
+    let sent = send_frame(&mut socket, &hello).await;
+    sent.then_some(socket)
 }
 
 /// Exchanges frames with the leader until the link fails or a newer claim is observed.
@@ -193,12 +195,12 @@
     loop {
         let open = tokio::select! {
             frame = out.recv() => match frame {
-                Some(frame) => socket.send(encode_frame(&frame)).await.is_ok(),
+                Some(frame) => send_frame(&mut socket, &frame).await,
                 None => false,
             },
             _ = heartbeats.tick() => {
                 let frame = heartbeat(cx, None);
-                last_received.elapsed() < suspect_after && socket.send(encode_frame(&frame)).await.is_ok()
+                last_received.elapsed() < suspect_after && send_frame(&mut socket, &frame).await
             }
             msg = socket.next() => match msg {
                 Some(Ok(msg)) => {
@@ -218,13 +220,13 @@
             },
             _ = evacuations_rx.changed() => {
                 let frame = Frame::Evacuations(evacuations_rx.borrow_and_update().clone());
-                socket.send(encode_frame(&frame)).await.is_ok()
+                send_frame(&mut socket, &frame).await
             }
             _ = leadership_rx.changed() => {
                 let newer = leadership_rx.borrow().clone();
                 if let Some(newer) = newer {
                     // The link is closed in any case, so a failure to send does not matter.
-                    let _ = socket.send(encode_frame(&Frame::Newer(newer))).await;
+                    send_frame(&mut socket, &Frame::Newer(newer)).await;
                 }
                 false
             }
@@ -238,8 +240,6 @@
     log::warn!(event = "leader link lost", holder = leadership.claim.name.as_str(), token = leadership.token; "lost the link to the leader");
 }
 
-type Socket = tokio_tungstenite::WebSocketStream<TcpStream>;
-
 /// Connects to a member; the error tells whether the connection was refused.
 async fn dial(addr: &str) -> Result<Socket, bool> {
     let stream = TcpStream::connect(addr).await;
--- a/crates/monsoonnotch_member/src/links/leader.rs
+++ b/crates/monsoonnotch_member/src/links/leader.rs
@@ -10,7 +10,6 @@
 use std::time::Instant;
 
 use compact_str::CompactString;
-use futures_util::SinkExt;
 use futures_util::StreamExt;
 use monsoonnotch_jobs::effect::ApprovalRequestKey;
 use monsoonnotch_jobs::effect::ApprovalSlotKey;
@@ -28,8 +27,8 @@
 use super::Frame;
 use super::LeaderContact;
 use super::decode_frame;
-use super::encode_frame;
 use super::is_control_message;
+use super::send_frame;
 use super::socket_config;
 use crate::cx::Cx;
 use crate::cx::lock;
@@ -188,10 +187,8 @@
         return None;
     };
     if cx.own_token() != Some(token) {
-        socket
-            .send(encode_frame(&newer_claim(cx, token)?))
-            .await
-            .ok()?;
+        // The link is closed in any case, so a failure to send does not matter.
+        send_frame(&mut socket, &newer_claim(cx, token)?).await;
         return None;
     }
     log::info!(event = "follower joined", name = name.as_str(), token = token; "a follower connected");
@@ -224,13 +221,13 @@
     loop {
         let open = tokio::select! {
             frame = rx.recv() => match frame {
-                Some(frame) => socket.send(encode_frame(&frame)).await.is_ok(),
+                Some(frame) => send_frame(&mut socket, &frame).await,
                 None => false,
             },
             _ = heartbeats.tick() => {
                 let alive = last_received.elapsed() < heartbeat_interval * MISSED_HEARTBEATS_MAX;
                 let frame = heartbeat(cx, followers, token, false);
-                alive && socket.send(encode_frame(&frame)).await.is_ok()
+                alive && send_frame(&mut socket, &frame).await
             }
             msg = socket.next() => {
                 last_received = Instant::now();
@@ -253,16 +250,16 @@
             }
             _ = peers_ticks.tick() => {
                 let addrs = followers.other_addrs(link);
-                socket.send(encode_frame(&Frame::Peers { addrs })).await.is_ok()
+                send_frame(&mut socket, &Frame::Peers { addrs }).await
             }
             _ = evacuations_rx.changed() => {
                 let frame = Frame::Evacuations(evacuations_rx.borrow_and_update().clone());
-                socket.send(encode_frame(&frame)).await.is_ok()
+                send_frame(&mut socket, &frame).await
             }
             _ = leadership_rx.changed() => match newer_claim(cx, token) {
                 Some(newer) => {
                     // The link is closed in any case, so a failure to send does not matter.
-                    let _ = socket.send(encode_frame(&newer)).await;
+                    send_frame(&mut socket, &newer).await;
                     false
                 }
                 None => cx.own_token() == Some(token),
--- a/crates/monsoonnotch_member/src/links/mod.rs
+++ b/crates/monsoonnotch_member/src/links/mod.rs
@@ -3,7 +3,10 @@
 mod follower;
 mod leader;
 
+use std::time::Duration;
+
 use compact_str::CompactString;
+use futures_util::SinkExt;
 use monsoonnotch_core::record::decode;
 use monsoonnotch_core::record::encode;
 use monsoonnotch_jobs::delegation::Batch;
@@ -17,6 +20,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 use serde_bytes::ByteBuf;
+use tokio::net::TcpStream;
+use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
@@ -37,6 +42,9 @@
 const READ_BUFFER_SIZE: usize = 4 << 10;
 /// Longest message that a link accepts, in bytes: a batch of records that the store takes at once.
 const MESSAGE_BYTES_MAX: usize = 4 << 20;
+/// Longest time in which the other end of a link takes a frame; the longest message takes 3.4 s at
+/// 10 Mbit/s.
+const SEND_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Returns the settings of a link's WebSocket connection.
 fn socket_config() -> WebSocketConfig {
@@ -234,6 +242,21 @@
     }
 }
 
+/// A link's connection.
+type Socket = WebSocketStream<TcpStream>;
+
+/// Sends a frame; returns false if the link has failed, or if its other end has not taken the frame
+/// within [`SEND_TIMEOUT`]. It may have lost power, or hang, while its connection stays open.
+async fn send_frame(socket: &mut Socket, frame: &Frame) -> bool {
+    let msg = encode_frame(frame);
+    let bytes = msg.len();
+    let sent = tokio::time::timeout(SEND_TIMEOUT, socket.send(msg)).await;
+    if sent.is_err() {
+        log::warn!(event = "link stalled", bytes = bytes; "the other end of a link takes no data; closing the link");
+    }
+    matches!(sent, Ok(Ok(())))
+}
+
 fn encode_frame(frame: &Frame) -> Message {
     Message::Binary(encode(frame).into())
 }
