Count no open request of a caller that has left

The count of open requests fell only at the end of a request's handling. If its caller disconnects early, the handling is dropped, and the count stayed up for good: the member took all its time to shut down (5.3 s of 6 s) each time.

The count follows a value that is dropped with the handling now.

Test: callers_that_leave_early_do_not_delay_a_shutdown, with real members.

--- a/crates/monsoonnotch_member/src/requests/mod.rs
+++ b/crates/monsoonnotch_member/src/requests/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod submit;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -43,11 +44,27 @@
 /// Pause before a query is repeated.
 const QUERY_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// Counts a request as open until it is dropped, which a caller that disconnects early causes as well.
+struct OpenRequest<'a>(&'a AtomicU64);
+
+impl<'a> OpenRequest<'a> {
+    fn new(count: &'a AtomicU64) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Handles one request: counts it, logs it and returns the reply.
 ///
 /// Successful queries are not logged.
 pub(crate) async fn handle(cx: Arc<Cx>, request: CallerRequest) -> Reply {
-    cx.open_requests.fetch_add(1, Ordering::Relaxed);
+    let _open = OpenRequest::new(&cx.open_requests);
     let verb = match request.verb {
         Verb::Submit(_) => "submit",
         Verb::Query => "ask",
@@ -56,7 +73,6 @@
     let began = Instant::now();
     let path = request.path.clone();
     let reply = dispatch(&cx, request).await;
-    cx.open_requests.fetch_sub(1, Ordering::Relaxed);
     let elapsed = began.elapsed();
     crate::process::count_request(verb, &reply, elapsed);
     let ms = elapsed.as_millis() as u64;
--- a/tests/silent_peers.rs
+++ b/tests/silent_peers.rs
@@ -14,8 +14,10 @@
 use monsoonnotch_adapter_standins::site::run_job;
 use monsoonnotch_core::record::encode;
 use monsoonnotch_standins::caller::wait_until;
+use monsoonnotch_standins::fault_injection::Fault;
 use serde_json::Value;
 use serde_json::json;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio_tungstenite::tungstenite::Message;
 
@@ -24,6 +26,8 @@
 const RECOVERY_MAX: Duration = Duration::from_secs(12);
 /// Number of frames that the leader answers with its configuration; more bytes than a connection holds.
 const QUESTIONS: usize = 400;
+/// Time within which an idle member shuts down; it has 6 s.
+const SHUTDOWN_MAX: Duration = Duration::from_millis(4_000);
 
 /// Starts a site with one VM and `count` members; their files go to a folder named after `name`.
 async fn start(name: &str, count: usize) -> (Site, Vec<Member>, PathBuf) {
@@ -94,3 +98,42 @@
     drop(socket);
     drop(std::fs::remove_dir_all(dir));
 }
+
+/// Guards against a count of open requests that callers leave behind who disconnect early, so that a
+/// member takes all its time to shut down.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_that_leave_early_do_not_delay_a_shutdown() {
+    let (_site, members, dir) = start("leave-early", 2).await;
+    let has_led = |m: &&Member| !m.log_lines(&["term begins"]).is_empty();
+    let follower = members.iter().find(|m| !has_led(m));
+    let follower = follower.expect("one member follows");
+    for member in &members {
+        member.store_proxy.set_fault(Fault::Unresponsive);
+        member.store_proxy.silence_open_connections();
+    }
+    let body = job_body(&[1], 500, 10);
+    let request = format!(
+        "POST /jobs/00000000000000d2 HTTP/1.1\r\nhost: test\r\nauthorization: Bearer key-a\r\n\
+         x-deadline-ms: 3000\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut caller = TcpStream::connect(follower.callers)
+        .await
+        .expect("it listens");
+    let sent = caller.write_all(request.as_bytes()).await;
+    sent.expect("the connection is open");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    drop(caller);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    for member in &members {
+        member.store_proxy.set_fault(Fault::None);
+    }
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    follower.signal("TERM");
+    let began = Instant::now();
+    let finished = || async { !follower.log_lines(&["shutdown finished"]).is_empty() };
+    wait_until("it has shut down", finished).await;
+    let took = began.elapsed();
+    assert!(took <= SHUTDOWN_MAX, "shut down after {took:?}");
+    drop(std::fs::remove_dir_all(dir));
+}
