Test that approval slots are free again without an answer

Another count that gates work: a slot is taken until its request is answered. Requests are abandoned 2.5 s after their expected duration, so the slot leaves for certain; there was no test of it.

--- a/crates/monsoonnotch_jobs/tests/promises/approvals.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/approvals.rs
@@ -29,6 +29,12 @@
 use crate::random::site;
 use crate::simulation::START_UNIX_MS;
 
+/// Time within which a site serves as before after a disruption, in milliseconds.
+const RECOVERY_MAX_MS: u64 = 12_000;
+
+/// Time for which a job may have nothing running although there is room for it, in milliseconds.
+const WAIT_MAX_MS: u64 = 3_000;
+
 /// Returns a scheduler with two VMs of 8 cores, which have answered. Only the queue `bulk`
 /// needs approvals.
 fn scheduler() -> Scheduler {
@@ -147,3 +153,17 @@
     let (_, vms) = requests(&fx).pop().expect("a second request is sent");
     assert_eq!(vms, vec![slow_vm]);
 }
+
+/// Guards against approval slots that stay taken by requests that nobody answers.
+#[test]
+fn a_slot_is_free_again_when_nobody_answers_its_request() {
+    let mut scheduler = scheduler();
+    let jobs = (1..=2).map(|id| (id, job(id, "bulk", 500, 100))).collect();
+    let mut fx = deliver(&mut scheduler, 100, Event::Journal(jobs));
+    fx.extend(wait(&mut scheduler, 110..100 + RECOVERY_MAX_MS));
+    let sent = requests(&fx).len() as u64;
+    assert!(
+        sent >= RECOVERY_MAX_MS / WAIT_MAX_MS,
+        "{sent} requests in {RECOVERY_MAX_MS} ms"
+    );
+}
