Test that processes outlive clients outside the limits

The users' trial ended a process with clients that they do not control: heads and empty lines without end, bodies that stop short of their end, chunked bodies, many large jobs at once. No test had such clients.

--- a/crates/monsoonnotch_standins/src/site/mod.rs
+++ b/crates/monsoonnotch_standins/src/site/mod.rs
@@ -151,6 +151,8 @@
     pub callers: SocketAddr,
     /// Address of the listener for operators.
     pub operators: SocketAddr,
+    /// Address of the listener for other entries.
+    pub peers: SocketAddr,
     settings: PathBuf,
     programs: Programs,
 }
@@ -191,6 +193,7 @@
             child,
             callers: address(&listening, "callers="),
             operators: address(&listening, "operators="),
+            peers: address(&listening, "peers="),
             settings: path,
             programs,
         }
@@ -201,6 +204,18 @@
         self.child.id()
     }
 
+    /// Returns whether the process has not ended.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the status of the process cannot be read.
+    pub fn is_running(&mut self) -> bool {
+        let status = self.child.try_wait();
+        status
+            .expect("the status of a child process can be read")
+            .is_none()
+    }
+
     /// Sends a signal, given by its name without `SIG`, such as `TERM`, `KILL`, `STOP` or `CONT`.
     ///
     /// # Panics
