Bound what clients of a member's listeners take

What callers saw: a member ends when a few hundred clients send heads, empty lines or bodies without end, or stop short of an end and stay. Nobody is answered until it is started again.

Cause: nothing bounds what clients take together. Each connection may buffer 400 KiB of a head, the readiness and the operators' listener have no timeout at all, a body may arrive for as long as the client likes, each chunk of it stays a buffer of its own, and the kernel holds up to megabytes for a socket that nobody reads. Ruled out: the event loop (ordinary callers were answered meanwhile) and a leak (memory falls when the crowd leaves).

Change: a crate of its own, monsoonnotch_ingress. Each listener has an account, a part of the memory and the descriptors of the VM. A connection and a body take their share before they are read, and give it back when they are dropped. When an account is full, the connections that hold most and move least are closed; a whole request always gets its response.

Tests: who is ended, without I/O; limits on VMs of the deployments' sizes; refusals arrive whole and all is given back after a response, a timeout, a reset, a shutdown and a panic.

--- a/crates/monsoonnotch_member/src/cx/mod.rs
+++ b/crates/monsoonnotch_member/src/cx/mod.rs
@@ -31,6 +31,7 @@
 
 use crate::control::Inbox;
 use crate::evacuation::Evacuations;
+use crate::ingress::Budgets;
 use crate::links::Frame;
 use crate::links::StoreResult;
 use crate::requests::appender::PendingRecord;
@@ -77,6 +78,7 @@
 #[derive(Debug)]
 pub(crate) struct Cx {
     pub(crate) settings: Settings,
+    pub(crate) budgets: Budgets,
     /// Random number that identifies this process; a restarted member has a new one.
     pub(crate) boot: u64,
     pub(crate) clock: Clock,
@@ -136,6 +138,7 @@
     ) -> Self {
         let http = HttpClient::default();
         Self {
+            budgets: Budgets::new(settings.client_limits()),
             store: Store::new(&settings.services.store.to_string(), http.clone()),
             vm_client: VmClient::new(HttpClient::default()),
             http,
--- a/crates/monsoonnotch_member/src/lib.rs
+++ b/crates/monsoonnotch_member/src/lib.rs
@@ -11,6 +11,7 @@
 mod cx;
 mod evacuation;
 mod executor;
+mod ingress;
 mod leadership;
 mod links;
 pub mod logs;
--- a/crates/monsoonnotch_member/src/links/leader.rs
+++ b/crates/monsoonnotch_member/src/links/leader.rs
@@ -11,6 +11,9 @@
 
 use compact_str::CompactString;
 use futures_util::StreamExt;
+use monsoonnotch_ingress::accounts::Turn;
+use monsoonnotch_ingress::prelude::Connection;
+use monsoonnotch_ingress::prelude::Listener;
 use monsoonnotch_jobs::effect::ApprovalRequestKey;
 use monsoonnotch_jobs::effect::ApprovalSlotKey;
 use monsoonnotch_jobs::effect::QueryKey;
@@ -19,7 +22,6 @@
 use monsoonnotch_jobs::fitness::Capacity;
 use monsoonnotch_jobs::journal::KeyedRecord;
 use rand::seq::IndexedRandom;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
@@ -129,16 +131,13 @@
 /// Accepts links from other members for as long as the process lives.
 pub(crate) async fn accept_followers(
     cx: Arc<Cx>,
-    listener: TcpListener,
+    listener: Listener,
     followers: Arc<Followers>,
     contact: Arc<LeaderContact>,
 ) {
     let next = AtomicU64::new(1);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+        let (stream, mut connection) = listener.accept().await;
         let link = next.fetch_add(1, Ordering::Relaxed);
         let (cx, followers, contact) = (
             Arc::clone(&cx),
@@ -146,8 +145,14 @@
             Arc::clone(&contact),
         );
         tokio::spawn(async move {
+            if !connection.settle().await {
+                return;
+            }
             // The result is ignored: the follower logs why its link ended.
-            serve_follower(&cx, stream, link, &followers, &contact).await;
+            tokio::select! {
+                _ = serve_follower(&cx, stream, &connection, link, &followers, &contact) => {}
+                () = connection.ended() => {}
+            }
             lock(&followers.by_link).remove(&link);
             lock(&cx.follower_links).remove(&link);
             executor::link_closed(&cx, link);
@@ -159,6 +164,7 @@
 async fn serve_follower(
     cx: &Arc<Cx>,
     stream: TcpStream,
+    connection: &Connection,
     link: u64,
     followers: &Followers,
     contact: &LeaderContact,
@@ -191,6 +197,7 @@
         send_frame(&mut socket, &newer_claim(cx, token)?).await;
         return None;
     }
+    connection.begin_turn(Turn::Process);
     log::info!(event = "follower joined", name = name.as_str(), token = token; "a follower connected");
     let (tx, mut rx) = mpsc::channel(FRAME_QUEUE_MAX);
     lock(&cx.follower_links).insert(link, tx);
--- a/crates/monsoonnotch_member/src/process/mod.rs
+++ b/crates/monsoonnotch_member/src/process/mod.rs
@@ -9,7 +9,6 @@
 use monsoonnotch_adapter::caller_api;
 use monsoonnotch_adapter::caller_api::Reply;
 use monsoonnotch_adapter::operator_api;
-use tokio::net::TcpListener;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::mpsc;
@@ -18,6 +17,8 @@
 use crate::control;
 use crate::cx::Cx;
 use crate::executor;
+use crate::ingress;
+use crate::ingress::Listeners;
 use crate::leadership;
 use crate::links;
 use crate::links::Followers;
@@ -50,8 +51,7 @@
     let (submissions, submissions_rx) = mpsc::unbounded_channel();
     let cx = Arc::new(Cx::new(settings, inbox.clone(), submissions));
     tokio::spawn(requests::appender::run(Arc::clone(&cx), submissions_rx));
-    let peers = TcpListener::bind(member.peers).await?;
-    let callers = TcpListener::bind(member.callers).await?;
+    let listeners = Listeners::bind(&member, &cx.budgets)?;
     serve_operators(member.metrics, &cx);
     let (outputs, outputs_rx) = mpsc::unbounded_channel();
     let tuning = cx.settings.scheduler_tuning();
@@ -70,7 +70,7 @@
     ));
     tokio::spawn(links::accept_followers(
         Arc::clone(&cx),
-        peers,
+        listeners.links,
         followers,
         Arc::clone(&contact),
     ));
@@ -81,13 +81,13 @@
     tokio::spawn(leadership::run(Arc::clone(&cx), contact));
     tokio::spawn(config::follow(Arc::clone(&cx)));
     let ready_cx = Arc::clone(&cx);
-    tokio::spawn(caller_api::serve_ready(member.readiness, move || {
+    tokio::spawn(caller_api::serve_ready(listeners.readiness, move || {
         is_ready(&ready_cx)
     }));
     let handler_cx = Arc::clone(&cx);
     let stop = cx.stopping.subscribe();
     let handler = move |request| requests::handle(Arc::clone(&handler_cx), request);
-    tokio::spawn(caller_api::serve(callers, stop, handler));
+    tokio::spawn(caller_api::serve(listeners.callers, stop, handler));
     tokio::select! {
         () = wait_for_stop_signal() => {
             shut_down(&cx).await;
@@ -115,6 +115,8 @@
         Reply::NoQueue => "no_queue",
         Reply::NoKey => "no_key",
         Reply::Invalid => "invalid",
+        Reply::TooLarge => "too_large",
+        Reply::TooSlow => "too_slow",
         Reply::NotRun { .. } => "not_run",
         Reply::MayHaveRun => "may_have_run",
     };
@@ -129,14 +131,20 @@
     if metrics::set_global_recorder(recorder).is_err() {
         log::warn!(event = "metrics unavailable"; "another metrics recorder is already installed");
     }
-    let cx = Arc::clone(cx);
-    tokio::spawn(async move {
-        let explain = move |question| requests::explain::answer(Arc::clone(&cx), question);
-        let served = operator_api::serve(addr, move || handle.render(), explain).await;
-        if let Err(e) = served {
+    let listener = match ingress::bind_operators(addr, &cx.budgets) {
+        Ok(listener) => listener,
+        Err(e) => {
             log::warn!(event = "metrics unavailable", error = e.to_string(); "cannot serve metrics");
+            return;
         }
-    });
+    };
+    let cx = Arc::clone(cx);
+    let explain = move |question| requests::explain::answer(Arc::clone(&cx), question);
+    tokio::spawn(operator_api::serve(
+        listener,
+        move || handle.render(),
+        explain,
+    ));
 }
 
 /// Waits for SIGTERM or SIGINT.
--- a/crates/monsoonnotch_member/src/requests/mod.rs
+++ b/crates/monsoonnotch_member/src/requests/mod.rs
@@ -66,7 +66,7 @@
 pub(crate) async fn handle(cx: Arc<Cx>, request: CallerRequest) -> Reply {
     let _open = OpenRequest::new(&cx.open_requests);
     let verb = match request.verb {
-        Verb::Submit(_) => "submit",
+        Verb::Submit { .. } => "submit",
         Verb::Query => "ask",
         Verb::Cancel => "cancel",
     };
@@ -103,13 +103,16 @@
     }
     let Some(id) = parse_job_id(id_part) else {
         return match request.verb {
-            Verb::Submit(_) => Reply::Invalid,
+            Verb::Submit { .. } => Reply::Invalid,
             Verb::Query | Verb::Cancel => Reply::NoJob,
         };
     };
     match request.verb {
-        Verb::Submit(None) => Reply::Invalid,
-        Verb::Submit(Some(plan)) => {
+        Verb::Submit { plan: None, .. } => Reply::Invalid,
+        Verb::Submit {
+            plan: Some(plan),
+            memory: _memory,
+        } => {
             let submission = submit::submission(name, queue, account, *plan);
             submit::submit(cx, id, &submission, deadline).await
         }
--- a/crates/monsoonnotch_member/src/settings/mod.rs
+++ b/crates/monsoonnotch_member/src/settings/mod.rs
@@ -5,12 +5,19 @@
 
 use compact_str::CompactString;
 use monsoonnotch_core::time;
+use monsoonnotch_ingress::limits::MIB;
+use monsoonnotch_ingress::prelude;
 use monsoonnotch_jobs::delegation::Limits;
 use monsoonnotch_jobs::fitness::Capacity;
 use monsoonnotch_jobs::tuning::Tuning;
 use quick_error::quick_error;
 use serde::Deserialize;
 
+/// Memory that is divided among clients if the settings do not limit it, in MiB.
+const MEMORY_MIB_DEFAULT: f64 = 512.0;
+/// Descriptors that are divided among clients if the settings do not limit them.
+const DESCRIPTORS_DEFAULT: f64 = 8_192.0;
+
 quick_error! {
     /// An error in a settings file.
     #[derive(Debug)]
@@ -218,6 +225,13 @@
         }
     }
 
+    /// Returns what clients may take of this process.
+    pub fn client_limits(&self) -> prelude::Limits {
+        let memory_mib = self.member.memory_mib.unwrap_or(MEMORY_MIB_DEFAULT);
+        let descriptors = self.member.descriptors.unwrap_or(DESCRIPTORS_DEFAULT);
+        prelude::Limits::of_vm((memory_mib * MIB as f64) as u64, descriptors as usize)
+    }
+
     /// Returns the limits of the delegation of orders while this member is the leader.
     ///
     /// Executors are fit for their part of the fleet, or have at least as many cores as the leader.
