Bound what one job takes of the leader

What callers saw: one valid job ends the leader, and each leader after it, since the job is stored: 200 steps of 10,000 tasks, or a job that was due 100,000 times by now. Nobody's job runs any more.

Ruled out: the request, whose body is small in both cases.

Change: 64 occurrences of a job are open at a time, fewer with many steps or tasks. Complete ones leave the leader's memory and the record, which says up to which one all are complete; a successor starts none of these again, which the simulation's checker now looks for. Jobs that have ended drop their stages once they have no runs, as a successor has none of them either.

--- a/crates/monsoonnotch_jobs/src/journal/mod.rs
+++ b/crates/monsoonnotch_jobs/src/journal/mod.rs
@@ -66,10 +66,17 @@
     pub account: CompactString,
     /// Whether a task of the job has started.
     pub begun: bool,
+    /// All occurrences before this one are complete; `stages` does not list them.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub complete_to: u32,
     /// The stages that have a finished run; empty once the job has ended.
     pub stages: Vec<StageProgress>,
 }
 
+fn is_zero(n: &u32) -> bool {
+    *n == 0
+}
+
 /// The progress of a stage.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct StageProgress {
--- a/crates/monsoonnotch_jobs/src/scheduler/flush.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/flush.rs
@@ -332,6 +332,7 @@
             CompactString::default()
         },
         begun: job.begun,
+        complete_to: if ended { 0 } else { job.complete_to },
         stages: stages.collect(),
     }
 }
--- a/crates/monsoonnotch_jobs/src/scheduler/job.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/job.rs
@@ -7,12 +7,20 @@
 use super::*;
 use crate::journal::Outcome;
 use crate::journal::StageProgress;
+use crate::plan::PLAN_TASKS_MAX;
+use crate::plan::STEPS_MAX;
 use crate::plan::StageId;
 use crate::site::Queue;
 
 /// A stage that waits this long is logged, and again each time this period passes; so is a VM that
 /// is awaited.
 pub(super) const WAIT_LOG_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Maximum number of occurrences of a job that are open at a time.
+const OCCURRENCES_OPEN_MAX: u32 = 64;
+/// Memory of an entry of an ordered map or set beside its content, in bytes.
+const NODE_BYTES: usize = 32;
+/// Number of ordered maps and sets that know a task or its run.
+const TASK_NODES: usize = 4;
 /// Weight of the newest sample in the moving averages of [`QueueStats`]; shares of approved
 /// VMs count twice.
 const STATS_WEIGHT: f64 = 0.1;
@@ -95,8 +103,14 @@
     /// Whether any of its tasks has been started.
     pub(super) begun: bool,
     pub(super) ended_at: Option<Time>,
+    /// The stages of the occurrences that are open.
     pub(super) stages: BTreeMap<(u32, u16), Stage>,
+    /// The first occurrence that is not open yet.
     pub(super) next_occurrence: u32,
+    /// Occurrences before this one are complete; they have no stages any more.
+    pub(super) complete_to: u32,
+    /// Memory that the job counts for, in bytes.
+    pub(super) memory: u64,
 }
 
 /// One step of one occurrence of a job.
@@ -232,6 +246,8 @@
             ended_at: None,
             stages: BTreeMap::new(),
             next_occurrence: 0,
+            complete_to: 0,
+            memory: 0,
         }
     }
 
@@ -265,8 +281,11 @@
     ///
     /// A job without due times is due at once: the clock of the member that accepted it may be
     /// ahead.
+    ///
+    /// Nor does it open while many are: more do not complete any sooner.
     fn next_is_due(&self, unix_ms: u64) -> bool {
         self.next_occurrence < self.plan.occurrences()
+            && self.next_occurrence - self.complete_to < open_occurrences_max(&self.plan)
             && (self.plan.repeats == 0 || self.due_ms(self.next_occurrence) <= unix_ms)
     }
 
@@ -282,6 +301,28 @@
         self.next_occurrence = self.next_occurrence.max(last + 1);
     }
 
+    /// Takes into account that a predecessor has stored the occurrences before this one as complete.
+    pub(super) fn skip_to(&mut self, occurrence: u32) {
+        let complete_to = occurrence.min(self.plan.occurrences());
+        self.complete_to = self.complete_to.max(complete_to);
+        self.next_occurrence = self.next_occurrence.max(complete_to);
+        self.stages = self.stages.split_off(&(self.complete_to, 0));
+    }
+
+    /// Forgets the stages of the first occurrences if they are complete, so that a job that runs often
+    /// does not grow with each occurrence.
+    fn release_complete(&mut self) {
+        while self.complete_to < self.next_occurrence && self.plan.occurrences() > 1 {
+            let stages = (self.complete_to, 0)..=(self.complete_to, u16::MAX);
+            let is_over = |s: &Stage| s.is_complete() && s.runs().next().is_none();
+            if !self.stages.range(stages).all(|(_, s)| is_over(s)) {
+                return;
+            }
+            self.complete_to += 1;
+            self.stages = self.stages.split_off(&(self.complete_to, 0));
+        }
+    }
+
     /// Returns the runs of the job that may still exist.
     pub(super) fn runs(&self) -> impl Iterator<Item = RunKey> {
         self.stages.values().flat_map(Stage::runs)
@@ -347,7 +388,72 @@
     }
 }
 
+/// Returns how many occurrences of a plan are open at a time: fewer if they have many steps or tasks.
+fn open_occurrences_max(plan: &Plan) -> u32 {
+    let steps = STEPS_MAX / plan.steps.len().max(1);
+    let tasks = u64::from(PLAN_TASKS_MAX) / plan.tasks().max(1);
+    let fit = u32::try_from(steps.min(tasks as usize)).unwrap_or(u32::MAX);
+    fit.clamp(1, OCCURRENCES_OPEN_MAX)
+}
+
+/// Returns the memory of a job that has ended, in bytes.
+fn ended_job_memory(plan: &Plan) -> u64 {
+    (size_of::<Job>() + NODE_BYTES + plan.memory()) as u64
+}
+
+/// Returns the memory that a job with this plan takes at most, in bytes: while it is open, and each of
+/// its tasks has a run.
+pub fn job_memory(plan: &Plan) -> u64 {
+    let stage = size_of::<Stage>() + NODE_BYTES;
+    let task = size_of::<Task>() + size_of::<runs::Run>() + TASK_NODES * NODE_BYTES;
+    let stages = (plan.steps.len() * stage) as u64;
+    let tasks = plan.tasks().saturating_mul(task as u64);
+    let open = u64::from(open_occurrences_max(plan).min(plan.occurrences()));
+    let occurrences = stages.saturating_add(tasks).saturating_mul(open);
+    ended_job_memory(plan).saturating_add(occurrences)
+}
+
 impl Scheduler {
+    /// Returns the memory that the jobs take at most, in bytes.
+    pub fn jobs_memory(&self) -> u64 {
+        self.jobs_memory
+    }
+
+    /// Adds a job, which counts for the memory that it may take.
+    pub(super) fn insert_job(&mut self, job: Job) -> JobKey {
+        let ended = job.ended();
+        let key = self.jobs.insert(job);
+        if ended {
+            self.unreleased_jobs.insert(key);
+        }
+        self.count_memory(key, job_memory);
+        key
+    }
+
+    fn count_memory(&mut self, key: JobKey, memory: impl Fn(&Plan) -> u64) {
+        if let Some(job) = self.jobs.get_mut(key) {
+            let memory = memory(&job.plan);
+            self.jobs_memory = self.jobs_memory - job.memory + memory;
+            job.memory = memory;
+        }
+    }
+
+    /// Forgets the stages of jobs that have ended and have no runs.
+    fn release_ended_jobs(&mut self) {
+        let unreleased = std::mem::take(&mut self.unreleased_jobs);
+        for key in unreleased {
+            let Some(job) = self.jobs.get_mut(key) else {
+                continue;
+            };
+            if job.runs().next().is_some() {
+                self.unreleased_jobs.insert(key);
+                continue;
+            }
+            job.stages = BTreeMap::new();
+            self.count_memory(key, ended_job_memory);
+        }
+    }
+
     pub(super) fn queue(&self, name: &str) -> Option<&Queue> {
         self.config.queues.get(name)
     }
@@ -382,6 +488,7 @@
         if job.ended() {
             return;
         }
+        job.release_complete();
         while job.next_is_due(unix_ms) {
             job.open_occurrence(job.next_occurrence);
         }
@@ -477,6 +584,7 @@
         let ended_at = *job.ended_at.get_or_insert(now);
         self.ended_jobs.insert((ended_at, key));
         self.open_jobs.remove(&key);
+        self.unreleased_jobs.insert(key);
         let mut positions = Vec::new();
         let mut runs = Vec::new();
         for (&(occurrence, step), stage) in &job.stages {
@@ -510,6 +618,7 @@
             self.advance(key);
         }
         self.log_long_waits();
+        self.release_ended_jobs();
         self.remove_old_jobs();
     }
 
@@ -522,7 +631,10 @@
         let old: Vec<(Time, JobKey, JobId)> = old.map(|(t, k, j)| (t, k, j.id)).collect();
         for (ended_at, key, id) in old {
             self.ended_jobs.remove(&(ended_at, key));
-            self.jobs.remove(key);
+            if let Some(job) = self.jobs.remove(key) {
+                self.jobs_memory -= job.memory;
+            }
+            self.unreleased_jobs.remove(&key);
             self.jobs_by_id.remove(&id);
             self.flush.remove_job(key, id);
         }
--- a/crates/monsoonnotch_jobs/src/scheduler/mod.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/mod.rs
@@ -44,6 +44,7 @@
 
 pub use self::job::JobKey;
 pub use self::job::StageKey;
+pub use self::job::job_memory;
 pub use self::runs::RunKey;
 
 /// Pause between placement passes for every [`STAGES_PER_PLACEMENT_PAUSE`] stages in
@@ -86,6 +87,10 @@
     open_jobs: BTreeSet<JobKey>,
     /// Jobs that have ended and are still kept, by the time at which they ended.
     ended_jobs: BTreeSet<(Time, JobKey)>,
+    /// Jobs among them that still have their stages.
+    unreleased_jobs: BTreeSet<JobKey>,
+    /// Memory that all jobs count for, in bytes.
+    jobs_memory: u64,
     vms: Arena<VmKey, vms::Vm>,
     vms_by_id: BTreeMap<CompactString, VmKey>,
     runs: BTreeMap<RunKey, runs::Run>,
@@ -150,6 +155,8 @@
             cancelled_before_submission: BTreeSet::new(),
             open_jobs: BTreeSet::new(),
             ended_jobs: BTreeSet::new(),
+            unreleased_jobs: BTreeSet::new(),
+            jobs_memory: 0,
             vms: Arena::default(),
             vms_by_id: BTreeMap::new(),
             runs: BTreeMap::new(),
--- a/crates/monsoonnotch_jobs/src/scheduler/replay.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/replay.rs
@@ -161,7 +161,7 @@
             )
         };
         let ended = job.ended();
-        let key = self.jobs.insert(job);
+        let key = self.insert_job(job);
         self.jobs_by_id.insert(id, key);
         self.open_jobs.insert(key);
         self.record_typical(key);
@@ -243,6 +243,7 @@
             return;
         };
         job.begun |= progress.begun;
+        job.skip_to(progress.complete_to);
         for stage in &progress.stages {
             job.restore(stage);
         }
@@ -266,7 +267,7 @@
             ended_at: Some(self.now),
             ..Job::new(id, queue, progress.account, pool, Plan::default(), 0)
         };
-        let key = self.jobs.insert(job);
+        let key = self.insert_job(job);
         self.jobs_by_id.insert(id, key);
         self.ended_jobs.insert((self.now, key));
     }
--- a/crates/monsoonnotch_jobs/tests/promises/checks.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/checks.rs
@@ -122,6 +122,7 @@
             return false;
         };
         p.outcome == Some(journal::Outcome::Completed)
+            || task.stage.occurrence < p.complete_to
             || p.stages.iter().any(|s| {
                 let same = s.step == task.stage.step && s.occurrence == task.stage.occurrence;
                 same && (s.complete || s.done.contains(&task.index))
--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -24,6 +24,7 @@
 mod poison;
 mod poison_tasks;
 mod random;
+mod repeated_jobs;
 mod restarts;
 mod saturated_link;
 mod simulation;
