Bound what submissions take until they are stored, and jobs at the leader

What callers saw: 200 valid jobs of 4,000 steps at once end a member, also the leader when all of them are sent to another member. After the crowd the leader stays large, since the jobs are accepted.

Cause: nothing bounds several hundred requests that are legal one by one. Each keeps its decoded plan while it waits for the store, its record is copied on the way to the leader and to the store, the leader takes whatever its followers relay, and accepts jobs without a look at its memory. A record that the store does not take is refused with all others of its append, again and again.

Change: the plan is dropped before the wait. The memory of the body becomes that of the record and its copies; it goes with the record through the queue of the link and of the appender, so that it is given back with the last copy also when the caller has left. The leader has memory of its own for relayed records. Each submission takes its place among the leader's jobs before it is stored: a quarter of the memory for all, a quarter of what is free for one, with what is being stored and what the scheduler has not read yet. Otherwise 503 with Retry-After, and nothing is stored. A submission that was sent in the last 5 s as well may be stored, and is not refused for this. A record beyond 262,144 bytes gets 413.

--- a/crates/monsoonnotch_ingress/src/limits/mod.rs
+++ b/crates/monsoonnotch_ingress/src/limits/mod.rs
@@ -8,7 +8,7 @@
 /// task.
 const HTTP_CONNECTION_BYTES: u64 = 48 << 10;
 /// Size of a link's receive buffer, in bytes: more than a link between regions carries in a round trip.
-pub const LINK_RECEIVE_BUFFER_BYTES: u32 = 64 << 10;
+pub const LINK_RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
 /// Memory of a link between processes, in bytes, without the messages on it.
 const LINK_BYTES: u64 = 16 << 10;
 /// Connections of a listener that wait for a place, or whose first request is refused for want of one.
--- a/crates/monsoonnotch_jobs/src/comeback/mod.rs
+++ b/crates/monsoonnotch_jobs/src/comeback/mod.rs
@@ -20,6 +20,8 @@
     NoTime,
     /// The pool is full, for about this long.
     NoRoom(Duration),
+    /// The leader's memory has no room for the job, or the member's for the request.
+    NoMemory,
 }
 
 /// Shortest time that is given to callers: a change of leader takes about as long.
@@ -39,6 +41,7 @@
             Self::Starting => "starting",
             Self::NoTime => "no_time",
             Self::NoRoom(_) => "no_room",
+            Self::NoMemory => "no_memory",
         }
     }
 
@@ -48,7 +51,7 @@
         match self {
             Self::StoreAway(age) => Duration::from_millis(age.as_millis() / 2),
             Self::StoreSlow(wait) | Self::NoRoom(wait) => wait,
-            Self::NoLeader | Self::Starting | Self::NoTime => RETRY_MIN,
+            Self::NoLeader | Self::Starting | Self::NoTime | Self::NoMemory => RETRY_MIN,
         }
     }
 
--- a/crates/monsoonnotch_jobs/src/lib.rs
+++ b/crates/monsoonnotch_jobs/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod explanation;
 pub mod fencing;
 pub mod fitness;
+pub mod job_room;
 pub mod journal;
 pub mod order;
 pub mod plan;
--- a/crates/monsoonnotch_member/src/control/mod.rs
+++ b/crates/monsoonnotch_member/src/control/mod.rs
@@ -13,6 +13,7 @@
 use monsoonnotch_entry::clock::Clock;
 use monsoonnotch_jobs::effect::Effect;
 use monsoonnotch_jobs::event::Event;
+use monsoonnotch_jobs::job_room::Known;
 use monsoonnotch_jobs::scheduler::Scheduler;
 use monsoonnotch_jobs::site::PublishedConfig;
 use monsoonnotch_jobs::tuning::Tuning;
@@ -76,8 +77,31 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Inbox {
     tx: mpsc::Sender<Input>,
-    /// Offset before which the scheduler knows all records of the journal.
-    journal_position: Arc<AtomicU64>,
+    known: Arc<SchedulerState>,
+}
+
+/// What the scheduler publishes of its state after each decision.
+#[derive(Debug, Default)]
+struct SchedulerState {
+    /// Memory that its jobs take, in bytes.
+    jobs_memory: AtomicU64,
+    /// Offset before which it knows all records of the journal.
+    journal_position: AtomicU64,
+}
+
+impl SchedulerState {
+    fn publish(&self, known: Known) {
+        // A reader that sees the position must not see the memory without the jobs before it.
+        self.jobs_memory.store(known.memory, Ordering::Relaxed);
+        self.journal_position
+            .store(known.read_to, Ordering::Release);
+    }
+
+    fn known(&self) -> Known {
+        let read_to = self.journal_position.load(Ordering::Acquire);
+        let memory = self.jobs_memory.load(Ordering::Relaxed);
+        Known { memory, read_to }
+    }
 }
 
 impl Inbox {
@@ -89,7 +113,12 @@
     /// Returns the offset before which the scheduler knows all records of the journal. During the
     /// first reads of a term it may be that of an earlier term, which is lower.
     pub(crate) fn journal_position(&self) -> u64 {
-        self.journal_position.load(Ordering::Relaxed)
+        self.known.known().read_to
+    }
+
+    /// Returns what the scheduler knows: the memory of its jobs, and the position above.
+    pub(crate) fn known(&self) -> Known {
+        self.known.known()
     }
 
     /// Sends an event to the scheduler of the term with this token.
@@ -103,12 +132,8 @@
 /// Creates the input channel of the control thread.
 pub(crate) fn inbox() -> (Inbox, mpsc::Receiver<Input>) {
     let (tx, rx) = mpsc::channel();
-    let journal_position = Arc::default();
-    let inbox = Inbox {
-        tx,
-        journal_position,
-    };
-    (inbox, rx)
+    let known = Arc::default();
+    (Inbox { tx, known }, rx)
 }
 
 /// Starts the control thread.
@@ -121,10 +146,10 @@
     tuning: Tuning,
     out: impl Fn(Output) -> bool + Send + 'static,
 ) {
-    let journal_position = Arc::clone(&inbox.journal_position);
+    let known = Arc::clone(&inbox.known);
     std::thread::spawn(move || {
         let mut control = Control {
-            journal_position,
+            known,
             clock,
             tuning,
             scheduler: None,
@@ -140,8 +165,8 @@
 
 #[derive(Debug)]
 struct Control {
-    /// See [`Inbox::journal_position`].
-    journal_position: Arc<AtomicU64>,
+    /// See [`Inbox::known`].
+    known: Arc<SchedulerState>,
     clock: Clock,
     tuning: Tuning,
     scheduler: Option<Scheduler>,
@@ -265,7 +290,11 @@
             } if self.is_current(token) => {
                 self.confirmed_at = self.confirmed_at.max(requested_at);
             }
-            Input::EndTerm(token) if self.is_current(token) => self.scheduler = None,
+            Input::EndTerm(token) if self.is_current(token) => {
+                self.scheduler = None;
+                let read_to = self.known.known().read_to;
+                self.known.publish(Known { memory: 0, read_to });
+            }
             Input::TokenConfirmed { .. } | Input::EndTerm(_) => {}
         }
     }
@@ -291,8 +320,10 @@
             .as_mut()
             .filter(|_| !self.token_unconfirmed)?;
         let effects = scheduler.decide(self.clock.now(), unix_ms());
-        let position = scheduler.journal_position();
-        self.journal_position.store(position, Ordering::Relaxed);
+        self.known.publish(Known {
+            memory: scheduler.jobs_memory(),
+            read_to: scheduler.journal_position(),
+        });
         Some((scheduler.token(), effects))
     }
 }
--- a/crates/monsoonnotch_member/src/cx/mod.rs
+++ b/crates/monsoonnotch_member/src/cx/mod.rs
@@ -22,6 +22,7 @@
 use monsoonnotch_jobs::effect::Answer;
 use monsoonnotch_jobs::effect::ApprovalSlotKey;
 use monsoonnotch_jobs::explanation::Explanation;
+use monsoonnotch_jobs::job_room::JobRoom;
 use monsoonnotch_jobs::site::PublishedConfig;
 use serde::Deserialize;
 use serde::Serialize;
@@ -33,6 +34,7 @@
 use crate::evacuation::Evacuations;
 use crate::ingress::Budgets;
 use crate::links::Frame;
+use crate::links::QueuedFrame;
 use crate::links::StoreResult;
 use crate::requests::appender::PendingRecord;
 use crate::requests::recent::RecentSubmissions;
@@ -107,7 +109,7 @@
     /// Orders that followers carry out, while this member is the leader.
     pub(crate) delegation: Mutex<Delegation>,
     /// Send queue of the link to the leader, while another member is the leader.
-    pub(crate) leader_link: Mutex<Option<mpsc::Sender<Frame>>>,
+    pub(crate) leader_link: Mutex<Option<mpsc::Sender<QueuedFrame>>>,
     /// Number of VMs of the fleet, as last heard from a leader or its claim; zero if unknown.
     pub(crate) fleet_vms: AtomicU32,
     /// Mean time of recent appends of this process, in microseconds.
@@ -116,6 +118,8 @@
     pub(crate) leader_reaches_store: AtomicBool,
     /// Addresses of some other members, as last received from a leader.
     pub(crate) peer_addrs: Mutex<BTreeSet<CompactString>>,
+    /// Room for further jobs in this member's memory, while it is the leader.
+    pub(crate) job_room: Mutex<JobRoom>,
     /// Queue of records that callers submit and that are to be stored.
     pub(crate) submissions: mpsc::UnboundedSender<PendingRecord>,
     /// Queries to the leader that are not answered yet.
@@ -160,6 +164,7 @@
             append_us: AtomicU64::new(0),
             leader_reaches_store: AtomicBool::new(true),
             peer_addrs: Mutex::default(),
+            job_room: Mutex::new(JobRoom::new(settings.jobs_memory())),
             submissions,
             queries: PendingRequests::default(),
             questions: PendingRequests::default(),
--- a/crates/monsoonnotch_member/src/executor/orders.rs
+++ b/crates/monsoonnotch_member/src/executor/orders.rs
@@ -14,6 +14,7 @@
 
 use crate::cx::Cx;
 use crate::links::Frame;
+use crate::links::QueuedFrame;
 
 /// Pause before outcomes are sent, in which further ones gather.
 const BATCH_PAUSE: Duration = Duration::from_millis(4);
@@ -29,7 +30,7 @@
 
 impl OrderExecutor {
     /// Creates an executor that sends the outcomes to `link`.
-    pub(crate) fn new(link: mpsc::Sender<Frame>) -> Self {
+    pub(crate) fn new(link: mpsc::Sender<QueuedFrame>) -> Self {
         let (outcomes, rx) = mpsc::unbounded_channel();
         tokio::spawn(send_outcomes(link, rx));
         Self {
@@ -90,7 +91,10 @@
 }
 
 /// Sends outcomes in batches until the executor is dropped or the link ends.
-async fn send_outcomes(link: mpsc::Sender<Frame>, mut rx: mpsc::UnboundedReceiver<(u64, Outcome)>) {
+async fn send_outcomes(
+    link: mpsc::Sender<QueuedFrame>,
+    mut rx: mpsc::UnboundedReceiver<(u64, Outcome)>,
+) {
     let mut outcomes = Vec::new();
     while rx.recv_many(&mut outcomes, BATCH_OUTCOMES_MAX).await > 0 {
         tokio::time::sleep(BATCH_PAUSE).await;
@@ -100,7 +104,11 @@
             outcomes.push(outcome);
         }
         let outcomes = std::mem::take(&mut outcomes);
-        if link.send(Frame::Outcomes { outcomes }).await.is_err() {
+        if link
+            .send(Frame::Outcomes { outcomes }.into())
+            .await
+            .is_err()
+        {
             return;
         }
     }
--- a/crates/monsoonnotch_member/src/ingress/mod.rs
+++ b/crates/monsoonnotch_member/src/ingress/mod.rs
@@ -24,6 +24,8 @@
     operators: Budget,
     links: Budget,
     callers: Budget,
+    /// For the records that followers relay to this member while it is the leader.
+    pub(crate) relayed: Budget,
 }
 
 impl Budgets {
@@ -33,11 +35,13 @@
         let readiness = budget("readiness", limits.split_off_few(0));
         let operators = budget("operators", limits.split_off_few(QUESTIONS_MEMORY));
         let links = budget("links", limits.split_off_links());
+        let relayed = budget("relayed", limits.split_off_records());
         Self {
             readiness,
             operators,
             links,
             callers: budget("callers", limits.rest()),
+            relayed,
         }
     }
 }
--- a/crates/monsoonnotch_member/src/leadership/mod.rs
+++ b/crates/monsoonnotch_member/src/leadership/mod.rs
@@ -15,6 +15,7 @@
 use monsoonnotch_adapter::store::APPEND_TIMEOUTS;
 use monsoonnotch_adapter::store::Error;
 use monsoonnotch_adapter::store::Newest;
+use monsoonnotch_adapter::store::READ_RECORDS_MAX;
 use monsoonnotch_core::record::decode;
 use monsoonnotch_core::record::encode;
 use monsoonnotch_jobs::fitness;
@@ -239,7 +240,11 @@
 /// Returns whether there is a claim after the one with this token, or `None` when the store does
 /// not tell.
 async fn is_followed_by_claim(cx: &Cx, token: u64) -> Option<bool> {
-    let page = cx.store.read(TOPIC, token, Duration::ZERO).await.ok()?;
+    let page = cx
+        .store
+        .read(TOPIC, token, READ_RECORDS_MAX, Duration::ZERO)
+        .await
+        .ok()?;
     let is_claim = |record| store::decode_keyed(record).is_some_and(|r| decode_claim(&r).is_some());
     Some(page.records.iter().any(|(_, record)| is_claim(record)))
 }
--- a/crates/monsoonnotch_member/src/links/follower.rs
+++ b/crates/monsoonnotch_member/src/links/follower.rs
@@ -15,6 +15,7 @@
 
 use super::FRAME_QUEUE_MAX;
 use super::Frame;
+use super::QueuedFrame;
 use super::Socket;
 use super::StoreResult;
 use super::decode_frame;
@@ -195,7 +196,7 @@
     loop {
         let open = tokio::select! {
             frame = out.recv() => match frame {
-                Some(frame) => send_frame(&mut socket, &frame).await,
+                Some(queued) => send_frame(&mut socket, &queued.frame).await,
                 None => false,
             },
             _ = heartbeats.tick() => {
@@ -260,19 +261,20 @@
 }
 
 /// Probes the store and reports to the leader how long it took to answer.
-async fn probe_for_leader(cx: &Cx, tx: &mpsc::Sender<Frame>) {
+async fn probe_for_leader(cx: &Cx, tx: &mpsc::Sender<QueuedFrame>) {
     let began = Instant::now();
     let responded = appender::probe_store(cx).await;
     let took = u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX);
     // When the link is closed, the leader no longer waits for the report.
-    let _ = tx.send(heartbeat(cx, responded.then_some(took))).await;
+    let report = heartbeat(cx, responded.then_some(took));
+    let _ = tx.send(report.into()).await;
 }
 
 fn handle_frame(
     cx: &Arc<Cx>,
     leadership: &Leadership,
     contact: &LeaderContact,
-    tx: &mpsc::Sender<Frame>,
+    tx: &mpsc::Sender<QueuedFrame>,
     frame: Frame,
 ) {
     match frame {
@@ -319,7 +321,7 @@
                 let addr = &cx.settings.services.approval;
                 let allowed = approval::request(&cx.http, addr, &stage, &vms).await;
                 // When the link is closed, the leader no longer waits for the response.
-                let _ = tx.send(Frame::Approved { request, allowed }).await;
+                let _ = tx.send(Frame::Approved { request, allowed }.into()).await;
             });
         }
         Frame::Config { value } => crate::config::apply(cx, &value, "the leader"),
--- a/crates/monsoonnotch_member/src/links/leader.rs
+++ b/crates/monsoonnotch_member/src/links/leader.rs
@@ -38,6 +38,7 @@
 use crate::executor;
 use crate::leadership;
 use crate::requests::submit;
+use crate::requests::submit::Storable;
 
 /// Timeout for the handshake and for the hello frame: a few round trips.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -344,12 +345,11 @@
             within_ms,
             key,
             value,
+            job_memory,
         } => {
             let cx = Arc::clone(cx);
-            let record = KeyedRecord {
-                key,
-                value: value.into_vec(),
-            };
+            let value = value.into_vec();
+            let record = Storable::new(KeyedRecord { key, value }, job_memory);
             let within = Duration::from_millis(within_ms).min(WITHIN_MAX);
             tokio::spawn(async move { store_for_follower(&cx, link, seq, record, within).await });
         }
@@ -360,13 +360,7 @@
 }
 
 /// Stores a record for a follower that cannot store it itself, and reports the outcome to it.
-async fn store_for_follower(
-    cx: &Arc<Cx>,
-    link: u64,
-    seq: u64,
-    record: KeyedRecord,
-    within: Duration,
-) {
+async fn store_for_follower(cx: &Arc<Cx>, link: u64, seq: u64, record: Storable, within: Duration) {
     let deadline = tokio::time::Instant::now() + within;
     let result = submit::store_for_follower(cx, record, deadline).await;
     // A follower whose link is closed treats the outcome as unknown.
--- a/crates/monsoonnotch_member/src/links/mod.rs
+++ b/crates/monsoonnotch_member/src/links/mod.rs
@@ -3,12 +3,14 @@
 mod follower;
 mod leader;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use futures_util::SinkExt;
 use monsoonnotch_core::record::decode;
 use monsoonnotch_core::record::encode;
+use monsoonnotch_ingress::prelude::Share;
 use monsoonnotch_jobs::delegation::Batch;
 use monsoonnotch_jobs::delegation::Outcome;
 use monsoonnotch_jobs::effect::Answer;
@@ -180,6 +182,9 @@
         key: CompactString,
         /// Value of the record.
         value: ByteBuf,
+        /// What the job takes of the leader's memory, in bytes; zero if the record is no submission.
+        #[serde(default)]
+        job_memory: u64,
     },
     /// The outcome of a request to store a record.
     #[serde(rename = "StoreFate")]
@@ -212,6 +217,30 @@
     Claim,
 }
 
+/// A frame that waits for its link, and the memory of a record in it.
+#[derive(Debug)]
+pub(crate) struct QueuedFrame {
+    frame: Frame,
+    /// Given back when the frame is dropped.
+    _memory: Option<Arc<Share>>,
+}
+
+impl QueuedFrame {
+    /// Queues a frame with a record that takes `memory`.
+    pub(crate) fn with_memory(frame: Frame, memory: Option<Arc<Share>>) -> Self {
+        Self {
+            frame,
+            _memory: memory,
+        }
+    }
+}
+
+impl From<Frame> for QueuedFrame {
+    fn from(frame: Frame) -> Self {
+        Self::with_memory(frame, None)
+    }
+}
+
 /// The outcome of a request to store a record.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) enum StoreOutcome {
@@ -233,6 +262,16 @@
     pub(crate) turned_away_s: Option<u32>,
 }
 
+impl StoreResult {
+    /// Returns the answer to a submission that is turned away for `retry_s` seconds.
+    pub(crate) fn turned_away(retry_s: u32) -> Self {
+        Self {
+            outcome: StoreOutcome::NotStored,
+            turned_away_s: Some(retry_s),
+        }
+    }
+}
+
 impl From<StoreOutcome> for StoreResult {
     fn from(outcome: StoreOutcome) -> Self {
         Self {
--- a/crates/monsoonnotch_member/src/requests/appender.rs
+++ b/crates/monsoonnotch_member/src/requests/appender.rs
@@ -10,6 +10,7 @@
 use monsoonnotch_adapter::caller_api::Reply;
 use monsoonnotch_adapter::store::Error;
 use monsoonnotch_core::time;
+use monsoonnotch_ingress::prelude::Share;
 use monsoonnotch_jobs::append_pace::AppendPace;
 use monsoonnotch_jobs::comeback::Cause;
 use monsoonnotch_jobs::event::Event;
@@ -22,12 +23,14 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use super::job_place::JobPlace;
 use super::refusal;
 use super::submit::is_store_unavailable;
 use crate::cx::Cx;
 use crate::cx::lock;
 use crate::leadership::TOPIC as CLAIMS;
 use crate::links::Frame;
+use crate::links::QueuedFrame;
 use crate::term::JOURNAL_TOPIC;
 
 /// How long a record that the store refuses is retried before the caller's request is refused: a
@@ -59,6 +62,10 @@
     pub(super) may_have_run: bool,
     /// Where the reply goes; `None` once it was sent.
     pub(super) reply: Option<oneshot::Sender<Reply>>,
+    /// The place of the job in the leader's memory.
+    pub(super) place: JobPlace,
+    /// The memory of the record and its copies.
+    pub(super) memory: Option<Arc<Share>>,
 }
 
 impl PendingRecord {
@@ -247,15 +254,17 @@
 
 /// Reports stored records to the leader and to their callers; `offset` is that of the first record.
 fn report_stored(cx: &Cx, offset: u64, stored: Vec<Waiting<PendingRecord>>) {
-    for (offset, mut waiting) in (offset..).zip(stored) {
-        notify_leader(cx, offset, waiting.item.record.clone());
-        waiting.item.send_reply(Reply::Stored);
+    for (offset, waiting) in (offset..).zip(stored) {
+        let mut pending = waiting.item;
+        pending.send_reply(Reply::Stored);
+        pending.place.keep(offset);
+        notify_leader(cx, offset, pending.record, pending.memory);
     }
 }
 
 /// Notifies the leader of a stored record. If this fails, the leader reads the record from the
 /// journal.
-fn notify_leader(cx: &Cx, offset: u64, record: KeyedRecord) {
+fn notify_leader(cx: &Cx, offset: u64, record: KeyedRecord, memory: Option<Arc<Share>>) {
     if let Some(token) = cx.own_token() {
         cx.control
             .event(token, Event::RecordsStored(vec![(offset, record)]));
@@ -267,7 +276,7 @@
         value: ByteBuf::from(record.value),
     };
     if let Some(tx) = lock(&cx.leader_link).as_ref() {
-        let _ = tx.try_send(frame);
+        let _ = tx.try_send(QueuedFrame::with_memory(frame, memory));
     }
 }
 
--- a/crates/monsoonnotch_member/src/requests/explain.rs
+++ b/crates/monsoonnotch_member/src/requests/explain.rs
@@ -51,7 +51,7 @@
         None => {
             let link = lock(&cx.leader_link);
             link.as_ref()
-                .is_some_and(|tx| tx.try_send(Frame::Explain { seq, subject }).is_ok())
+                .is_some_and(|tx| tx.try_send(Frame::Explain { seq, subject }.into()).is_ok())
         }
     };
     let answer = match sent {
--- a/crates/monsoonnotch_member/src/requests/mod.rs
+++ b/crates/monsoonnotch_member/src/requests/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod appender;
 pub(crate) mod explain;
+mod job_place;
 pub(crate) mod recent;
 pub(crate) mod refusal;
 pub(crate) mod submit;
@@ -27,11 +28,12 @@
 use monsoonnotch_jobs::plan::parse_job_id;
 use tokio::time::Instant;
 
+use self::submit::Storable;
 use crate::cx::Cx;
 use crate::cx::LOCAL_LINK;
 use crate::cx::lock;
 use crate::links::Frame;
-use crate::term::JOURNAL_TOPIC;
+use crate::term::read_journal;
 
 /// Longest part of a caller's timeout that is reserved for sending the response; at most a quarter of
 /// the timeout.
@@ -40,7 +42,7 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of pages of the journal that are searched for a submission that the leader has not
 /// read.
-const JOURNAL_PAGES_MAX: u32 = 8;
+const JOURNAL_PAGES_MAX: u32 = 64;
 /// Pause before a query is repeated.
 const QUERY_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -111,10 +113,14 @@
         Verb::Submit { plan: None, .. } => Reply::Invalid,
         Verb::Submit {
             plan: Some(plan),
-            memory: _memory,
+            memory,
         } => {
             let submission = submit::submission(name, queue, account, *plan);
-            submit::submit(cx, id, &submission, deadline).await
+            // The plan is dropped before the wait: many may be in progress, and each may be large.
+            match submit::prepare(cx, id, submission, memory) {
+                Ok(record) => submit::store(cx, record, deadline).await,
+                Err(reply) => reply,
+            }
         }
         Verb::Query => job_state(cx, id, account, deadline).await,
         Verb::Cancel => cancel(cx, id, account, deadline).await,
@@ -146,7 +152,7 @@
 async fn is_submission_stored(cx: &Cx, id: JobId, mut from: u64) -> Option<bool> {
     let key = journal::submission_key(id);
     for _ in 0..JOURNAL_PAGES_MAX {
-        let page = cx.store.read(JOURNAL_TOPIC, from, Duration::ZERO).await;
+        let page = read_journal(cx, from).await;
         cx.record_store_result(page.is_ok());
         let page = page.ok()?;
         let mut stored = page
@@ -171,9 +177,10 @@
 async fn cancel(cx: &Arc<Cx>, id: JobId, account: CompactString, deadline: Instant) -> Reply {
     let query_deadline = (Instant::now() + ANSWER_TIMEOUT).min(deadline);
     let query = Query::State { id, account };
+    let cancellation = Storable::new(journal::cancellation_record(id), 0);
     let (known, stored) = tokio::join!(
         query_leader(cx, query, query_deadline),
-        submit::store(cx, journal::cancellation_record(id), deadline),
+        submit::store(cx, cancellation, deadline),
     );
     match (known, stored) {
         (Some(Answer::NoJob { read_to }), Reply::Stored) => {
@@ -220,5 +227,5 @@
     let frame = Frame::Query { seq, query };
     leader_link
         .as_ref()
-        .is_some_and(|tx| tx.try_send(frame).is_ok())
+        .is_some_and(|tx| tx.try_send(frame.into()).is_ok())
 }
--- a/crates/monsoonnotch_member/src/requests/submit.rs
+++ b/crates/monsoonnotch_member/src/requests/submit.rs
@@ -9,6 +9,8 @@
 
 use compact_str::CompactString;
 use monsoonnotch_adapter::caller_api::Reply;
+use monsoonnotch_adapter::store::fits_into_record;
+use monsoonnotch_ingress::prelude::Share;
 use monsoonnotch_jobs::comeback::Cause;
 use monsoonnotch_jobs::journal;
 use monsoonnotch_jobs::journal::Entry;
@@ -17,6 +19,7 @@
 use monsoonnotch_jobs::plan::JobId;
 use monsoonnotch_jobs::plan::Plan;
 use monsoonnotch_jobs::plan::parse_job_id;
+use monsoonnotch_jobs::scheduler::job_memory;
 use monsoonnotch_jobs::site::Queue;
 use serde_bytes::ByteBuf;
 use tokio::sync::oneshot;
@@ -24,11 +27,13 @@
 
 use super::appender::PendingRecord;
 use super::appender::RETRY_PAUSE;
+use super::job_place::JobPlace;
 use super::refusal;
 use crate::control::unix_ms;
 use crate::cx::Cx;
 use crate::cx::lock;
 use crate::links::Frame;
+use crate::links::QueuedFrame;
 use crate::links::StoreOutcome;
 use crate::links::StoreResult;
 
@@ -36,6 +41,9 @@
 const RELAY_ROUND_TRIP_MAX: Duration = Duration::from_millis(60);
 /// Least time in which a record can be stored: the round trip to the leader, and an append.
 const STORE_TIME_MIN: Duration = Duration::from_millis(80);
+/// Number of copies of a record on its way to the store: the record, a frame, a message or the body of an
+/// append, and a report to the leader.
+const RECORD_COPIES: u64 = 4;
 /// How long the store may fail to respond before it counts as unavailable. New submissions are then
 /// refused at once, unless the leader can reach the store. The refusal truly states that they have
 /// not run, because they were never sent.
@@ -57,16 +65,72 @@
     }
 }
 
-/// Stores a submission, unless it is turned away for want of room.
-pub(super) async fn submit(
-    cx: &Arc<Cx>,
+/// A record that is to be stored, and what it takes meanwhile.
+#[derive(Debug, Clone)]
+pub(crate) struct Storable {
+    pub(crate) record: KeyedRecord,
+    /// What the job takes of the leader's memory, in bytes; zero if the record is no submission.
+    pub(crate) job_memory: u64,
+    /// Whether it was sent a short time ago as well, so that it must not be refused as not run.
+    pub(crate) repeated: bool,
+    /// The memory of the record and its copies. It is given back with the last of them.
+    pub(crate) memory: Option<Arc<Share>>,
+}
+
+impl Storable {
+    /// Wraps a record that takes `job_memory` bytes of the leader's memory.
+    pub(crate) fn new(record: KeyedRecord, job_memory: u64) -> Self {
+        Self {
+            record,
+            job_memory,
+            repeated: false,
+            memory: None,
+        }
+    }
+
+    /// Returns the id of the job if the record is a submission. Other records have other keys.
+    fn submitted(&self) -> Option<JobId> {
+        parse_job_id(&self.record.key)
+    }
+
+    /// Returns the refusal for want of memory.
+    fn no_memory_retry_s(&self, cx: &Cx) -> u32 {
+        match self.submitted() {
+            Some(id) => refusal::unsent_retry_s(cx, id, Cause::NoMemory),
+            None => refusal::retry_s(Cause::NoMemory),
+        }
+    }
+}
+
+/// Turns a submission into the record to store; `memory` is that of the request.
+///
+/// The error is the reply if the submission is turned away, or if there is no memory for the record.
+pub(super) fn prepare(
+    cx: &Cx,
     id: JobId,
-    submission: &Submission,
-    deadline: Instant,
-) -> Reply {
-    match refusal::turned_away_s(cx, id, || Some(submission.clone())) {
-        Some(retry_s) => Reply::NotRun { retry_s },
-        None => store(cx, journal::submission_record(id, submission), deadline).await,
+    submission: Submission,
+    mut memory: Share,
+) -> Result<Storable, Reply> {
+    let record = journal::submission_record(id, &submission);
+    if !fits_into_record(&record) {
+        return Err(Reply::TooLarge);
+    }
+    if !memory.resize(record.value.len() as u64 * RECORD_COPIES) {
+        return Err(refusal::not_run(Cause::NoMemory));
+    }
+    let repeated = refusal::is_repeated(cx, id);
+    let job_memory = job_memory(&submission.plan);
+    let turned_away = match repeated {
+        true => None,
+        false => refusal::turned_away_s(cx, id, || Some(submission)),
+    };
+    match turned_away {
+        Some(retry_s) => Err(Reply::NotRun { retry_s }),
+        None => Ok(Storable {
+            repeated,
+            memory: Some(Arc::new(memory)),
+            ..Storable::new(record, job_memory)
+        }),
     }
 }
 
@@ -77,13 +141,13 @@
 ///
 /// Returns [`Reply::NotRun`] when the record is certainly not stored, and [`Reply::MayHaveRun`]
 /// when the outcome is unknown.
-pub(super) async fn store(cx: &Arc<Cx>, record: KeyedRecord, deadline: Instant) -> Reply {
+pub(super) async fn store(cx: &Arc<Cx>, record: Storable, deadline: Instant) -> Reply {
     // A caller that comes back may have little of its time left.
     if Instant::now() + STORE_TIME_MIN >= deadline {
         return refusal::not_run(Cause::NoTime);
     }
     let relayed = match cx.leader_reaches_store.load(Ordering::Relaxed) {
-        true => relay_to_leader(cx, record.clone(), deadline).await,
+        true => relay_to_leader(cx, &record, deadline).await,
         false => Relayed::NotSent,
     };
     let leader_reaches_store = cx.leader_reaches_store.load(Ordering::Relaxed);
@@ -105,9 +169,16 @@
             refusal::not_stored(cx)
         };
     }
+    let Some(place) = JobPlace::take(cx, &record) else {
+        let retry_s = record.no_memory_retry_s(cx);
+        return match may_have_run {
+            true => Reply::MayHaveRun,
+            false => Reply::NotRun { retry_s },
+        };
+    };
     // A record that the leader may have stored can be appended again, because the store keeps one
     // record per key.
-    match store_directly(cx, record, deadline).await {
+    match store_directly(cx, record, place, deadline).await {
         Reply::Stored => Reply::Stored,
         _ if may_have_run => Reply::MayHaveRun,
         reply => reply,
@@ -131,14 +202,21 @@
 /// Stores a record through this member's own connection to the store.
 ///
 /// Waits for the batch that carries the record, and returns the reply for the caller.
-pub(crate) async fn store_directly(cx: &Arc<Cx>, record: KeyedRecord, deadline: Instant) -> Reply {
+async fn store_directly(
+    cx: &Arc<Cx>,
+    record: Storable,
+    place: JobPlace,
+    deadline: Instant,
+) -> Reply {
     let (reply, rx) = oneshot::channel();
     let pending = PendingRecord {
-        record,
+        record: record.record,
         began: Instant::now(),
         deadline,
         may_have_run: false,
         reply: Some(reply),
+        place,
+        memory: record.memory,
     };
     if cx.submissions.send(pending).is_err() {
         return refusal::not_stored(cx);
@@ -146,22 +224,34 @@
     rx.await.unwrap_or(Reply::MayHaveRun)
 }
 
-/// Stores a record for a follower, unless the store is unavailable or a submission is turned away.
+/// Stores a record for a follower, unless the store is unavailable, a submission is turned away, or there
+/// is no memory for it.
 pub(crate) async fn store_for_follower(
     cx: &Arc<Cx>,
-    record: KeyedRecord,
+    mut record: Storable,
     deadline: Instant,
 ) -> StoreResult {
     if is_store_unavailable(cx) {
         return StoreOutcome::NotStored.into();
     }
-    if let Some(retry_s) = turned_away_s(cx, &record) {
-        return StoreResult {
-            outcome: StoreOutcome::NotStored,
-            turned_away_s: Some(retry_s),
+    if let Some(id) = record.submitted() {
+        record.repeated = refusal::is_repeated(cx, id);
+        let submission = || decode_submission(&record.record);
+        let turned_away = match record.repeated {
+            true => None,
+            false => refusal::turned_away_s(cx, id, submission),
         };
+        if let Some(retry_s) = turned_away {
+            return StoreResult::turned_away(retry_s);
+        }
     }
-    let outcome = match store_directly(cx, record, deadline).await {
+    let copies = record.record.value.len() as u64 * RECORD_COPIES;
+    record.memory = cx.budgets.relayed.share(copies).map(Arc::new);
+    let place = JobPlace::take(cx, &record);
+    let Some(place) = place.filter(|_| record.memory.is_some()) else {
+        return StoreResult::turned_away(record.no_memory_retry_s(cx));
+    };
+    let outcome = match store_directly(cx, record, place, deadline).await {
         Reply::Stored => StoreOutcome::Stored,
         Reply::NotRun { .. } => StoreOutcome::NotStored,
         _ => StoreOutcome::Unknown,
@@ -169,16 +259,11 @@
     outcome.into()
 }
 
-/// Returns after which time the caller of a follower may come back, in seconds, if the record is a
-/// submission that is turned away.
-fn turned_away_s(cx: &Cx, record: &KeyedRecord) -> Option<u32> {
-    // Other records have other keys.
-    let id = parse_job_id(&record.key)?;
-    let submission = || match journal::decode_entry(record)? {
+fn decode_submission(record: &KeyedRecord) -> Option<Submission> {
+    match journal::decode_entry(record)? {
         Entry::Submitted(_, submission) => Some(*submission),
         _ => None,
-    };
-    refusal::turned_away_s(cx, id, submission)
+    }
 }
 
 pub(super) fn is_store_unavailable(cx: &Cx) -> bool {
@@ -186,15 +271,18 @@
 }
 
 /// Relays a record to the leader and waits for the outcome.
-async fn relay_to_leader(cx: &Arc<Cx>, record: KeyedRecord, deadline: Instant) -> Relayed {
+async fn relay_to_leader(cx: &Arc<Cx>, storable: &Storable, deadline: Instant) -> Relayed {
     let within = deadline.saturating_duration_since(Instant::now());
     let (seq, rx) = cx.store_requests.register();
+    let record = storable.record.clone();
     let frame = Frame::Store {
         seq,
         within_ms: within.saturating_sub(RELAY_ROUND_TRIP_MAX).as_millis() as u64,
         key: record.key,
         value: ByteBuf::from(record.value),
+        job_memory: storable.job_memory,
     };
+    let frame = QueuedFrame::with_memory(frame, storable.memory.clone());
     let sent = lock(&cx.leader_link)
         .as_ref()
         .is_some_and(|tx| tx.try_send(frame).is_ok());
--- a/crates/monsoonnotch_member/src/settings/mod.rs
+++ b/crates/monsoonnotch_member/src/settings/mod.rs
@@ -6,15 +6,17 @@
 use compact_str::CompactString;
 use monsoonnotch_core::time;
 use monsoonnotch_ingress::limits::MIB;
-use monsoonnotch_ingress::prelude;
+use monsoonnotch_ingress::prelude as ingress;
 use monsoonnotch_jobs::delegation::Limits;
 use monsoonnotch_jobs::fitness::Capacity;
 use monsoonnotch_jobs::tuning::Tuning;
 use quick_error::quick_error;
 use serde::Deserialize;
 
-/// Memory that is divided among clients if the settings do not limit it, in MiB.
+/// Memory that is divided among clients and jobs if the settings do not limit it, in MiB.
 const MEMORY_MIB_DEFAULT: f64 = 512.0;
+/// Part of the memory that jobs may take at the leader, as a divisor.
+const JOBS_MEMORY_DIVISOR: u64 = 4;
 /// Descriptors that are divided among clients if the settings do not limit them.
 const DESCRIPTORS_DEFAULT: f64 = 8_192.0;
 
@@ -226,10 +228,20 @@
     }
 
     /// Returns what clients may take of this process.
-    pub fn client_limits(&self) -> prelude::Limits {
-        let memory_mib = self.member.memory_mib.unwrap_or(MEMORY_MIB_DEFAULT);
+    pub fn client_limits(&self) -> ingress::Limits {
         let descriptors = self.member.descriptors.unwrap_or(DESCRIPTORS_DEFAULT);
-        prelude::Limits::of_vm((memory_mib * MIB as f64) as u64, descriptors as usize)
+        ingress::Limits::of_vm(self.memory(), descriptors as usize)
+    }
+
+    /// Returns the memory that jobs may take while this member is the leader, in bytes.
+    pub fn jobs_memory(&self) -> u64 {
+        self.memory() / JOBS_MEMORY_DIVISOR
+    }
+
+    /// Returns the memory of this process, in bytes.
+    fn memory(&self) -> u64 {
+        let memory_mib = self.member.memory_mib.unwrap_or(MEMORY_MIB_DEFAULT);
+        (memory_mib * MIB as f64) as u64
     }
 
     /// Returns the limits of the delegation of orders while this member is the leader.
--- a/crates/monsoonnotch_member/src/subscription/mod.rs
+++ b/crates/monsoonnotch_member/src/subscription/mod.rs
@@ -5,6 +5,7 @@
 use monsoonnotch_adapter::store;
 use monsoonnotch_adapter::store::Error;
 use monsoonnotch_adapter::store::Newest;
+use monsoonnotch_adapter::store::READ_RECORDS_MAX;
 use monsoonnotch_jobs::journal::KeyedRecord;
 
 use crate::cx::Cx;
@@ -63,7 +64,11 @@
     on_progress: &impl Fn(u64),
 ) {
     loop {
-        match cx.store.read(topic, from, cx.read_wait(wait)).await {
+        match cx
+            .store
+            .read(topic, from, READ_RECORDS_MAX, cx.read_wait(wait))
+            .await
+        {
             Ok(page) => {
                 cx.record_store_result(true);
                 from = page.next;
--- a/crates/monsoonnotch_member/src/term/mod.rs
+++ b/crates/monsoonnotch_member/src/term/mod.rs
@@ -19,6 +19,8 @@
 use monsoonnotch_adapter::store::CONFIG_TOPIC;
 use monsoonnotch_adapter::store::Error;
 use monsoonnotch_adapter::store::Newest;
+use monsoonnotch_adapter::store::Page;
+use monsoonnotch_adapter::store::READ_RECORDS_MAX;
 use monsoonnotch_adapter::store::VMS_TOPIC;
 use monsoonnotch_jobs::effect::ApprovalSlotKey;
 use monsoonnotch_jobs::event::Event;
@@ -42,6 +44,8 @@
 
 /// Topic of the store that holds the journal.
 pub(crate) const JOURNAL_TOPIC: &str = "keyed.jobs";
+/// Maximum number of records in a page of the journal; the largest take 8 MiB together.
+const JOURNAL_PAGE_RECORDS: usize = 32;
 /// Interval between reads of the journal.
 const JOURNAL_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between reads of the VM list, which changes with every heartbeat of a VM.
@@ -274,13 +278,18 @@
 /// Members report most records before they are read, and the leader knows its own. Those are left
 /// out.
 async fn feed_journal(cx: &Cx, token: u64, mut from: u64) {
+    let mut pause = JOURNAL_INTERVAL;
     loop {
-        tokio::time::sleep(JOURNAL_INTERVAL).await;
+        tokio::time::sleep(pause).await;
         from = from.max(cx.control.journal_position());
-        match cx.store.read(JOURNAL_TOPIC, from, Duration::ZERO).await {
+        match read_journal(cx, from).await {
             Ok(page) => {
                 cx.record_store_result(true);
                 from = page.next;
+                pause = match page.records.len() < JOURNAL_PAGE_RECORDS {
+                    true => JOURNAL_INTERVAL,
+                    false => Duration::ZERO,
+                };
                 let records = decode_records(&page.records);
                 if !records.is_empty() && !cx.control.event(token, Event::Journal(records)) {
                     return;
@@ -302,6 +311,14 @@
     }
 }
 
+/// Reads a page of the journal, whose records callers may have made as large as the store takes.
+pub(crate) async fn read_journal(cx: &Cx, from: u64) -> Result<Page, Error> {
+    let topic = JOURNAL_TOPIC;
+    cx.store
+        .read(topic, from, JOURNAL_PAGE_RECORDS, Duration::ZERO)
+        .await
+}
+
 fn decode_records(records: &[(u64, Bytes)]) -> Vec<(u64, KeyedRecord)> {
     let decoded = |(offset, r): &(u64, Bytes)| Some((*offset, store::decode_keyed(r)?));
     records.iter().filter_map(decoded).collect()
@@ -311,7 +328,11 @@
 async fn feed_vm_list(cx: &Cx, token: u64, mut from: u64, mut ids: BTreeSet<CompactString>) {
     loop {
         tokio::time::sleep(VM_LIST_INTERVAL).await;
-        match cx.store.read(VMS_TOPIC, from, Duration::ZERO).await {
+        match cx
+            .store
+            .read(VMS_TOPIC, from, READ_RECORDS_MAX, Duration::ZERO)
+            .await
+        {
             Ok(page) => {
                 cx.record_store_result(true);
                 from = page.next;
--- a/tests/misbehaving_clients/member.rs
+++ b/tests/misbehaving_clients/member.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use monsoonnotch_adapter::store::RECORD_BYTES_MAX;
 use monsoonnotch_adapter_standins::member::Limits;
 use monsoonnotch_adapter_standins::member::Member;
 use monsoonnotch_adapter_standins::site::Site;
@@ -25,6 +26,11 @@
     memory_mib: 64,
     descriptors: 600,
 };
+/// A VM on which the leader has room for some large jobs.
+const ORDINARY: Limits = Limits {
+    memory_mib: 160,
+    descriptors: 600,
+};
 /// The smallest VM. It is for crowds whose memory the process takes slowly, because their bytes are
 /// costly to read.
 const SMALLEST: Limits = Limits {
@@ -114,6 +120,7 @@
 #[case::peers_empty_lines(SMALL, Listener::Peers, Habit::EmptyLines, CLIENTS)]
 #[case::peers_message_cut_short(SMALL, Listener::Peers, Habit::MessageCutShort, CLIENTS)]
 #[case::peers_silence(SMALL, Listener::Peers, Habit::Silence, MANY_CLIENTS)]
+#[case::callers_accepted_large_jobs(ORDINARY, Listener::Callers, Habit::ValidLargeJob, CLIENTS)]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_member_outlives_a_crowd(
     #[case] vm: Limits,
@@ -139,6 +146,32 @@
     drop(std::fs::remove_dir_all(dir));
 }
 
+/// Returns the body of a valid job, as long as a body may be. Its record is longer than the store takes.
+fn longest_body() -> String {
+    let body = |label: &str| {
+        format!("{{\"spec\":\"\",\"phases\":[{{\"count\":1,\"required-label\":\"{label}\"}}]}}")
+    };
+    body(&"a".repeat(RECORD_BYTES_MAX - body("").len()))
+}
+
+/// Guards against a record that the store refuses, and with it all others of the same append, for as long
+/// as it is sent again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_that_fits_into_no_record_is_refused_alone() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let (_site, member, dir) = start("no-record", ORDINARY).await;
+    run_ordinary_job(&member, 1).await;
+    let body = longest_body();
+    let headers = [("authorization", "Bearer key-a")];
+    for id in 0..8 {
+        let path = format!("/jobs/{id:016}");
+        let response = send_request(member.callers, "POST", &path, &headers, &body).await;
+        assert_eq!(response.map(|r| r.status), Some(413));
+    }
+    run_ordinary_job(&member, 2).await;
+    drop(std::fs::remove_dir_all(dir));
+}
+
 /// Guards against a leader that is brought down by what callers send to other members, which pass it
 /// on: their own limits don't bound what arrives at the leader.
 #[tokio::test(flavor = "multi_thread")]
