Take memory for the messages on a member's links

What was seen: 200 connections to the peers' listener of a member that open a link and send 4 MiB less one byte take 322 MiB at once.

Cause: a link accepts messages of 4 MiB before it has said who it is, and each is buffered as it arrives. Ruled out: heads and empty lines, which the library bounds.

Change: the stream of a link reads 16 KiB until the first frame was accepted; further bytes of a message take memory of the links' part of the VM, and the link is closed if there is none. A place that waits for a handshake can be displaced like that of any other client, an open link cannot.

--- a/crates/monsoonnotch_ingress/src/budget/mod.rs
+++ b/crates/monsoonnotch_ingress/src/budget/mod.rs
@@ -266,6 +266,12 @@
         })
     }
 
+    /// Takes memory without a wait; returns whether there was enough.
+    pub(crate) fn take_now(&self, bytes: u64) -> bool {
+        let need = self.key.map(|key| Need::Bytes(key, bytes));
+        need.is_some_and(|need| matches!(self.budget.request(need), Room::Taken(_)))
+    }
+
     /// Gives back memory that was taken.
     pub(crate) fn give_back(&self, bytes: u64) {
         if let Some(key) = self.key {
--- a/crates/monsoonnotch_ingress/src/lib.rs
+++ b/crates/monsoonnotch_ingress/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod budget;
 pub mod http;
 pub mod limits;
+pub mod link_stream;
 pub mod listener;
 pub mod prelude;
 pub mod report;
--- a/crates/monsoonnotch_member/src/links/follower.rs
+++ b/crates/monsoonnotch_member/src/links/follower.rs
@@ -12,11 +12,11 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio_tungstenite::WebSocketStream;
 
 use super::FRAME_QUEUE_MAX;
 use super::Frame;
 use super::QueuedFrame;
-use super::Socket;
 use super::StoreResult;
 use super::decode_frame;
 use super::is_control_message;
@@ -36,6 +36,9 @@
 /// Pause between attempts to connect.
 const DIAL_PAUSE: Duration = Duration::from_millis(60);
 
+/// A follower's connection to the leader.
+type Socket = WebSocketStream<TcpStream>;
+
 /// How recently the leader has responded, and whether it requests a handover.
 #[derive(Debug)]
 pub(crate) struct LeaderContact {
--- a/crates/monsoonnotch_member/src/links/leader.rs
+++ b/crates/monsoonnotch_member/src/links/leader.rs
@@ -13,6 +13,7 @@
 use futures_util::StreamExt;
 use monsoonnotch_ingress::accounts::Turn;
 use monsoonnotch_ingress::prelude::Connection;
+use monsoonnotch_ingress::prelude::LinkStream;
 use monsoonnotch_ingress::prelude::Listener;
 use monsoonnotch_jobs::effect::ApprovalRequestKey;
 use monsoonnotch_jobs::effect::ApprovalSlotKey;
@@ -24,10 +25,13 @@
 use rand::seq::IndexedRandom;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::Message;
 
 use super::FRAME_QUEUE_MAX;
 use super::Frame;
 use super::LeaderContact;
+use super::MESSAGE_BYTES_MAX;
 use super::decode_frame;
 use super::is_control_message;
 use super::send_frame;
@@ -59,6 +63,9 @@
 /// Number of answered probes that are kept for each follower.
 const PROBES_KEPT: usize = 8;
 
+/// A leader's connection to a follower.
+type Socket = WebSocketStream<LinkStream>;
+
 /// The followers that are linked to this member.
 #[derive(Debug, Default)]
 pub(crate) struct Followers {
@@ -150,10 +157,7 @@
                 return;
             }
             // The result is ignored: the follower logs why its link ended.
-            tokio::select! {
-                _ = serve_follower(&cx, stream, &connection, link, &followers, &contact) => {}
-                () = connection.ended() => {}
-            }
+            serve_follower(&cx, stream, connection, link, &followers, &contact).await;
             lock(&followers.by_link).remove(&link);
             lock(&cx.follower_links).remove(&link);
             executor::link_closed(&cx, link);
@@ -161,25 +165,34 @@
     }
 }
 
+/// Waits until a link is open; returns its first frame.
+async fn open_link(stream: LinkStream) -> Option<(Socket, Message)> {
+    let handshake = tokio_tungstenite::accept_async_with_config(stream, Some(socket_config()));
+    let mut socket = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake)
+        .await
+        .ok()?
+        .ok()?;
+    let hello = tokio::time::timeout(HANDSHAKE_TIMEOUT, socket.next());
+    let hello = hello.await.ok()??.ok()?;
+    socket.get_mut().message_received();
+    Some((socket, hello))
+}
+
 /// Serves one link until either side closes it; always returns `None`.
 async fn serve_follower(
     cx: &Arc<Cx>,
     stream: TcpStream,
-    connection: &Connection,
+    connection: Connection,
     link: u64,
     followers: &Followers,
     contact: &LeaderContact,
 ) -> Option<()> {
-    stream.set_nodelay(true).ok()?;
-    let handshake = tokio_tungstenite::accept_async_with_config(stream, Some(socket_config()));
-    let mut socket = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake)
-        .await
-        .ok()?
-        .ok()?;
-    let hello = tokio::time::timeout(HANDSHAKE_TIMEOUT, socket.next())
-        .await
-        .ok()??
-        .ok()?;
+    let connection = Arc::new(connection);
+    let stream = LinkStream::new(stream, Arc::clone(&connection));
+    let (mut socket, hello) = tokio::select! {
+        open = open_link(stream) => open?,
+        () = connection.ended() => return None,
+    };
     let Some(Frame::Hello {
         token,
         cores,
@@ -198,6 +211,7 @@
         send_frame(&mut socket, &newer_claim(cx, token)?).await;
         return None;
     }
+    socket.get_mut().allow(MESSAGE_BYTES_MAX);
     connection.begin_turn(Turn::Process);
     log::info!(event = "follower joined", name = name.as_str(), token = token; "a follower connected");
     let (tx, mut rx) = mpsc::channel(FRAME_QUEUE_MAX);
@@ -239,6 +253,7 @@
             }
             msg = socket.next() => {
                 last_received = Instant::now();
+                socket.get_mut().message_received();
                 lock(&cx.delegation).heard(link, cx.clock.now());
                 match msg {
                     Some(Ok(msg)) => match decode_frame(&msg) {
--- a/crates/monsoonnotch_member/src/links/mod.rs
+++ b/crates/monsoonnotch_member/src/links/mod.rs
@@ -22,7 +22,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 use serde_bytes::ByteBuf;
-use tokio::net::TcpStream;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
@@ -281,12 +282,12 @@
     }
 }
 
-/// A link's connection.
-type Socket = WebSocketStream<TcpStream>;
-
 /// Sends a frame; returns false if the link has failed, or if its other end has not taken the frame
 /// within [`SEND_TIMEOUT`]. It may have lost power, or hang, while its connection stays open.
-async fn send_frame(socket: &mut Socket, frame: &Frame) -> bool {
+async fn send_frame<S>(socket: &mut WebSocketStream<S>, frame: &Frame) -> bool
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
     let msg = encode_frame(frame);
     let bytes = msg.len();
     let sent = tokio::time::timeout(SEND_TIMEOUT, socket.send(msg)).await;
