Bound what clients of an entry's listeners take

What was seen: the entry has budgets for bodies and for its callers' connections, and still takes up to 840 MiB of a VM of 64 MiB: messages of peers that stop short of their end 840 MiB, empty lines and heads without end at the operators' listener 150 and 126, responses that operators leave unread 125, bodies of callers 79, bytes that wait unread up to 86.

Cause: the budget of bodies counts the declared length and not the pieces in which a body arrives, the operators' listener has connections without a bound on their heads and on the time for a response, links take messages of 16 MiB with a read buffer of 128 KiB each, and nothing bounds what the kernel holds. Ruled out: the callers' heads, which were bounded.

Change: the entry's three listeners use monsoonnotch_ingress, with parts of limits.memory_mib and limits.descriptors (new; 1,024 MiB and 10,240 files). Limited clients are counted (monsoonnotch_limited_clients_total) and logged (MN021), once a second for each cause.

Two tests had the old rule, that idle connections and bodies that stop short keep their places while further callers are refused. They are replaced: a further connection gets a 429 while forty whole requests are in progress, and none of the forty loses its response; a body gets a 429 while whole requests hold the memory; and new, an idle connection makes room.

--- a/crates/monsoonnotch_core/src/notice/mod.rs
+++ b/crates/monsoonnotch_core/src/notice/mod.rs
@@ -141,4 +141,13 @@
     19 Warn StopTimeout(cut: u32) => "shutdown timed out; requests were cut cut={cut}";
     /// A check of an internal invariant failed.
     20 Error InvariantBroken(what: &'static str) => "invariant broken: {what}";
+    /// Requests of clients were refused or their connections closed.
+    21 Warn ClientsLimited {
+        /// The listener: `callers`, `operators` or `peers`.
+        listener: &'static str,
+        /// The name of the cause.
+        cause: &'static str,
+        /// Number of cases since the last such event.
+        cases: u64,
+    } => "clients limited listener={listener} cause={cause} cases={cases}";
 }
--- a/crates/monsoonnotch_entry/src/callers/head.rs
+++ b/crates/monsoonnotch_entry/src/callers/head.rs
@@ -1,16 +1,9 @@
 //! The headers and the body of a caller's request.
 
-use std::sync::Arc;
-
-use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
 use http::header;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
-use hyper::body::Body as _;
 use hyper::body::Incoming;
 use monsoonnotch_core::config::KeyHash;
 use monsoonnotch_core::event::KeyProof;
@@ -18,7 +11,9 @@
 use monsoonnotch_core::time::Duration;
 use monsoonnotch_core::verdict::Reason;
 use monsoonnotch_core::verdict::Refusal;
-use tokio::sync::OwnedSemaphorePermit;
+use monsoonnotch_ingress::body;
+use monsoonnotch_ingress::body::Received;
+use monsoonnotch_ingress::prelude::Connection;
 
 use super::Shared;
 
@@ -35,7 +30,7 @@
 const HEADER_TEXT_MAX_BYTES: usize = 256;
 /// Upper limit of a caller's timeout, in milliseconds; a longer one is reduced to it.
 const TIMEOUT_MAX_MS: u64 = 24 * 3_600 * 1_000;
-/// The `Retry-After` of requests that are refused while the memory for bodies is exhausted.
+/// The `Retry-After` of requests that are refused while there is no memory for bodies.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Returns the text of a header, or `None` when it is absent.
@@ -97,43 +92,28 @@
     })
 }
 
-/// Reads a complete body within the limits of the settings.
-///
-/// The returned permit reserves the memory of the body until it is dropped.
+/// Receives a complete body within the limits of the settings.
 ///
 /// # Errors
 ///
-/// Refuses a body that is too large, too slow or incomplete, and any body while the memory for
-/// bodies is exhausted.
-pub(super) async fn read_body(
+/// Refuses a body that is too large, too slow or incomplete, and any body while there is no memory for it.
+pub(super) async fn receive_body(
     shared: &Shared,
+    connection: &Connection,
     body: Incoming,
-) -> Result<(Bytes, OwnedSemaphorePermit), Refusal> {
+) -> Result<Received, Refusal> {
     let limits = &shared.settings.limits;
-    let reserved = reserve_body_memory(shared, &body)?;
     let receive = std::time::Duration::from_millis(limits.receive_ms);
-    let collected = Limited::new(body, limits.body_bytes).collect();
-    match tokio::time::timeout(receive, collected).await {
-        Ok(Ok(body)) => Ok((body.to_bytes(), reserved)),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Refusal::not_run(Reason::TooLarge)),
-        Ok(Err(_)) => Err(Refusal::not_run(Reason::Malformed)),
-        Err(_) => Err(Refusal::not_run(Reason::TooSlow)),
-    }
+    let received = body::receive(connection, body, limits.body_bytes, receive).await;
+    received.map_err(body_refusal)
 }
 
-/// Reserves memory for a body: its declared length, or else the largest permitted length.
-fn reserve_body_memory(shared: &Shared, body: &Incoming) -> Result<OwnedSemaphorePermit, Refusal> {
-    let max = shared.settings.limits.body_bytes;
-    let hint = body.size_hint();
-    let least = usize::try_from(hint.lower()).unwrap_or(usize::MAX);
-    if least > max {
-        return Err(Refusal::not_run(Reason::TooLarge));
+/// Returns the refusal of a request whose body was not received.
+pub(crate) fn body_refusal(e: body::Error) -> Refusal {
+    match e {
+        body::Error::TooLarge => Refusal::not_run(Reason::TooLarge),
+        body::Error::TooSlow => Refusal::not_run(Reason::TooSlow),
+        body::Error::Malformed => Refusal::not_run(Reason::Malformed),
+        body::Error::NoMemory => Refusal::later(Reason::QueueFull, RETRY_AFTER),
     }
-    let bytes = match hint.exact() {
-        Some(_) => least,
-        None => max,
-    };
-    let kib = u32::try_from(bytes.div_ceil(1_024)).unwrap_or(u32::MAX);
-    let reserved = Arc::clone(&shared.body_memory).try_acquire_many_owned(kib);
-    reserved.map_err(|_| Refusal::later(Reason::QueueFull, RETRY_AFTER))
 }
--- a/crates/monsoonnotch_entry/src/callers/jobs.rs
+++ b/crates/monsoonnotch_entry/src/callers/jobs.rs
@@ -20,6 +20,7 @@
 use monsoonnotch_core::verdict::Verdict;
 use monsoonnotch_core::wire::JobAnswer;
 use monsoonnotch_core::wire::JobRequest;
+use monsoonnotch_ingress::prelude::Connection;
 use serde::Deserialize;
 
 use super::Shared;
@@ -92,10 +93,14 @@
 }
 
 /// Handles a request about jobs.
-pub(super) async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+pub(super) async fn handle(
+    shared: Arc<Shared>,
+    req: Request<Incoming>,
+    connection: &Connection,
+) -> Response<Body> {
     let id = head::request_id(req.headers());
     let result = match head::bearer_key(req.headers()) {
-        Ok(Some(key)) => route(&shared, req, key).await,
+        Ok(Some(key)) => route(&shared, req, connection, key).await,
         Ok(None) => Err((Refusal::not_run(Reason::KeyMissing), None)),
         Err(refusal) => Err((refusal, None)),
     };
@@ -110,15 +115,16 @@
 async fn route(
     shared: &Shared,
     req: Request<Incoming>,
+    connection: &Connection,
     key: KeyProof,
 ) -> Result<Response<Body>, DetailedRefusal> {
     let path = req.uri().path().to_owned();
     let id = path.strip_prefix("/v1/jobs/");
     match (req.method().clone(), id) {
         (Method::POST, None) => {
-            let read = head::read_body(shared, req.into_body()).await;
-            let (body, _reserved) = read.map_err(|r| (r, None))?;
-            submit(&shared.inbox, Some(key), &body, None).await
+            let body = head::receive_body(shared, connection, req.into_body()).await;
+            let body = body.map_err(|r| (r, None))?;
+            submit(&shared.inbox, Some(key), &body.bytes, None).await
         }
         (Method::GET, Some(id)) => show_or_cancel(&shared.inbox, Some(key), id, false).await,
         (Method::DELETE, Some(id)) => show_or_cancel(&shared.inbox, Some(key), id, true).await,
--- a/crates/monsoonnotch_entry/src/callers/mod.rs
+++ b/crates/monsoonnotch_entry/src/callers/mod.rs
@@ -1,12 +1,10 @@
 //! The callers' listener, which proxies requests to upstreams and manages jobs.
 
 mod call;
-mod connection;
 mod fields;
-mod head;
+pub(crate) mod head;
 mod jobs;
 mod proxy;
-mod stream;
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -23,9 +21,11 @@
 use monsoonnotch_core::time::Duration as Span;
 use monsoonnotch_core::verdict::Reason;
 use monsoonnotch_core::verdict::Refusal;
-use tokio::net::TcpListener;
+use monsoonnotch_ingress as ingress;
+use monsoonnotch_ingress::prelude::Connection;
+use monsoonnotch_ingress::prelude::Listener;
+use monsoonnotch_ingress::prelude::Rules;
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
@@ -36,14 +36,8 @@
 use crate::problem::Body;
 use crate::settings::Settings;
 
-/// Pause after a failed attempt to accept a connection.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Maximum number of open connections above the limit. A request on one of them is refused.
-const REFUSED_MAX: usize = 256;
 /// The `Retry-After` of requests that are refused because too many connections are open.
 const RETRY_AFTER: Span = Span::from_secs(1);
-/// Memory for the bodies of requests in progress, in multiples of the largest permitted body.
-const BODIES_MAX: usize = 256;
 
 /// State that the handlers of callers' requests share.
 #[derive(Debug)]
@@ -60,14 +54,11 @@
     pub stopping: AtomicBool,
     /// Number of the last request; zero before the first.
     pub last_call: AtomicU64,
-    /// Memory left for request bodies, one permit per KiB.
-    pub body_memory: Arc<Semaphore>,
 }
 
 impl Shared {
-    /// Creates the shared state, with memory for `BODIES_MAX` bodies of the largest size.
+    /// Creates the shared state.
     pub fn new(settings: Settings, clock: Clock, inbox: Inbox, ready: Arc<AtomicBool>) -> Self {
-        let kib = settings.limits.body_bytes.div_ceil(1_024) * BODIES_MAX;
         Self {
             settings,
             clock,
@@ -75,60 +66,60 @@
             ready,
             stopping: AtomicBool::new(false),
             last_call: AtomicU64::new(0),
-            body_memory: Arc::new(Semaphore::new(kib.min(Semaphore::MAX_PERMITS))),
         }
     }
 }
 
-/// Accepts connections until `stop` changes, then waits until the open ones are closed.
-pub async fn serve(listener: TcpListener, shared: Arc<Shared>, mut stop: watch::Receiver<bool>) {
+/// Accepts connections until `stop` is true, then waits until the open ones are closed.
+pub async fn serve(listener: Listener, shared: Arc<Shared>, mut stop: watch::Receiver<bool>) {
     let mut connections = JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
-        let accepted = tokio::select! {
+        let (stream, connection) = tokio::select! {
             biased;
             _ = stop.changed() => break,
             accepted = listener.accept() => accepted,
         };
-        match accepted {
-            Ok((stream, _)) => spawn_connection(&mut connections, stream, &shared, &stop),
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
-        }
+        let shared = Arc::clone(&shared);
+        connections.spawn(serve_connection(stream, connection, shared, stop.clone()));
     }
     // The operating system has already accepted these connections, so they get a response.
-    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
-        spawn_connection(&mut connections, stream, &shared, &stop);
+    while let Ok((stream, connection)) = timeout(Duration::ZERO, listener.accept()).await {
+        let shared = Arc::clone(&shared);
+        connections.spawn(serve_connection(stream, connection, shared, stop.clone()));
     }
     drop(listener);
     while connections.join_next().await.is_some() {}
 }
 
-fn spawn_connection(
-    connections: &mut JoinSet<()>,
+async fn serve_connection(
     stream: TcpStream,
-    shared: &Arc<Shared>,
-    stop: &watch::Receiver<bool>,
+    connection: Connection,
+    shared: Arc<Shared>,
+    stop: watch::Receiver<bool>,
 ) {
-    let max = shared.settings.limits.connections;
-    // A further connection is closed without a response.
-    if connections.len() >= max + REFUSED_MAX {
-        return;
-    }
-    let refuse = (connections.len() >= max).then(|| Refusal::later(Reason::QueueFull, RETRY_AFTER));
-    let conn = connection::serve(stream, Arc::clone(shared), stop.clone(), refuse);
-    connections.spawn(conn);
+    let limits = &shared.settings.limits;
+    let receive = Duration::from_millis(limits.receive_ms);
+    let rules = Rules {
+        head_bytes: limits.head_bytes,
+        head_timeout: receive,
+        response_timeout: receive,
+        late_head: problem::late_head,
+    };
+    let answer = |req, connection| respond(Arc::clone(&shared), req, connection);
+    ingress::http::serve(stream, connection, rules, stop, answer).await;
 }
 
-/// Responds to one request, with `refuse` if it is set.
+/// Responds to one request.
 async fn respond(
     shared: Arc<Shared>,
     req: Request<Incoming>,
-    refuse: Option<Refusal>,
+    connection: Arc<Connection>,
 ) -> Response<Body> {
     let stopping = Arc::clone(&shared);
-    let mut res = match refuse {
-        Some(refusal) => problem::response(&refusal, None),
-        None => route(shared, req).await,
+    let mut res = match connection.is_refused() {
+        true => problem::response(&Refusal::later(Reason::QueueFull, RETRY_AFTER), None),
+        false => route(shared, req, &connection).await,
     };
     if stopping.stopping.load(Ordering::Relaxed) {
         let close = HeaderValue::from_static("close");
@@ -137,13 +128,19 @@
     res
 }
 
-async fn route(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+async fn route(
+    shared: Arc<Shared>,
+    req: Request<Incoming>,
+    connection: &Connection,
+) -> Response<Body> {
     let path = req.uri().path();
     match path {
         "/livez" => problem::json(StatusCode::OK, "{\"live\":true}"),
         "/readyz" => readiness_response(&shared.ready),
-        _ if path == "/v1/jobs" || path.starts_with("/v1/jobs/") => jobs::handle(shared, req).await,
-        _ => proxy::handle(shared, req).await,
+        _ if path == "/v1/jobs" || path.starts_with("/v1/jobs/") => {
+            jobs::handle(shared, req, connection).await
+        }
+        _ => proxy::handle(shared, req, connection).await,
     }
 }
 
--- a/crates/monsoonnotch_entry/src/callers/proxy.rs
+++ b/crates/monsoonnotch_entry/src/callers/proxy.rs
@@ -16,6 +16,7 @@
 use monsoonnotch_core::time::Duration;
 use monsoonnotch_core::verdict::Reason;
 use monsoonnotch_core::verdict::Refusal;
+use monsoonnotch_ingress::prelude::Connection;
 
 use super::Shared;
 use super::call::Call;
@@ -25,9 +26,13 @@
 use crate::problem::Body;
 
 /// Proxies one request of a caller and returns the upstream's response or a refusal.
-pub(super) async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+pub(super) async fn handle(
+    shared: Arc<Shared>,
+    req: Request<Incoming>,
+    connection: &Connection,
+) -> Response<Body> {
     let id = head::request_id(req.headers());
-    let mut res = match respond(&shared, req, &id).await {
+    let mut res = match respond(&shared, req, connection, &id).await {
         Ok(res) => res,
         Err(refusal) => problem::response(&refusal, None),
     };
@@ -38,6 +43,7 @@
 async fn respond(
     shared: &Arc<Shared>,
     req: Request<Incoming>,
+    connection: &Connection,
     id: &HeaderValue,
 ) -> Result<Response<Body>, Refusal> {
     let (mut parts, body) = req.into_parts();
@@ -45,11 +51,11 @@
         return Err(Refusal::not_run(Reason::Malformed));
     }
     let arrived = parse_call(shared, &parts)?;
-    // The memory stays reserved for as long as the body may have to be sent.
-    let (body, _reserved) = head::read_body(shared, body).await?;
+    // The memory stays taken for as long as the body may have to be sent.
+    let body = head::receive_body(shared, connection, body).await?;
     fields::prepare_for_upstream(&mut parts, id);
     let call = Call::new(&shared.inbox, arrived);
-    call.run(shared, &parts, &body).await
+    call.run(shared, &parts, &body.bytes).await
 }
 
 fn parse_call(shared: &Shared, parts: &Parts) -> Result<CallArrived, Refusal> {
--- a/crates/monsoonnotch_entry/src/lib.rs
+++ b/crates/monsoonnotch_entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod callers;
 pub mod clock;
 pub mod control;
+mod ingress;
 pub mod logs;
 pub mod measure;
 pub mod operators;
--- a/crates/monsoonnotch_entry/src/measure/count.rs
+++ b/crates/monsoonnotch_entry/src/measure/count.rs
@@ -49,6 +49,13 @@
     count_refusal(super::PROBLEMS, refusal);
 }
 
+/// Counts a client that was limited at a listener.
+pub fn record_limited_client(listener: &'static str, cause: &'static str) {
+    let counter =
+        metrics::counter!(super::LIMITED_CLIENTS, "listener" => listener, "cause" => cause);
+    counter.increment(1);
+}
+
 /// Counts a notice under its event number.
 pub fn record_notice(notice: &Notice) {
     let number = notice.number().to_string();
--- a/crates/monsoonnotch_entry/src/measure/mod.rs
+++ b/crates/monsoonnotch_entry/src/measure/mod.rs
@@ -12,6 +12,7 @@
 
 pub use self::count::record_effect;
 pub use self::count::record_event;
+pub use self::count::record_limited_client;
 pub use self::count::record_notice;
 pub use self::count::record_problem;
 pub use self::gauges::publish;
@@ -29,6 +30,8 @@
 pub const CALL_REFUSALS: &str = "monsoonnotch_call_refusals_total";
 /// Counter of problem documents sent on either listener.
 pub const PROBLEMS: &str = "monsoonnotch_problems_total";
+/// Counter of clients that were limited, by listener and cause.
+pub const LIMITED_CLIENTS: &str = "monsoonnotch_limited_clients_total";
 /// Histogram of the time from the arrival of a request to its dispatch, in seconds.
 pub const WAIT_SECONDS: &str = "monsoonnotch_wait_seconds";
 /// Counter of task starts that a worker answered or failed to answer.
@@ -177,6 +180,11 @@
         "verdict reason",
         "Problem documents sent on either listener, malformed requests included.",
     ),
+    counter(
+        LIMITED_CLIENTS,
+        "listener cause",
+        "Requests refused and connections closed because of what clients send, or for want of room.",
+    ),
     histogram(
         WAIT_SECONDS,
         "",
--- a/crates/monsoonnotch_entry/src/operators/mod.rs
+++ b/crates/monsoonnotch_entry/src/operators/mod.rs
@@ -9,19 +9,13 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
-use bytes::Bytes;
 use http::HeaderName;
 use http::Method;
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::body::Incoming;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
-use hyper_util::service::TowerToHyperService;
 use metrics_exporter_prometheus::PrometheusHandle;
 use monsoonnotch_core::config::KeyHash;
 use monsoonnotch_core::config::Stamp;
@@ -32,22 +26,26 @@
 use monsoonnotch_core::verdict::Reason;
 use monsoonnotch_core::verdict::Refusal;
 use monsoonnotch_core::verdict::Verdict;
-use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
+use monsoonnotch_ingress as ingress;
+use monsoonnotch_ingress::body;
+use monsoonnotch_ingress::prelude::Connection;
+use monsoonnotch_ingress::prelude::Listener;
+use monsoonnotch_ingress::prelude::Rules;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tower::BoxError;
 use tower::Service;
 use tower::ServiceBuilder;
+use tower::ServiceExt;
 use tower::load_shed::error::Overloaded;
 
 use self::changes::ChangeRequest;
 use crate::callers;
+use crate::callers::head::body_refusal;
 use crate::control::Inbox;
 use crate::problem;
 use crate::problem::Body;
 
-/// Maximum number of open connections of operators.
-const CONNECTIONS_MAX: usize = 128;
 /// Maximum number of requests of operators in progress; further ones are refused at once.
 const REQUESTS_MAX: usize = 64;
 /// Timeout for an operator's request. It is longer than the control thread takes for any answer.
@@ -79,58 +77,73 @@
     pub metrics: Option<PrometheusHandle>,
 }
 
+/// What operators may do on one connection.
+const RULES: Rules = Rules {
+    head_bytes: 16 << 10,
+    head_timeout: RECEIVE_TIMEOUT,
+    response_timeout: RECEIVE_TIMEOUT,
+    late_head: problem::late_head,
+};
+
 /// Accepts connections forever. Dropping the future closes all of them.
-pub async fn serve(listener: TcpListener, shared: Arc<Shared>) {
-    let connection_permits = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+pub async fn serve(listener: Listener, shared: Arc<Shared>) {
     let mut connections = JoinSet::new();
     connections.spawn(upkeep(shared.metrics.clone()));
     let service = service(shared);
+    let never = watch::Sender::new(false);
     loop {
         while connections.try_join_next().is_some() {}
-        let permit = Arc::clone(&connection_permits).acquire_owned().await;
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
-        let service = TowerToHyperService::new(service.clone());
+        let (stream, connection) = listener.accept().await;
+        let (service, stop) = (service.clone(), never.subscribe());
         connections.spawn(async move {
-            let mut builder = hyper::server::conn::http1::Builder::new();
-            builder
-                .timer(TokioTimer::new())
-                .header_read_timeout(RECEIVE_TIMEOUT);
-            let _ = builder
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-            drop(permit);
+            let answer = |req, connection| respond(service.clone(), req, connection);
+            ingress::http::serve(stream, connection, RULES, stop, answer).await;
         });
     }
 }
 
+/// A request and the connection on which it arrived.
+type ConnectedRequest = (Request<Incoming>, Arc<Connection>);
+
+async fn respond<S>(
+    service: S,
+    req: Request<Incoming>,
+    connection: Arc<Connection>,
+) -> Response<Body>
+where
+    S: Service<ConnectedRequest, Response = Response<Body>, Error = BoxError>,
+{
+    if connection.is_refused() {
+        return problem::response(&Refusal::later(Reason::QueueFull, RETRY_AFTER), None);
+    }
+    let res = service.oneshot((req, connection)).await;
+    res.unwrap_or_else(|e| problem::response(&error_to_refusal(&e), None))
+}
+
 /// Builds the service for operators' requests, with a concurrency limit and a timeout.
 fn service(
     shared: Arc<Shared>,
-) -> impl Service<Request<Incoming>, Response = Response<Body>, Error = BoxError, Future: Send>
+) -> impl Service<ConnectedRequest, Response = Response<Body>, Error = BoxError, Future: Send>
 + Clone
 + Send
++ Sync
 + 'static {
     ServiceBuilder::new()
-        .map_result(error_to_refusal)
         .load_shed()
         .concurrency_limit(REQUESTS_MAX)
         .timeout(REQUEST_TIMEOUT)
-        .service_fn(move |req| handle(Arc::clone(&shared), req))
+        .service_fn(move |(req, connection)| handle(Arc::clone(&shared), req, connection))
 }
 
-/// Turns the error of a request that was over the limit or timed out into a refusal.
-fn error_to_refusal(res: Result<Response<Body>, BoxError>) -> Result<Response<Body>, BoxError> {
-    let refusal = match res {
-        Ok(res) => return Ok(res),
-        Err(e) if e.is::<Overloaded>() => Refusal::later(Reason::QueueFull, RETRY_AFTER),
-        Err(_) => Refusal {
+/// Returns the refusal of a request that was over the limit or timed out.
+fn error_to_refusal(e: &BoxError) -> Refusal {
+    match e.is::<Overloaded>() {
+        true => Refusal::later(Reason::QueueFull, RETRY_AFTER),
+        false => Refusal {
             verdict: Verdict::MayHaveRun,
             ..Refusal::later(Reason::Uncertain, RETRY_AFTER)
         },
-    };
-    Ok(problem::response(&refusal, None))
+    }
 }
 
 /// Regularly aggregates recorded histogram values, so that they do not accumulate between
@@ -149,7 +162,11 @@
 /// A refusal and the detail for its problem document.
 type DetailedRefusal = (Refusal, Option<String>);
 
-async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+async fn handle(
+    shared: Arc<Shared>,
+    req: Request<Incoming>,
+    connection: Arc<Connection>,
+) -> Result<Response<Body>, Infallible> {
     let unauthenticated = match req.uri().path() {
         "/livez" => Some(problem::json(StatusCode::OK, "{\"live\":true}")),
         "/readyz" => Some(callers::readiness_response(&shared.ready)),
@@ -159,7 +176,7 @@
         return Ok(res);
     }
     let result = match authorized(&shared, &req) {
-        true => route(&shared, req).await,
+        true => route(&shared, req, &connection).await,
         false => Err((Refusal::not_run(Reason::KeyRefused), None)),
     };
     Ok(result.unwrap_or_else(|(r, detail)| problem::response(&r, detail.as_deref())))
@@ -174,12 +191,16 @@
     token.is_some_and(|t| KeyHash::of(t).matches(&shared.token))
 }
 
-async fn route(shared: &Shared, req: Request<Incoming>) -> Result<Response<Body>, DetailedRefusal> {
+async fn route(
+    shared: &Shared,
+    req: Request<Incoming>,
+    connection: &Connection,
+) -> Result<Response<Body>, DetailedRefusal> {
     let path = req.uri().path().to_owned();
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
     match *req.method() {
         Method::GET => read(shared, &parts).await,
-        _ => change(shared, &parts, req).await,
+        _ => change(shared, &parts, req, connection).await,
     }
 }
 
@@ -207,6 +228,7 @@
     shared: &Shared,
     parts: &[&str],
     req: Request<Incoming>,
+    connection: &Connection,
 ) -> Result<Response<Body>, DetailedRefusal> {
     let method = req.method().clone();
     let request = ChangeRequest {
@@ -214,13 +236,16 @@
         replaces: replaces(req.uri().query())?,
         stamp: stamp(shared, &req)?,
     };
-    let body = body(req.into_body()).await?;
+    let received =
+        body::receive(connection, req.into_body(), BODY_MAX_BYTES, RECEIVE_TIMEOUT).await;
+    let received = received.map_err(|e| (body_refusal(e), None))?;
+    let body = &received.bytes;
     match (method, parts) {
-        (Method::PUT, ["v1", "profiles", name]) => changes::profile(request, name, &body).await,
-        (Method::PUT, ["v1", "teams", name]) => changes::team(request, name, &body).await,
-        (Method::POST, ["v1", "keys"]) => changes::grant(request, &body).await,
+        (Method::PUT, ["v1", "profiles", name]) => changes::profile(request, name, body).await,
+        (Method::PUT, ["v1", "teams", name]) => changes::team(request, name, body).await,
+        (Method::POST, ["v1", "keys"]) => changes::grant(request, body).await,
         (Method::DELETE, ["v1", "keys", id]) => changes::withdraw(request, id).await,
-        (Method::POST, ["v1", "jobs"]) => callers::submit_as_operator(&shared.inbox, &body).await,
+        (Method::POST, ["v1", "jobs"]) => callers::submit_as_operator(&shared.inbox, body).await,
         (Method::DELETE, ["v1", "jobs", id]) => {
             callers::show_or_cancel_as_operator(&shared.inbox, id, true).await
         }
@@ -259,16 +284,3 @@
         }
     }
 }
-
-async fn body(body: Incoming) -> Result<Bytes, DetailedRefusal> {
-    let collected = tokio::time::timeout(
-        RECEIVE_TIMEOUT,
-        Limited::new(body, BODY_MAX_BYTES).collect(),
-    )
-    .await;
-    match collected {
-        Ok(Ok(b)) => Ok(b.to_bytes()),
-        Ok(Err(_)) => Err((Refusal::not_run(Reason::TooLarge), None)),
-        Err(_) => Err((Refusal::not_run(Reason::TooSlow), None)),
-    }
-}
--- a/crates/monsoonnotch_entry/src/problem/mod.rs
+++ b/crates/monsoonnotch_entry/src/problem/mod.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::combinators::BoxBody;
+use monsoonnotch_core::verdict::Reason;
 use monsoonnotch_core::verdict::Refusal;
 use serde::Serialize;
 
@@ -16,6 +17,9 @@
 /// The body of a response; an error aborts the connection.
 pub type Body = BoxBody<Bytes, std::io::Error>;
 
+/// Content type of a problem document.
+const PROBLEM_TYPE: &str = "application/problem+json";
+
 /// The members of a problem document.
 #[derive(Debug, Serialize)]
 struct Problem<'a> {
@@ -30,6 +34,29 @@
 
 /// Builds the problem document of a refusal and counts it in the metrics.
 pub fn response(refusal: &Refusal, detail: Option<&str>) -> Response<Body> {
+    let (status, text) = document(refusal, detail);
+    let mut res = with_content_type(status, PROBLEM_TYPE, text);
+    if let Some(wait) = refusal.retry_after {
+        let secs = wait.as_secs_ceil().max(1);
+        let headers = res.headers_mut();
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(secs));
+    }
+    res
+}
+
+/// Returns the bytes of the response to a request whose head did not arrive in time.
+pub fn late_head() -> Vec<u8> {
+    let (status, text) = document(&Refusal::not_run(Reason::TooSlow), None);
+    let head = format!(
+        "HTTP/1.1 {status}\r\ncontent-type: {PROBLEM_TYPE}\r\n\
+         content-length: {}\r\nconnection: close\r\n\r\n",
+        text.len(),
+    );
+    [head.as_bytes(), &text].concat()
+}
+
+/// Returns the status and the text of a problem document, and counts it in the metrics.
+fn document(refusal: &Refusal, detail: Option<&str>) -> (StatusCode, Vec<u8>) {
     measure::record_problem(refusal);
     let reason = refusal.reason;
     let problem = Problem {
@@ -42,13 +69,7 @@
     };
     let text = serde_json::to_vec(&problem).expect("a problem document can be serialized as JSON");
     let status = StatusCode::from_u16(reason.status()).expect("a reason has a valid status");
-    let mut res = with_content_type(status, "application/problem+json", text);
-    if let Some(wait) = refusal.retry_after {
-        let secs = wait.as_secs_ceil().max(1);
-        let headers = res.headers_mut();
-        headers.insert(header::RETRY_AFTER, HeaderValue::from(secs));
-    }
-    res
+    (status, text)
 }
 
 /// Builds a response with a JSON body.
--- a/crates/monsoonnotch_entry/src/process/mod.rs
+++ b/crates/monsoonnotch_entry/src/process/mod.rs
@@ -18,7 +18,6 @@
 use monsoonnotch_platform::prelude::LogClient;
 use monsoonnotch_platform::prelude::VmsClient;
 use monsoonnotch_platform::prelude::WorkerClient;
-use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -30,6 +29,7 @@
 use crate::control;
 use crate::control::Environment;
 use crate::control::Inbox;
+use crate::ingress::Listeners;
 use crate::logs;
 use crate::measure;
 use crate::operators;
@@ -85,7 +85,7 @@
             .worker_threads(settings.entry.threads)
             .enable_all()
             .build()?;
-        let listeners = rt.block_on(bind(&settings))?;
+        let listeners = rt.block_on(async { Listeners::bind(&settings) })?;
         let addrs = listeners.addrs()?;
         logs::log_notice(&Notice::Listening {
             callers: addrs.callers.to_string().into(),
@@ -185,33 +185,6 @@
     }
 }
 
-/// The bound listeners of an entry.
-#[derive(Debug)]
-struct Listeners {
-    callers: TcpListener,
-    operators: TcpListener,
-    peers: TcpListener,
-}
-
-impl Listeners {
-    fn addrs(&self) -> std::io::Result<Addresses> {
-        Ok(Addresses {
-            callers: self.callers.local_addr()?,
-            operators: self.operators.local_addr()?,
-            peers: self.peers.local_addr()?,
-        })
-    }
-}
-
-async fn bind(settings: &Settings) -> std::io::Result<Listeners> {
-    let e = &settings.entry;
-    Ok(Listeners {
-        callers: TcpListener::bind(e.callers).await?,
-        operators: TcpListener::bind(e.operators).await?,
-        peers: TcpListener::bind(e.peers).await?,
-    })
-}
-
 fn environment(
     settings: &Settings,
     clock: Clock,
--- a/crates/monsoonnotch_entry/src/settings/mod.rs
+++ b/crates/monsoonnotch_entry/src/settings/mod.rs
@@ -101,6 +101,10 @@
     pub receive_ms: u64,
     /// Maximum number of open connections of callers.
     pub connections: usize,
+    /// Memory of the process, in MiB, half of which its clients may take.
+    pub memory_mib: u64,
+    /// Number of files and connections that the process may have open.
+    pub descriptors: usize,
     /// Maximum number of requests that wait for a slot.
     pub queue: usize,
 }
@@ -128,6 +132,8 @@
             body_bytes: 1024 * 1024,
             receive_ms: 10_000,
             connections: 4_096,
+            memory_mib: 1_024,
+            descriptors: 10_240,
             queue: 10_000,
         }
     }
--- a/crates/monsoonnotch_entry/src/settings/schema.rs
+++ b/crates/monsoonnotch_entry/src/settings/schema.rs
@@ -129,6 +129,20 @@
         4_096,
         Constraint::Number(1, 1 << 20),
     ),
+    optional(
+        "limits",
+        "memory_mib",
+        "MiB",
+        1_024,
+        Constraint::Number(32, 1 << 20),
+    ),
+    optional(
+        "limits",
+        "descriptors",
+        "files",
+        10_240,
+        Constraint::Number(256, 1 << 20),
+    ),
     optional(
         "limits",
         "queue",
--- a/crates/monsoonnotch_ingress/src/limits/mod.rs
+++ b/crates/monsoonnotch_ingress/src/limits/mod.rs
@@ -29,8 +29,6 @@
 const LINKS_MEMORY_DIVISOR: u64 = 8;
 /// Part of the connections that links between processes may take.
 const LINKS_DIVISOR: usize = 4;
-/// Connections of a listener for a few clients: operators, or the load balancer.
-const FEW_CONNECTIONS: usize = 16;
 
 /// What the clients of a listener may take together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,9 +54,9 @@
 
     /// Splits off the part of a listener for a few clients, whose bodies may take `bodies` bytes.
     #[must_use]
-    pub fn split_off_few(&mut self, bodies: u64) -> Self {
-        let memory = FEW_CONNECTIONS as u64 * HTTP_CONNECTION_BYTES + bodies;
-        self.split_off(memory, FEW_CONNECTIONS, HTTP_CONNECTION_BYTES)
+    pub fn split_off_few(&mut self, connections: usize, bodies: u64) -> Self {
+        let memory = connections as u64 * HTTP_CONNECTION_BYTES + bodies;
+        self.split_off(memory, connections, HTTP_CONNECTION_BYTES)
     }
 
     /// Splits off the part of links between processes.
--- a/crates/monsoonnotch_member/src/ingress/mod.rs
+++ b/crates/monsoonnotch_member/src/ingress/mod.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 
+use monsoonnotch_entry::measure;
 use monsoonnotch_ingress::limits::LINK_RECEIVE_BUFFER_BYTES;
 use monsoonnotch_ingress::limits::MIB;
 use monsoonnotch_ingress::limits::RECEIVE_BUFFER_BYTES;
@@ -14,6 +15,8 @@
 
 use crate::settings::Member;
 
+/// Maximum number of connections of the load balancer, and of operators.
+const FEW_CONNECTIONS: usize = 16;
 /// Memory for the jobs in operators' questions, in bytes.
 const QUESTIONS_MEMORY: u64 = MIB;
 
@@ -32,8 +35,11 @@
     /// Divides what clients may take of the VM.
     pub(crate) fn new(mut limits: Limits) -> Self {
         let budget = |listener, limits| Budget::new(listener, limits, count, log_report);
-        let readiness = budget("readiness", limits.split_off_few(0));
-        let operators = budget("operators", limits.split_off_few(QUESTIONS_MEMORY));
+        let readiness = budget("readiness", limits.split_off_few(FEW_CONNECTIONS, 0));
+        let operators = budget(
+            "operators",
+            limits.split_off_few(FEW_CONNECTIONS, QUESTIONS_MEMORY),
+        );
         let links = budget("links", limits.split_off_links());
         let relayed = budget("relayed", limits.split_off_records());
         Self {
@@ -77,9 +83,7 @@
 
 /// Counts a client that was limited.
 fn count(listener: &'static str, cause: Cause) {
-    let cause = cause.name();
-    metrics::counter!("monsoonnotch_limited_clients_total", "listener" => listener, "cause" => cause)
-        .increment(1);
+    measure::record_limited_client(listener, cause.name());
 }
 
 /// Logs which clients were limited.
