Bound the memory of the jobs that an entry keeps

What was seen: 200 valid jobs of 100,000 tasks, submitted side by side with the key of a team that may run four tasks, take 239 MiB of an entry's VM of 64 MiB.

Cause: a home keeps up to 65,536 jobs of up to 100,000 tasks each, and a command as long as a body. Ruled out: the requests, whose bodies have 60 bytes.

--- a/benches/member/mod.rs
+++ b/benches/member/mod.rs
@@ -85,6 +85,7 @@
                 addr: Name::new("10.0.0.1:1"),
                 timing: Timing::default(),
                 queue_max: 100_000,
+                jobs_memory: u64::MAX,
                 snapshot_every: u64::MAX / 2,
                 policy: Policy::default(),
             }),
--- a/crates/monsoonnotch_core/src/reducer/jobs/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/jobs/mod.rs
@@ -34,6 +34,7 @@
 use self::search::Search;
 use self::table::Job;
 use self::table::Stage;
+use self::table::job_memory;
 
 /// Interval after which jobs and keys that are still kept are written to the journal again.
 ///
@@ -62,6 +63,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Jobs {
     jobs: BTreeMap<JobId, Job>,
+    /// Memory of the jobs, in bytes.
+    memory: u64,
     /// Number of the last job accepted here, for its identifier.
     last: u64,
     /// Members that had no free capacity, with the time until which they are skipped.
@@ -99,6 +102,18 @@
         self.jobs.keys().copied()
     }
 
+    fn insert(&mut self, job: Job) {
+        self.remove(job.id);
+        self.memory += job_memory(&job.spec);
+        self.jobs.insert(job.id, job);
+    }
+
+    fn remove(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.remove(&id) {
+            self.memory -= job_memory(&job.spec);
+        }
+    }
+
     /// Returns the stage of a task, if its current attempt is that of `id`.
     fn stage_of(&self, id: TaskId) -> Option<Stage> {
         let task = self.jobs.get(&id.job)?.tasks.get(id.index as usize)?;
@@ -179,7 +194,7 @@
             if live {
                 self.jobs.removals.insert((self.now + ENDED_RETENTION, id));
             } else {
-                self.jobs.jobs.remove(&id);
+                self.jobs.remove(id);
                 self.jobs.queries.forget(id);
             }
         }
--- a/crates/monsoonnotch_core/src/reducer/jobs/submit.rs
+++ b/crates/monsoonnotch_core/src/reducer/jobs/submit.rs
@@ -7,6 +7,7 @@
 use super::JobRequester;
 use super::REWRITE_INTERVAL;
 use super::table::Job;
+use super::table::job_memory;
 use crate::config::Lane;
 use crate::config::Profile;
 use crate::effect::Answer;
@@ -29,8 +30,13 @@
 
 /// Maximum number of tasks in one job.
 const TASKS_MAX: u32 = 100_000;
+/// Longest command of a job, in bytes.
+const COMMAND_BYTES_MAX: usize = 4_000;
 /// Maximum number of jobs that one home keeps.
 const JOBS_MAX: usize = 65_536;
+/// Part of the free memory that one job may take, as a divisor. So a few large jobs leave room to many
+/// small ones.
+const FREE_MEMORY_DIVISOR: u64 = 4;
 
 impl Control {
     pub(in crate::reducer) fn submit(
@@ -128,9 +134,14 @@
             return Err(Refusal::later(Reason::QueueFull, RETRY_AFTER));
         }
         let profile = self.profile_of(&spec.profile, Lane::Batch)?;
-        if spec.count == 0 || spec.count > TASKS_MAX || spec.priority > 9 {
+        let too_large = spec.count > TASKS_MAX || spec.command.len() > COMMAND_BYTES_MAX;
+        if spec.count == 0 || too_large || spec.priority > 9 {
             return Err(Refusal::not_run(Reason::Malformed));
         }
+        let free = self.cfg.jobs_memory.saturating_sub(self.jobs.memory);
+        if job_memory(spec) > free / FREE_MEMORY_DIVISOR {
+            return Err(Refusal::later(Reason::QueueFull, RETRY_AFTER));
+        }
         if spec.size == Default::default() {
             spec.size = profile.size;
         }
@@ -203,7 +214,7 @@
             let at = self.now + Duration(left);
             self.jobs.deadlines.insert((at, id));
         }
-        self.jobs.jobs.insert(id, job);
+        self.jobs.insert(job);
     }
 
     /// Writes the full state of a job to the journal again.
--- a/crates/monsoonnotch_core/src/reducer/jobs/table.rs
+++ b/crates/monsoonnotch_core/src/reducer/jobs/table.rs
@@ -16,6 +16,8 @@
 
 use super::gang::Gang;
 
+/// Memory of an entry of an ordered set beside its content, in bytes.
+const NODE_BYTES: usize = 16;
 /// Number of low bits of an attempt that count attempts; the high bits are the generation.
 const ATTEMPT_BITS: u32 = 22;
 
@@ -130,6 +132,13 @@
     pub(super) past_deadline: bool,
 }
 
+/// Returns the memory of a job, in bytes.
+pub(super) fn job_memory(spec: &Spec) -> u64 {
+    let fixed = (size_of::<Job>() + spec.command.len()) as u64;
+    let task = (size_of::<JobTask>() + NODE_BYTES) as u64;
+    fixed + u64::from(spec.count) * task
+}
+
 impl Job {
     pub(super) fn new(record: &Accepted, now: Time) -> Self {
         let count = record.spec.count;
--- a/crates/monsoonnotch_core/src/reducer/mod.rs
+++ b/crates/monsoonnotch_core/src/reducer/mod.rs
@@ -88,6 +88,8 @@
     pub timing: Timing,
     /// Maximum number of waiting requests.
     pub queue_max: usize,
+    /// Memory that the jobs whose home is this member may take, in bytes.
+    pub jobs_memory: u64,
     /// Number of control stream records between two snapshots.
     pub snapshot_every: u64,
     /// Switches of the scheduling policy.
--- a/crates/monsoonnotch_core/tests/recovery/simulation/mod.rs
+++ b/crates/monsoonnotch_core/tests/recovery/simulation/mod.rs
@@ -136,6 +136,7 @@
             addr: Name::from(format!("127.0.0.1:{}", me.0)),
             timing: Timing::default(),
             queue_max: 1_000,
+            jobs_memory: u64::MAX,
             snapshot_every: 1_000_000,
             policy: Policy::default(),
         };
--- a/crates/monsoonnotch_entry/src/process/mod.rs
+++ b/crates/monsoonnotch_entry/src/process/mod.rs
@@ -14,6 +14,7 @@
 use monsoonnotch_core::notice::Notice;
 use monsoonnotch_core::reducer;
 use monsoonnotch_core::timing::Timing;
+use monsoonnotch_ingress::limits::MIB;
 use monsoonnotch_peer::link;
 use monsoonnotch_platform::prelude::LogClient;
 use monsoonnotch_platform::prelude::VmsClient;
@@ -38,6 +39,8 @@
 /// Shortest time for which a stopping entry still accepts connections, so that the load balancer
 /// notices that the entry is not ready.
 const READINESS_GRACE: Duration = Duration::from_secs(1);
+/// Part of the memory that jobs may take, as a divisor.
+const JOBS_MEMORY_DIVISOR: u64 = 4;
 /// Part of the shutdown timeout that is reserved for closing connections.
 const CONNECTION_CLOSE_RESERVE: Duration = Duration::from_secs(2);
 
@@ -208,6 +211,7 @@
         addr: addrs.peers.to_string().into(),
         timing: Timing::default(),
         queue_max: settings.limits.queue,
+        jobs_memory: settings.limits.memory_mib * MIB / JOBS_MEMORY_DIVISOR,
         snapshot_every: settings.timing.snapshot_every,
         policy: reducer::Policy::default(),
     }
--- a/examples/decisions/simulation.rs
+++ b/examples/decisions/simulation.rs
@@ -129,6 +129,7 @@
         addr: Name::new(format!("10.0.0.{i}:1")),
         timing: Timing::default(),
         queue_max: QUEUE_MAX,
+        jobs_memory: u64::MAX,
         snapshot_every: 1_000,
         policy,
     })
--- a/tests/invariants/process.rs
+++ b/tests/invariants/process.rs
@@ -89,6 +89,7 @@
         addr,
         timing: Timing::default(),
         queue_max: 64,
+        jobs_memory: u64::MAX,
         snapshot_every: 30,
         policy: Policy::default(),
     }
--- a/tests/misbehaving_clients/crowd.rs
+++ b/tests/misbehaving_clients/crowd.rs
@@ -41,7 +41,7 @@
     ChunksOfOneByte,
     /// A body in chunks of 16 KiB, left open.
     LargeChunks,
-    /// A valid job of 4,000 steps, whole.
+    /// A job that is valid and large, whole.
     ValidLargeJob,
     /// A valid job of 200 steps with 10,000 tasks each, whole.
     JobOfManyTasks,
@@ -70,6 +70,8 @@
     pub(crate) fields: String,
     /// Size of the bodies that are left open, in bytes.
     pub(crate) body_bytes: usize,
+    /// The body of a job that is valid and large.
+    pub(crate) large_job: String,
 }
 
 impl Target {
@@ -80,6 +82,7 @@
             path,
             fields,
             body_bytes: BODY_BYTES,
+            large_job: large_job(),
         }
     }
 
@@ -115,7 +118,7 @@
             Habit::BodyCutShort => filler(self.body_bytes - 90),
             Habit::ChunksOfOneByte => chunks(self.body_bytes, 1),
             Habit::LargeChunks => chunks(self.body_bytes, 16 << 10),
-            Habit::ValidLargeJob => large_job().into_bytes(),
+            Habit::ValidLargeJob => self.large_job.clone().into_bytes(),
             Habit::JobOfManyTasks => job_of_many_tasks().into_bytes(),
             Habit::JobOfManyOccurrences => JOB_OF_MANY_OCCURRENCES.as_bytes().to_vec(),
             Habit::EndlessHead => repeat("and more, "),
--- a/tests/misbehaving_clients/entry.rs
+++ b/tests/misbehaving_clients/entry.rs
@@ -33,6 +33,8 @@
     )
 }
 
+/// A valid job with as many tasks as a job may have.
+const LARGE_JOB: &str = "{\"profile\":\"nightly\",\"count\":100000,\"command\":\"true\"}";
 /// Clients of a crowd.
 const CLIENTS: usize = 200;
 /// Clients of a crowd that wants more connections than the VM has descriptors.
@@ -42,6 +44,8 @@
 #[derive(Debug, Clone, Copy)]
 enum Listener {
     Callers,
+    /// The callers' listener, where jobs are submitted.
+    Jobs,
     Operators,
     Peers,
 }
@@ -51,6 +55,8 @@
     _platform: Platform,
     entry: EntryProcess,
     bearer: String,
+    /// The key of a team that may use half of the slots.
+    batch_bearer: String,
 }
 
 impl Site {
@@ -59,20 +65,29 @@
         let entry = platform.start_entry_with("fd-0", &settings(memory_mib));
         wait_ready(&entry).await;
         entry.publish_profile("check", "lane = \"short\"\nrepeatable = true\n");
+        entry.publish_profile("nightly", "lane = \"batch\"\n");
         entry.set_team("hall", 1, 300);
-        let bearer = format!("Bearer {}", entry.grant_key("hall"));
+        entry.set_team("yard", 1, 4);
+        let bearer = |team| format!("Bearer {}", entry.grant_key(team));
+        let (bearer, batch_bearer) = (bearer("hall"), bearer("yard"));
         Self {
             _platform: platform,
             entry,
             bearer,
+            batch_bearer,
         }
     }
 
     fn target(&self, listener: Listener) -> Target {
         let caller = format!("authorization: {}\r\nprofile: check\r\n", self.bearer);
+        let batch = format!("authorization: {}\r\n", self.batch_bearer);
         let operator = format!("authorization: Bearer {OPERATORS_TOKEN}\r\n");
         match listener {
             Listener::Callers => Target::new(self.entry.callers, "/street/", caller),
+            Listener::Jobs => Target {
+                large_job: LARGE_JOB.to_owned(),
+                ..Target::new(self.entry.callers, "/v1/jobs?client=", batch)
+            },
             Listener::Operators => {
                 Target::new(self.entry.operators, "/v1/jobs?replaces=", operator)
             }
@@ -119,6 +134,7 @@
 #[case::callers_empty_lines(SMALL_MIB, Listener::Callers, Habit::EmptyLines, CLIENTS)]
 #[case::callers_unread_responses(SMALL_MIB, Listener::Callers, Habit::UnreadResponses, CLIENTS)]
 #[case::callers_silence(SMALL_MIB, Listener::Callers, Habit::Silence, MANY_CLIENTS)]
+#[case::callers_valid_large_jobs(SMALL_MIB, Listener::Jobs, Habit::ValidLargeJob, CLIENTS)]
 #[case::operators_body_cut_short(SMALL_MIB, Listener::Operators, Habit::BodyCutShort, CLIENTS)]
 #[case::operators_chunks_of_one_byte(
     SMALLEST_MIB,
