Forget cancellations of jobs that were never submitted

By reading: a caller may cancel jobs that do not exist, and each cancellation is stored, since the submission may follow. Its record and its entry in the leader's memory stay for good, so that callers can fill both with one key.

Change: a cancellation without a submission is kept as long as a job that has ended, at most 65,536 of them; then its record is deleted. A submission that follows within that time stays cancelled. An append carries at most 4,096 tombstones, as more may exceed what the store takes at once.

Test without network: 9,000 cancellations of unknown jobs are all deleted once their time is over. Before the change all of them stay but the one that was submitted.

--- a/crates/monsoonnotch_jobs/src/journal/mod.rs
+++ b/crates/monsoonnotch_jobs/src/journal/mod.rs
@@ -221,6 +221,11 @@
     vec![tombstone(id, ""), tombstone(id, ".r")]
 }
 
+/// Returns the tombstone for the cancellation of a job.
+pub fn cancellation_tombstone(id: JobId) -> KeyedRecord {
+    tombstone(id, ".c")
+}
+
 fn tombstone(id: JobId, suffix: &str) -> KeyedRecord {
     KeyedRecord {
         key: format_compact!("{id}{suffix}"),
--- a/crates/monsoonnotch_jobs/src/scheduler/flush.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/flush.rs
@@ -16,6 +16,9 @@
 /// limit of the store.
 const APPEND_BYTES_MAX: usize = 512 * 1024;
 
+/// Maximum number of tombstones in an append.
+const APPEND_TOMBSTONES_MAX: usize = 4_096;
+
 /// Pause between two updates of the fleet record.
 const FLEET_UPDATE_PAUSE: Duration = Duration::from_millis(200);
 /// Shortest pause between two updates of the leases record. Until a VM is in it, a successor would
@@ -34,7 +37,7 @@
     dirty: BTreeSet<JobKey>,
     /// VMs with finished runs that were applied but not acknowledged.
     unacknowledged: BTreeSet<VmKey>,
-    /// Tombstones for all records of jobs that are no longer kept.
+    /// Tombstones for all records of jobs, and for cancellations, that are no longer kept.
     dropped: Vec<KeyedRecord>,
     /// Jobs whose placements have changed, with the runs that start once these are stored.
     planned: BTreeMap<JobKey, Vec<RunKey>>,
@@ -79,6 +82,11 @@
         self.unacknowledged.insert(vm);
     }
 
+    /// Schedules a tombstone to be stored.
+    pub(super) fn drop_record(&mut self, tombstone: KeyedRecord) {
+        self.dropped.push(tombstone);
+    }
+
     pub(super) fn remove_job(&mut self, key: JobKey, id: JobId) {
         self.dirty.remove(&key);
         self.dropped.extend(journal::job_tombstones(id));
@@ -105,7 +113,8 @@
         if no_job_changed && no_vm_changed && self.flush.dropped.is_empty() {
             return self.acknowledge_finished(&acknowledgements);
         }
-        let mut records = std::mem::take(&mut self.flush.dropped);
+        let dropped = self.flush.dropped.len().min(APPEND_TOMBSTONES_MAX);
+        let mut records: Vec<KeyedRecord> = self.flush.dropped.drain(..dropped).collect();
         let mut jobs = Vec::new();
         let mut size = 0;
         let mut planned = BTreeMap::new();
--- a/crates/monsoonnotch_jobs/src/scheduler/job.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/job.rs
@@ -620,6 +620,7 @@
         self.log_long_waits();
         self.release_ended_jobs();
         self.remove_old_jobs();
+        self.forget_early_cancellations();
     }
 
     /// Removes the jobs that ended long ago and have no runs.
--- a/crates/monsoonnotch_jobs/src/scheduler/mod.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/mod.rs
@@ -12,6 +12,7 @@
 mod candidates;
 mod completions;
 mod drain;
+mod early_cancellations;
 mod evacuation;
 mod explain;
 mod flush;
@@ -36,6 +37,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use self::early_cancellations::EarlyCancellations;
 use crate::effect::LogEntry;
 use crate::journal::KeyedRecord;
 use crate::order::Typical;
@@ -82,7 +84,7 @@
     jobs: Arena<JobKey, job::Job>,
     jobs_by_id: BTreeMap<JobId, JobKey>,
     /// Jobs whose cancellation was applied before their submission.
-    cancelled_before_submission: BTreeSet<JobId>,
+    early_cancellations: EarlyCancellations,
     /// Jobs that have not ended.
     open_jobs: BTreeSet<JobKey>,
     /// Jobs that have ended and are still kept, by the time at which they ended.
@@ -152,7 +154,7 @@
             reported: BTreeMap::new(),
             jobs: Arena::default(),
             jobs_by_id: BTreeMap::new(),
-            cancelled_before_submission: BTreeSet::new(),
+            early_cancellations: EarlyCancellations::default(),
             open_jobs: BTreeSet::new(),
             ended_jobs: BTreeSet::new(),
             unreleased_jobs: BTreeSet::new(),
--- a/crates/monsoonnotch_jobs/src/scheduler/replay.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/replay.rs
@@ -150,7 +150,7 @@
                 self.token * ATTEMPTS_PER_TERM
             },
             over_share,
-            cancelled: self.cancelled_before_submission.remove(&id),
+            cancelled: self.early_cancellations.remove(id),
             ..Job::new(
                 id,
                 submission.queue,
@@ -216,7 +216,7 @@
         let Some(&key) = self.jobs_by_id.get(&id) else {
             // The submission may still follow: a caller may cancel a job for which it got
             // no answer.
-            self.cancelled_before_submission.insert(id);
+            self.early_cancellations.insert(id, self.now);
             return;
         };
         let Some(job) = self.jobs.get_mut(key) else {
--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -11,6 +11,7 @@
 mod crashes;
 mod delegation;
 mod directed;
+mod early_cancellations;
 mod evacuation;
 mod explain;
 mod faults;
