Drop requests to the leader with their callers, and bound logged paths

By reading: a caller that leaves while its query waits for the leader's answer leaves an entry among the member's open requests, until the leader answers. A log line has the whole path of a request, up to 16 KiB, and 1,024 lines may wait for the writer.

Change: an open request is a value that removes itself when it is dropped, whatever ends the wait; a log line has the first 160 characters of a path.

--- a/crates/monsoonnotch_member/src/cx/mod.rs
+++ b/crates/monsoonnotch_member/src/cx/mod.rs
@@ -300,12 +300,16 @@
 }
 
 impl<T> PendingRequests<T> {
-    /// Registers a request and returns its number and the channel on which the response arrives.
-    pub(crate) fn register(&self) -> (u64, oneshot::Receiver<T>) {
+    /// Registers a request, until what this returns is dropped.
+    pub(crate) fn register(&self) -> PendingRequest<'_, T> {
         let seq = self.next.fetch_add(1, Ordering::Relaxed);
-        let (tx, rx) = oneshot::channel();
+        let (tx, response) = oneshot::channel();
         lock(&self.open).insert(seq, tx);
-        (seq, rx)
+        PendingRequest {
+            requests: self,
+            seq,
+            response,
+        }
     }
 
     /// Passes the response to the task that waits for request `seq`, if it is still registered.
@@ -320,10 +324,22 @@
     pub(crate) fn cancel_all(&self) {
         lock(&self.open).clear();
     }
+}
+
+/// A request that waits for its response. Dropping it, which a caller that disconnects early causes as
+/// well, removes it.
+#[derive(Debug)]
+pub(crate) struct PendingRequest<'a, T> {
+    requests: &'a PendingRequests<T>,
+    /// The number of the request.
+    pub(crate) seq: u64,
+    /// The channel on which the response arrives.
+    pub(crate) response: oneshot::Receiver<T>,
+}
 
-    /// Removes a request whose response is no longer awaited.
-    pub(crate) fn remove(&self, seq: u64) {
-        lock(&self.open).remove(&seq);
+impl<T> Drop for PendingRequest<'_, T> {
+    fn drop(&mut self) {
+        lock(&self.requests.open).remove(&self.seq);
     }
 }
 
--- a/crates/monsoonnotch_member/src/requests/explain.rs
+++ b/crates/monsoonnotch_member/src/requests/explain.rs
@@ -39,7 +39,8 @@
 }
 
 async fn ask_leader(cx: &Cx, subject: Subject) -> Option<Option<Box<Explanation>>> {
-    let (seq, rx) = cx.questions.register();
+    let mut pending = cx.questions.register();
+    let seq = pending.seq;
     let sent = match cx.own_token() {
         Some(token) => {
             let key = QueryKey {
@@ -54,10 +55,11 @@
                 .is_some_and(|tx| tx.try_send(Frame::Explain { seq, subject }.into()).is_ok())
         }
     };
-    let answer = match sent {
-        true => tokio::time::timeout(ANSWER_TIMEOUT, rx).await.ok(),
+    match sent {
+        true => {
+            let answer = tokio::time::timeout(ANSWER_TIMEOUT, &mut pending.response).await;
+            answer.ok()?.ok()
+        }
         false => None,
-    };
-    cx.questions.remove(seq);
-    answer?.ok()
+    }
 }
--- a/crates/monsoonnotch_member/src/requests/mod.rs
+++ b/crates/monsoonnotch_member/src/requests/mod.rs
@@ -46,6 +46,9 @@
 /// Pause before a query is repeated.
 const QUERY_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// Maximum number of characters of a path in a log line.
+const LOGGED_PATH_MAX: usize = 160;
+
 /// Counts a request as open until it is dropped, which a caller that disconnects early causes as well.
 struct OpenRequest<'a>(&'a AtomicU64);
 
@@ -73,7 +76,7 @@
         Verb::Cancel => "cancel",
     };
     let began = Instant::now();
-    let path = request.path.clone();
+    let path: CompactString = request.path.chars().take(LOGGED_PATH_MAX).collect();
     let reply = dispatch(&cx, request).await;
     let elapsed = began.elapsed();
     crate::process::count_request(verb, &reply, elapsed);
@@ -196,15 +199,16 @@
 /// Queries the leader until it answers; returns `None` when there is no answer before `deadline`.
 async fn query_leader(cx: &Arc<Cx>, query: Query, deadline: Instant) -> Option<Answer> {
     loop {
-        let (seq, rx) = cx.queries.register();
-        let sent = send_query(cx, seq, query.clone());
+        let mut pending = cx.queries.register();
+        let sent = send_query(cx, pending.seq, query.clone());
         if sent {
             let answer_deadline = (Instant::now() + ANSWER_TIMEOUT).min(deadline);
-            if let Ok(Ok(answer)) = tokio::time::timeout_at(answer_deadline, rx).await {
+            let answer = tokio::time::timeout_at(answer_deadline, &mut pending.response).await;
+            if let Ok(Ok(answer)) = answer {
                 return Some(answer);
             }
         }
-        cx.queries.remove(seq);
+        drop(pending);
         if Instant::now() + QUERY_RETRY_PAUSE >= deadline {
             return None;
         }
--- a/crates/monsoonnotch_member/src/requests/submit.rs
+++ b/crates/monsoonnotch_member/src/requests/submit.rs
@@ -273,10 +273,10 @@
 /// Relays a record to the leader and waits for the outcome.
 async fn relay_to_leader(cx: &Arc<Cx>, storable: &Storable, deadline: Instant) -> Relayed {
     let within = deadline.saturating_duration_since(Instant::now());
-    let (seq, rx) = cx.store_requests.register();
+    let mut pending = cx.store_requests.register();
     let record = storable.record.clone();
     let frame = Frame::Store {
-        seq,
+        seq: pending.seq,
         within_ms: within.saturating_sub(RELAY_ROUND_TRIP_MAX).as_millis() as u64,
         key: record.key,
         value: ByteBuf::from(record.value),
@@ -287,12 +287,9 @@
         .as_ref()
         .is_some_and(|tx| tx.try_send(frame).is_ok());
     if !sent {
-        cx.store_requests.remove(seq);
         return Relayed::NotSent;
     }
-    let outcome = tokio::time::timeout(within, rx).await;
-    cx.store_requests.remove(seq);
-    match outcome {
+    match tokio::time::timeout(within, &mut pending.response).await {
         Ok(Ok(StoreResult {
             turned_away_s: Some(retry_s),
             ..
