Give places to those who wait for one by what they have sent

Ruled out: the time for a handshake, and the accept loop, which never waits.

Change: a new connection takes a free place only if nobody waits who has sent something, and displaces nobody. Of those that wait, the ones that have received something go first, and among them the newest, which is most likely still to be of use to its client; as many connections are closed as wait. 128 may wait (64 before); for a further one the oldest is closed, a silent one first. A look at the readiness of the stream did not tell silent connections apart, as a new stream always counts as ready; a peek does.

--- a/crates/monsoonnotch_ingress/src/accounts/mod.rs
+++ b/crates/monsoonnotch_ingress/src/accounts/mod.rs
@@ -5,7 +5,12 @@
 //! multiplied by the time for which it has lagged behind a slow but ordinary client, is the largest.
 //! If no client lags, a new connection takes the place of the oldest one that has had a response: that one
 //! is closed after its next response.
+//!
+//! Of the connections that wait for a place, those go first that have received something, and among them
+//! the newest: its client is the most likely to wait for the response. While many wait, the oldest gives up
+//! for a new one.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use monsoonnotch_core::arena::Arena;
@@ -34,6 +39,10 @@
     }
 }
 
+/// Number of a connection that waits for its place; newer ones have higher numbers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Waiting(u64);
+
 /// Whose turn it is on a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Turn {
@@ -46,8 +55,8 @@
 /// What is requested from a budget.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Need {
-    /// A new connection.
-    Connection,
+    /// The place of a connection that waits for it.
+    Place(Waiting),
     /// Further bytes for a connection.
     Bytes(ConnectionKey, u64),
     /// Bytes that belong to no connection.
@@ -117,6 +126,10 @@
     used: u64,
     /// The connections that are being ended.
     ending: BTreeSet<ConnectionKey>,
+    /// The connections that wait for a place, and whether they have received something.
+    waiting: BTreeMap<Waiting, bool>,
+    /// Number of the next one.
+    next_waiting: u64,
 }
 
 impl Accounts {
@@ -127,7 +140,39 @@
             connections: Arena::default(),
             used: 0,
             ending: BTreeSet::new(),
+            waiting: BTreeMap::new(),
+            next_waiting: 0,
+        }
+    }
+
+    /// Adds a connection that waits for a place. If more than `max` wait, also returns the oldest, rather one
+    /// that has received nothing, which waits no more.
+    pub fn wait(&mut self, max: usize) -> (Waiting, Option<Waiting>) {
+        let waiting = Waiting(self.next_waiting);
+        self.next_waiting += 1;
+        self.waiting.insert(waiting, false);
+        if self.waiting.len() <= max {
+            return (waiting, None);
+        }
+        let mut silent = self.waiting.iter().filter(|(_, received)| !**received);
+        let oldest = silent.next().or(self.waiting.first_key_value());
+        let oldest = oldest.map(|(&oldest, _)| oldest);
+        if let Some(oldest) = oldest {
+            self.waiting.remove(&oldest);
         }
+        (waiting, oldest)
+    }
+
+    /// Notes that a connection that waits has received something.
+    pub fn received_while_waiting(&mut self, waiting: Waiting) {
+        if let Some(received) = self.waiting.get_mut(&waiting) {
+            *received = true;
+        }
+    }
+
+    /// Removes a connection that waits no more.
+    pub fn stop_waiting(&mut self, waiting: Waiting) {
+        self.waiting.remove(&waiting);
     }
 
     /// Returns the memory that is taken, in bytes.
@@ -140,37 +185,60 @@
         self.connections.len()
     }
 
+    /// Takes a free place for a new connection, unless others wait that have received something.
+    pub fn arrive(&mut self, now: Time) -> Option<ConnectionKey> {
+        let others = self.count_received(Waiting(0));
+        let missing = self.missing(self.limits.connection_bytes, 1, others);
+        (missing == (0, 0)).then(|| self.open_connection(now))
+    }
+
     /// Meets a need, or chooses the connections to end for it.
     pub fn request(&mut self, need: Need, now: Time) -> Room {
         let (bytes, places) = match need {
-            Need::Connection => (self.limits.connection_bytes, 1),
+            Need::Place(_) => (self.limits.connection_bytes, 1),
             Need::Bytes(_, bytes) | Need::Share(bytes) => (bytes, 0),
         };
-        let memory_missing = (self.used + bytes).saturating_sub(self.limits.memory);
-        let places_missing = (self.open() + places).saturating_sub(self.limits.connections);
-        if memory_missing == 0 && (places == 0 || places_missing == 0) {
-            return Room::Taken(self.take(need, now));
-        }
         if bytes > self.limits.memory || places > self.limits.connections {
             return Room::Never;
         }
-        self.choose(need, memory_missing, places * places_missing, now)
+        let newer = match need {
+            Need::Place(waiting) => self.count_received(Waiting(waiting.0 + 1)),
+            _ => 0,
+        };
+        if self.missing(bytes, places, newer) == (0, 0) {
+            return Room::Taken(self.take(need, now));
+        }
+        // What the others wait for is not there for this one.
+        let others = match need {
+            Need::Place(_) => self.count_received(Waiting(0)).saturating_sub(1),
+            _ => 0,
+        };
+        let (memory, open) = self.missing(bytes, places, others);
+        self.choose(need, memory, open, now)
+    }
+
+    /// Returns how many connections wait and have received something, from one on.
+    fn count_received(&self, first: Waiting) -> usize {
+        let waiting = self.waiting.range(first..);
+        waiting.filter(|(_, received)| **received).count()
+    }
+
+    /// Returns the memory and the places that are missing for these and for `others` connections.
+    fn missing(&self, bytes: u64, places: usize, others: usize) -> (u64, usize) {
+        if places == 0 {
+            return ((self.used + bytes).saturating_sub(self.limits.memory), 0);
+        }
+        let bytes = bytes * (others as u64 + 1);
+        let memory = (self.used + bytes).saturating_sub(self.limits.memory);
+        let open = self.open() + places + others;
+        (memory, open.saturating_sub(self.limits.connections))
     }
 
     fn take(&mut self, need: Need, now: Time) -> Option<ConnectionKey> {
         match need {
-            Need::Connection => {
-                self.used += self.limits.connection_bytes;
-                let connection = Connection {
-                    held: self.limits.connection_bytes,
-                    turn: Turn::Client,
-                    since: now,
-                    received: 0,
-                    opened: now,
-                    served: false,
-                    end: None,
-                };
-                Some(self.connections.insert(connection))
+            Need::Place(waiting) => {
+                self.stop_waiting(waiting);
+                Some(self.open_connection(now))
             }
             Need::Bytes(key, bytes) => {
                 self.used += bytes;
@@ -186,6 +254,19 @@
         }
     }
 
+    fn open_connection(&mut self, now: Time) -> ConnectionKey {
+        self.used += self.limits.connection_bytes;
+        self.connections.insert(Connection {
+            held: self.limits.connection_bytes,
+            turn: Turn::Client,
+            since: now,
+            received: 0,
+            opened: now,
+            served: false,
+            end: None,
+        })
+    }
+
     /// Chooses connections to end until enough memory and places will be given back, with what those give
     /// back that end already.
     fn choose(&mut self, need: Need, mut memory: u64, mut places: usize, now: Time) -> Room {
@@ -219,11 +300,11 @@
     fn next_to_end(&self, need: Need, now: Time) -> Option<(ConnectionKey, End)> {
         let asking = match need {
             Need::Bytes(key, _) => Some(key),
-            Need::Connection | Need::Share(_) => None,
+            Need::Place(_) | Need::Share(_) => None,
         };
         let lagging = self.most_lagging(asking, now);
         lagging.map(|key| (key, End::Now)).or_else(|| {
-            let oldest = (need == Need::Connection).then(|| self.oldest_served());
+            let oldest = matches!(need, Need::Place(_)).then(|| self.oldest_served());
             oldest.flatten().map(|key| (key, End::AfterResponse))
         })
     }
--- a/crates/monsoonnotch_ingress/src/budget/mod.rs
+++ b/crates/monsoonnotch_ingress/src/budget/mod.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use monsoonnotch_core::time::Time;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
@@ -17,6 +18,7 @@
 use crate::accounts::Need;
 use crate::accounts::Room;
 use crate::accounts::Turn;
+use crate::accounts::Waiting;
 use crate::limits::Limits;
 use crate::limits::WAITING_MAX;
 use crate::report::Cause;
@@ -50,12 +52,42 @@
 struct State {
     accounts: Accounts,
     /// Tells each connection when it is to end.
-    ends: BTreeMap<ConnectionKey, watch::Sender<Option<End>>>,
-    /// Number of connections without a place.
-    waiting: usize,
+    ends: BTreeMap<Place, watch::Sender<Option<End>>>,
     tally: Tally,
 }
 
+/// The place of a connection, or that it waits for one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Place {
+    Taken(ConnectionKey),
+    Waiting(Waiting),
+}
+
+impl State {
+    /// Tells a connection how to end.
+    fn end(&self, place: Place, end: End) {
+        if let Some(tx) = self.ends.get(&place) {
+            tx.send_replace(Some(end));
+        }
+    }
+
+    /// Adds a connection; returns what tells it how to end.
+    fn open(&mut self, place: Place) -> watch::Receiver<Option<End>> {
+        let (tx, end) = watch::channel(None);
+        self.ends.insert(place, tx);
+        end
+    }
+
+    /// Removes a connection, with all that it holds.
+    fn close(&mut self, place: Place) {
+        self.ends.remove(&place);
+        match place {
+            Place::Taken(key) => self.accounts.close(key),
+            Place::Waiting(waiting) => self.accounts.stop_waiting(waiting),
+        }
+    }
+}
+
 impl Budget {
     /// Creates the budget of a listener. Each case of a limited client is counted by `count`, and
     /// reported by `reporter` once a second at most.
@@ -73,29 +105,34 @@
             state: Mutex::new(State {
                 accounts: Accounts::new(limits),
                 ends: BTreeMap::new(),
-                waiting: 0,
                 tally: Tally::default(),
             }),
             given_back: Notify::new(),
         }))
     }
 
-    /// Takes the place of a new connection, or one of a few for connections that wait; `None` if there is
-    /// neither.
-    pub(crate) fn arrive(&self) -> Option<Connection> {
-        let key = match self.request(Need::Connection) {
-            Room::Taken(key) => key,
-            Room::After(_) | Room::Full | Room::Never => None,
-        };
+    /// Takes the place of a new connection, or lets it wait for one.
+    pub(crate) fn arrive(&self) -> Connection {
+        let now = self.now();
         let mut state = self.lock();
-        if key.is_none() {
-            state.waiting = Some(state.waiting + 1).filter(|n| *n <= WAITING_MAX)?;
+        let (place, given_up) = match state.accounts.arrive(now) {
+            Some(key) => (Place::Taken(key), None),
+            None => {
+                let (waiting, oldest) = state.accounts.wait(WAITING_MAX);
+                (Place::Waiting(waiting), oldest)
+            }
+        };
+        let end = state.open(place);
+        if let Some(oldest) = given_up {
+            state.end(Place::Waiting(oldest), End::Now);
+            drop(state);
+            self.report(Cause::NoPlace);
         }
-        Some(Connection {
+        Connection {
             budget: self.clone(),
-            end: key.and_then(|key| state.ends.get(&key).map(watch::Sender::subscribe)),
-            key,
-        })
+            place,
+            end,
+        }
     }
 
     /// Takes memory that belongs to no connection; `None` if there is not enough now.
@@ -155,16 +192,11 @@
     fn request(&self, need: Need) -> Room {
         let mut state = self.lock();
         let room = state.accounts.request(need, self.now());
-        if let (Need::Connection, Room::Taken(Some(key))) = (need, &room) {
-            state.ends.insert(*key, watch::Sender::new(None));
-        }
         let Room::After(ends) = &room else {
             return room;
         };
         for (key, end) in ends {
-            if let Some(tx) = state.ends.get(key) {
-                tx.send_replace(Some(*end));
-            }
+            state.end(Place::Taken(*key), *end);
         }
         drop(state);
         for _ in ends {
@@ -194,10 +226,8 @@
 #[derive(Debug)]
 pub struct Connection {
     budget: Budget,
-    /// `None` while there is no place for it.
-    key: Option<ConnectionKey>,
-    /// Tells when it is to end; `None` while there is no place for it.
-    end: Option<watch::Receiver<Option<End>>>,
+    place: Place,
+    end: watch::Receiver<Option<End>>,
 }
 
 impl Connection {
@@ -206,29 +236,48 @@
         &self.budget
     }
 
-    /// Takes a place if the connection has none, and waits a moment for one if needed. Returns whether it
-    /// has a place now; if not, its first request is to be refused.
-    pub async fn settle(&mut self) -> bool {
-        if self.key.is_some() {
+    /// Waits a moment for the place of the connection if it has none; `stream` is its stream. Returns whether
+    /// it has one now; if not, its first request is to be refused.
+    pub async fn settle(&mut self, stream: &TcpStream) -> bool {
+        let Place::Waiting(waiting) = self.place else {
             return true;
-        }
-        let Some(Some(key)) = self.budget.make_room(Need::Connection).await else {
+        };
+        let placed = async {
+            let mut buf = [0];
+            let received = tokio::time::timeout(ROOM_TIMEOUT, stream.peek(&mut buf)).await;
+            // A client that has closed the connection needs no place.
+            received.ok()?.ok().filter(|n| *n > 0)?;
+            self.budget.lock().accounts.received_while_waiting(waiting);
+            self.budget.make_room(Need::Place(waiting)).await
+        };
+        let taken = tokio::select! {
+            taken = placed => taken.flatten(),
+            () = self.ended() => return false,
+        };
+        let Some(key) = taken else {
             self.budget.report(Cause::NoPlace);
             return false;
         };
         let mut state = self.budget.lock();
-        state.waiting -= 1;
-        self.end = state.ends.get(&key).map(watch::Sender::subscribe);
-        self.key = Some(key);
+        state.ends.remove(&self.place);
+        self.place = Place::Taken(key);
+        self.end = state.open(self.place);
         true
     }
 
     /// Returns whether there is no place for the connection, so that its first request is to be refused.
     pub fn is_refused(&self) -> bool {
-        self.key.is_none()
+        self.key().is_none()
+    }
+
+    fn key(&self) -> Option<ConnectionKey> {
+        match self.place {
+            Place::Taken(key) => Some(key),
+            Place::Waiting(_) => None,
+        }
     }
 
-    /// Waits until the connection is to end, in one way or the other, because others need what it holds.
+    /// Waits until the connection is to end, in one way or the other, because others need its place.
     pub async fn ending(&self) {
         self.wait_for_end(|end| end.is_some()).await;
     }
@@ -239,26 +288,19 @@
     }
 
     async fn wait_for_end(&self, f: impl FnMut(&Option<End>) -> bool) {
-        let ended = match self.end.clone() {
-            // The sender lives as long as the connection.
-            Some(mut end) => end.wait_for(f).await.is_ok(),
-            None => false,
-        };
-        if !ended {
-            // A connection without a place holds nothing that others need.
-            std::future::pending().await
-        }
+        // The sender lives as long as the connection, so that the wait does not fail.
+        let _ = self.end.clone().wait_for(f).await;
     }
 
     /// Returns whether the connection is to end.
     pub fn is_ending(&self) -> bool {
-        self.end.as_ref().is_some_and(|end| end.borrow().is_some())
+        self.end.borrow().is_some()
     }
 
     /// Takes memory for what the connection is about to receive. If there is not enough, ends others
     /// that hold much and move little, and waits a moment for what they hold.
     pub async fn take(&self, bytes: u64) -> Option<Taken<'_>> {
-        let need = Need::Bytes(self.key?, bytes);
+        let need = Need::Bytes(self.key()?, bytes);
         self.budget.make_room(need).await?;
         Some(Taken {
             connection: self,
@@ -268,20 +310,20 @@
 
     /// Takes memory without a wait; returns whether there was enough.
     pub(crate) fn take_now(&self, bytes: u64) -> bool {
-        let need = self.key.map(|key| Need::Bytes(key, bytes));
+        let need = self.key().map(|key| Need::Bytes(key, bytes));
         need.is_some_and(|need| matches!(self.budget.request(need), Room::Taken(_)))
     }
 
     /// Gives back memory that was taken.
     pub(crate) fn give_back(&self, bytes: u64) {
-        if let Some(key) = self.key {
+        if let Some(key) = self.key() {
             self.budget.give_back(|s| s.accounts.give_back(key, bytes));
         }
     }
 
     /// Counts bytes that the client sent; `begins` tells whether they are the first of a request.
     pub(crate) fn received(&self, bytes: u64, begins: bool) {
-        let Some(key) = self.key else {
+        let Some(key) = self.key() else {
             return;
         };
         let now = self.budget.now();
@@ -294,7 +336,7 @@
 
     /// Begins a turn.
     pub fn begin_turn(&self, turn: Turn) {
-        if let Some(key) = self.key {
+        if let Some(key) = self.key() {
             let now = self.budget.now();
             self.budget.lock().accounts.begin_turn(key, turn, now);
         }
@@ -303,14 +345,8 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        let key = self.key;
-        self.budget.give_back(|s| match key {
-            Some(key) => {
-                s.ends.remove(&key);
-                s.accounts.close(key);
-            }
-            None => s.waiting -= 1,
-        });
+        let place = self.place;
+        self.budget.give_back(|s| s.close(place));
     }
 }
 
@@ -326,7 +362,7 @@
     pub fn detach(mut self, bytes: u64) -> Share {
         let bytes = bytes.min(self.bytes);
         let connection = self.connection;
-        if let Some(key) = connection.key {
+        if let Some(key) = connection.key() {
             connection.budget.lock().accounts.detach(key, bytes);
         }
         self.bytes -= bytes;
--- a/crates/monsoonnotch_ingress/src/http/mod.rs
+++ b/crates/monsoonnotch_ingress/src/http/mod.rs
@@ -65,7 +65,10 @@
     B: Body + Unpin + 'static,
     B::Error: Into<BoxError>,
 {
-    let has_place = connection.settle().await;
+    let has_place = connection.settle(&stream).await;
+    if connection.is_ending() && !has_place {
+        return;
+    }
     let connection = Arc::new(connection);
     let answering = AtomicBool::new(false);
     let mut stopping = *stop.borrow() || !has_place;
--- a/crates/monsoonnotch_ingress/src/limits/mod.rs
+++ b/crates/monsoonnotch_ingress/src/limits/mod.rs
@@ -12,13 +12,13 @@
 /// Memory of a link between processes, in bytes, without the messages on it.
 const LINK_BYTES: u64 = 16 << 10;
 /// Connections of a listener that wait for a place, or whose first request is refused for want of one.
-pub(crate) const WAITING_MAX: usize = 64;
+pub(crate) const WAITING_MAX: usize = 128;
 
 /// Part of the memory that clients may take; the process needs the rest for its own work.
 const MEMORY_DIVISOR: u64 = 2;
-/// Memory that clients may not take in any case, in bytes: what waits in connections that are not
-/// accepted yet.
-const MEMORY_RESERVE: u64 = 8 * MIB;
+/// Memory that clients may not take in any case, in bytes: what waits unread in connections that have no
+/// place yet.
+const MEMORY_RESERVE: u64 = 10 * MIB;
 /// Descriptors that clients may not take in any case: files, and what a process always has open.
 const DESCRIPTORS_RESERVE: usize = 200;
 /// Part of the other descriptors that clients may take; connections to upstreams need the rest.
--- a/crates/monsoonnotch_ingress/src/listener/mod.rs
+++ b/crates/monsoonnotch_ingress/src/listener/mod.rs
@@ -10,7 +10,6 @@
 
 use crate::budget::Budget;
 use crate::budget::Connection;
-use crate::report::Cause;
 
 /// Connections that the kernel keeps until they are accepted.
 const BACKLOG: u32 = 256;
@@ -53,7 +52,7 @@
         self.io.local_addr()
     }
 
-    /// Accepts a connection that has a place, or waits for one. Others are closed.
+    /// Accepts a connection, which has its place or waits for one.
     pub async fn accept(&self) -> (TcpStream, Connection) {
         loop {
             let Ok((stream, _)) = self.io.accept().await else {
@@ -62,10 +61,7 @@
             };
             // Without it, a response may wait for an acknowledgement; the connection is of use even so.
             let _ = stream.set_nodelay(true);
-            match self.budget.arrive() {
-                Some(connection) => return (stream, connection),
-                None => self.budget.report(Cause::NoPlace),
-            }
+            return (stream, self.budget.arrive());
         }
     }
 }
--- a/crates/monsoonnotch_member/src/links/leader.rs
+++ b/crates/monsoonnotch_member/src/links/leader.rs
@@ -153,7 +153,7 @@
             Arc::clone(&contact),
         );
         tokio::spawn(async move {
-            if !connection.settle().await {
+            if !connection.settle(&stream).await {
                 return;
             }
             // The result is ignored: the follower logs why its link ended.
--- a/crates/monsoonnotch_peer/src/link/incoming.rs
+++ b/crates/monsoonnotch_peer/src/link/incoming.rs
@@ -31,7 +31,7 @@
         let (stream, mut connection) = listener.accept().await;
         let f = Arc::clone(&f);
         tokio::spawn(async move {
-            if !connection.settle().await {
+            if !connection.settle(&stream).await {
                 return;
             }
             let connection = Arc::new(connection);
--- a/tests/misbehaving_clients/crowd.rs
+++ b/tests/misbehaving_clients/crowd.rs
@@ -27,6 +27,8 @@
     sec-websocket-key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n";
 /// Longest wait for a client to send everything, or until its other end takes nothing any more.
 const SEND_TIMEOUT: Duration = Duration::from_secs(20);
+/// Pause of a client that comes back.
+const COME_BACK_PAUSE: Duration = Duration::from_millis(5);
 /// Bytes that a client hands to its socket at a time, so that all clients send side by side.
 const WRITE_BYTES: usize = 32 << 10;
 
@@ -216,6 +218,38 @@
         }
     }
 
+    /// Lets `clients` clients connect side by side, each again whenever its connection is closed, until the
+    /// crowd disperses.
+    pub(crate) fn besiege(target: &Target, clients: usize, habit: Habit) -> Self {
+        let (leave, stay) = watch::channel(());
+        let rest = Arc::new(target.rest(habit));
+        let mut crowd = JoinSet::new();
+        for client in 0..clients {
+            let start = target.start(client, habit, &rest);
+            let (addr, rest, mut stay) = (target.addr, Arc::clone(&rest), stay.clone());
+            crowd.spawn(async move {
+                let come_back = async {
+                    loop {
+                        if let Some(mut stream) = behave(addr, &start, &rest, habit).await {
+                            // Until the connection is closed.
+                            let _ = tokio::io::copy(&mut stream, &mut tokio::io::sink()).await;
+                        }
+                        tokio::time::sleep(COME_BACK_PAUSE).await;
+                    }
+                };
+                tokio::select! {
+                    () = come_back => {}
+                    // It fails when the crowd leaves.
+                    _ = stay.changed() => {}
+                }
+            });
+        }
+        Self {
+            _leave: leave,
+            clients: crowd,
+        }
+    }
+
     /// Closes all connections.
     pub(crate) async fn disperse(self) {
         drop(self._leave);
--- a/tests/misbehaving_clients/entry.rs
+++ b/tests/misbehaving_clients/entry.rs
@@ -172,3 +172,32 @@
     assert!(peak.bytes <= memory_mib * MIB, "{peak:?}");
     assert!(peak.descriptors <= DESCRIPTORS, "{peak:?}");
 }
+
+/// Guards against an entry that serves nobody while clients that were refused come back at once.
+#[rstest]
+#[case::bodies_cut_short(Listener::Callers, Habit::BodyCutShort)]
+#[case::silence(Listener::Callers, Habit::Silence)]
+#[case::unread_responses(Listener::Operators, Habit::UnreadResponses)]
+#[tokio::test(flavor = "multi_thread")]
+async fn ordinary_callers_are_served_beside_a_crowd_that_comes_back(
+    #[case] listener: Listener,
+    #[case] habit: Habit,
+) {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let mut site = Site::start(SMALL_MIB).await;
+    site.wait_for_answers().await;
+    let entry = &site.entry;
+    let listeners = vec![entry.callers, entry.operators, entry.peers];
+    let monitor = Monitor::start(entry.pid(), listeners);
+    let crowd = Crowd::besiege(&site.target(listener), CLIENTS, habit);
+    for _ in 0..4 {
+        site.wait_for_answers().await;
+    }
+    crowd.disperse().await;
+    let alive = site.entry.is_running();
+    let peak = monitor.finish();
+    println!("{listener:?} {habit:?}: {peak:?}, {} MiB", peak.bytes / MIB);
+    assert!(alive, "the process has ended");
+    assert!(peak.bytes <= SMALL_MIB * MIB, "{peak:?}");
+    assert!(peak.descriptors <= DESCRIPTORS, "{peak:?}");
+}
--- a/tests/misbehaving_clients/member.rs
+++ b/tests/misbehaving_clients/member.rs
@@ -146,6 +146,57 @@
     drop(std::fs::remove_dir_all(dir));
 }
 
+/// Guards against a member that serves nobody while clients that were refused come back at once.
+#[rstest]
+#[case::bodies_cut_short(Listener::Callers, Habit::BodyCutShort)]
+#[case::empty_lines(Listener::Callers, Habit::EmptyLines)]
+#[case::silence(Listener::Callers, Habit::Silence)]
+#[case::valid_large_jobs(Listener::Callers, Habit::ValidLargeJob)]
+#[case::unread_responses(Listener::Callers, Habit::UnreadResponses)]
+#[case::silent_peers(Listener::Peers, Habit::Silence)]
+#[tokio::test(flavor = "multi_thread")]
+async fn ordinary_callers_are_served_beside_a_crowd_that_comes_back(
+    #[case] listener: Listener,
+    #[case] habit: Habit,
+) {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let (_site, mut member, dir) = start(&format!("back-{listener:?}-{habit:?}"), SMALL).await;
+    run_ordinary_job(&member, 1).await;
+    let monitor = Monitor::start(member.pid(), member.listeners().to_vec());
+    let crowd = Crowd::besiege(&listener.target(&member), CLIENTS, habit);
+    for number in 2..6 {
+        run_ordinary_job(&member, number).await;
+    }
+    wait_for_answer(member.readiness, "/readyz").await;
+    crowd.disperse().await;
+    let alive = member.is_running();
+    let peak = monitor.finish();
+    println!("{listener:?} {habit:?}: {peak:?}, {} MiB", peak.bytes / MIB);
+    assert!(alive, "the process has ended");
+    assert!(peak.bytes <= u64::from(SMALL.memory_mib) * MIB, "{peak:?}");
+    assert!(peak.descriptors <= SMALL.descriptors as usize, "{peak:?}");
+    drop(std::fs::remove_dir_all(dir));
+}
+
+/// Guards against a leader without followers: strangers keep the places for links.
+#[rstest]
+#[case::silence(Habit::Silence)]
+#[case::messages_cut_short(Habit::MessageCutShort)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_follower_joins_beside_a_crowd_at_its_leader(#[case] habit: Habit) {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let (site, leader, dir) = start(&format!("joins-{habit:?}"), SMALL).await;
+    run_ordinary_job(&leader, 1).await;
+    let crowd = Crowd::besiege(&Listener::Peers.target(&leader), CLIENTS, habit);
+    let mut follower = Member::limited(1, site.store.addr(), &dir, SMALL).await;
+    follower.start(PROGRAM);
+    let joined = || async { !leader.log_lines(&["follower joined"]).is_empty() };
+    wait_until("the follower joins", joined).await;
+    run_ordinary_job(&follower, 2).await;
+    crowd.disperse().await;
+    drop(std::fs::remove_dir_all(dir));
+}
+
 /// Returns the body of a valid job, as long as a body may be. Its record is longer than the store takes.
 fn longest_body() -> String {
     let body = |label: &str| {
