Let connections that are being refused keep no place from others

Cause: a connection that waited for a place in vain stayed among those that wait and have received something until its refusal was read. arrive() and older ones that wait left the next free places to it, and nobody took them.

Found on reading; not seen in a crowd. The new test of the accounts needs give_up(), so that it cannot run on the code before.

Change: one that gives up is no longer counted, and makes room for a new one after the silent ones and before those that may still get a place. A new one never makes room for itself.

--- a/crates/monsoonnotch_ingress/src/accounts/mod.rs
+++ b/crates/monsoonnotch_ingress/src/accounts/mod.rs
@@ -7,8 +7,8 @@
 //! is closed after its next response.
 //!
 //! Of the connections that wait for a place, those go first that have received something, and among them
-//! the newest: its client is the most likely to wait for the response. While many wait, the oldest gives up
-//! for a new one.
+//! the newest: its client is the most likely to wait for the response. While many wait, the oldest makes
+//! room for a new one, rather one that has received nothing or is being refused.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -43,6 +43,18 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Waiting(u64);
 
+/// How far a connection has come that waits for its place. Those that come first here are the first to
+/// make room for a new one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Wait {
+    /// It has received nothing.
+    Silent,
+    /// It gets no place; its request is being refused.
+    GivenUp,
+    /// It has received something.
+    Received,
+}
+
 /// Whose turn it is on a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Turn {
@@ -126,8 +138,8 @@
     used: u64,
     /// The connections that are being ended.
     ending: BTreeSet<ConnectionKey>,
-    /// The connections that wait for a place, and whether they have received something.
-    waiting: BTreeMap<Waiting, bool>,
+    /// The connections that wait for a place.
+    waiting: BTreeMap<Waiting, Wait>,
     /// Number of the next one.
     next_waiting: u64,
 }
@@ -145,28 +157,37 @@
         }
     }
 
-    /// Adds a connection that waits for a place. If more than `max` wait, also returns the oldest, rather one
-    /// that has received nothing, which waits no more.
+    /// Adds a connection that waits for a place. If more than `max` wait, also returns the one that has to
+    /// make room, which waits no more.
     pub fn wait(&mut self, max: usize) -> (Waiting, Option<Waiting>) {
         let waiting = Waiting(self.next_waiting);
         self.next_waiting += 1;
-        self.waiting.insert(waiting, false);
+        self.waiting.insert(waiting, Wait::Silent);
         if self.waiting.len() <= max {
             return (waiting, None);
         }
-        let mut silent = self.waiting.iter().filter(|(_, received)| !**received);
-        let oldest = silent.next().or(self.waiting.first_key_value());
-        let oldest = oldest.map(|(&oldest, _)| oldest);
-        if let Some(oldest) = oldest {
-            self.waiting.remove(&oldest);
+        let others = self.waiting.range(..waiting);
+        let first = others.min_by_key(|&(&k, &wait)| (wait, k));
+        let first = first.map(|(&k, _)| k);
+        if let Some(first) = first {
+            self.waiting.remove(&first);
         }
-        (waiting, oldest)
+        (waiting, first)
     }
 
     /// Notes that a connection that waits has received something.
     pub fn received_while_waiting(&mut self, waiting: Waiting) {
-        if let Some(received) = self.waiting.get_mut(&waiting) {
-            *received = true;
+        self.set_wait(waiting, Wait::Received);
+    }
+
+    /// Notes that a connection gets no place, so that it keeps none from others.
+    pub fn give_up(&mut self, waiting: Waiting) {
+        self.set_wait(waiting, Wait::GivenUp);
+    }
+
+    fn set_wait(&mut self, waiting: Waiting, wait: Wait) {
+        if let Some(known) = self.waiting.get_mut(&waiting) {
+            *known = wait;
         }
     }
 
@@ -220,7 +241,7 @@
     /// Returns how many connections wait and have received something, from one on.
     fn count_received(&self, first: Waiting) -> usize {
         let waiting = self.waiting.range(first..);
-        waiting.filter(|(_, received)| **received).count()
+        waiting.filter(|(_, wait)| **wait == Wait::Received).count()
     }
 
     /// Returns the memory and the places that are missing for these and for `others` connections.
--- a/crates/monsoonnotch_ingress/src/budget/mod.rs
+++ b/crates/monsoonnotch_ingress/src/budget/mod.rs
@@ -118,13 +118,13 @@
         let (place, given_up) = match state.accounts.arrive(now) {
             Some(key) => (Place::Taken(key), None),
             None => {
-                let (waiting, oldest) = state.accounts.wait(WAITING_MAX);
-                (Place::Waiting(waiting), oldest)
+                let (waiting, given_up) = state.accounts.wait(WAITING_MAX);
+                (Place::Waiting(waiting), given_up)
             }
         };
         let end = state.open(place);
-        if let Some(oldest) = given_up {
-            state.end(Place::Waiting(oldest), End::Now);
+        if let Some(given_up) = given_up {
+            state.end(Place::Waiting(given_up), End::Now);
             drop(state);
             self.report(Cause::NoPlace);
         }
@@ -255,6 +255,7 @@
             () = self.ended() => return false,
         };
         let Some(key) = taken else {
+            self.budget.lock().accounts.give_up(waiting);
             self.budget.report(Cause::NoPlace);
             return false;
         };
--- a/crates/monsoonnotch_ingress/tests/accounts.rs
+++ b/crates/monsoonnotch_ingress/tests/accounts.rs
@@ -182,6 +182,32 @@
     accounts.stop_waiting(first);
 }
 
+/// Guards against places that stay free for a client which is being refused.
+#[test]
+fn a_connection_that_gave_up_leaves_places_to_others() {
+    let mut accounts = Accounts::new(LIMITS);
+    let keys = connect_all(&mut accounts, START);
+    let (refused, _) = accounts.wait(3);
+    accounts.received_while_waiting(refused);
+    accounts.give_up(refused);
+    accounts.close(keys[0]);
+    assert!(accounts.arrive(START).is_some());
+    // Further ones wait in its place, rather than in that of one that may still get a place.
+    let (other, _) = accounts.wait(3);
+    accounts.received_while_waiting(other);
+    let (silent, _) = accounts.wait(3);
+    assert_eq!(accounts.wait(3).1, Some(silent));
+    let (last, given_up) = accounts.wait(3);
+    assert!(
+        given_up > Some(silent) && given_up < Some(last),
+        "{given_up:?}"
+    );
+    for waiting in [last, other] {
+        accounts.received_while_waiting(waiting);
+    }
+    assert_eq!(accounts.wait(2).1, Some(refused));
+}
+
 #[test]
 fn an_idle_connection_has_its_time_anew_when_a_request_begins() {
     let mut accounts = Accounts::new(LIMITS);
