Wait a moment for the memory of a record, as for that of a body

Cause: a request waits up to 500 ms for memory to receive and decode its plan, and then was refused at once if there was none for the copies of its record. In a crowd that refuses ordinary callers whose work is done. Besides, two refusals for want of memory said that a submission had not run although it had been sent a short time before and may be stored: that of the record at the leader, and that of a relayed record.

A first try only made the wait asynchronous.

Change: resize() of a share waits as take() does. The plan is dropped before the wait. A submission that was sent before is answered as one that may have run.

The refusals of repeated submissions are by reading; no test drives them.

--- a/crates/monsoonnotch_ingress/src/budget/mod.rs
+++ b/crates/monsoonnotch_ingress/src/budget/mod.rs
@@ -388,11 +388,12 @@
 }
 
 impl Share {
-    /// Changes the size of the share; returns false, without a change, if there is not enough memory.
-    pub fn resize(&mut self, bytes: u64) -> bool {
+    /// Changes the size of the share; waits a moment for more. Returns false, without a change, if there
+    /// is not enough memory even so.
+    pub async fn resize(&mut self, bytes: u64) -> bool {
         if bytes > self.bytes {
             let more = Need::Share(bytes - self.bytes);
-            if !matches!(self.budget.request(more), Room::Taken(_)) {
+            if self.budget.make_room(more).await.is_none() {
                 return false;
             }
         } else {
--- a/crates/monsoonnotch_ingress/tests/http.rs
+++ b/crates/monsoonnotch_ingress/tests/http.rs
@@ -150,6 +150,29 @@
     server.wait_until_unused().await;
 }
 
+/// Guards against a refusal while memory is about to be given back.
+#[tokio::test]
+async fn a_share_waits_a_moment_for_memory() {
+    let limits = Limits {
+        memory: 100,
+        connections: 0,
+        connection_bytes: 10,
+    };
+    let budget = Budget::new("test", limits, |_, _| {}, |_| {});
+    let mut share = budget.share(10).expect("memory");
+    let other = budget.share(90).expect("memory");
+    assert!(!share.resize(20).await);
+    let given_back = async {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        drop(other);
+    };
+    assert!(tokio::join!(share.resize(100), given_back).0);
+    assert!(share.resize(5).await);
+    assert_eq!(budget.memory_used(), 5);
+    drop(share);
+    assert_eq!(budget.memory_used(), 0);
+}
+
 #[tokio::test]
 async fn a_client_that_leaves_gives_all_back() {
     let server = Server::start(ample());
--- a/crates/monsoonnotch_member/src/requests/mod.rs
+++ b/crates/monsoonnotch_member/src/requests/mod.rs
@@ -119,8 +119,7 @@
             memory,
         } => {
             let submission = submit::submission(name, queue, account, *plan);
-            // The plan is dropped before the wait: many may be in progress, and each may be large.
-            match submit::prepare(cx, id, submission, memory) {
+            match submit::prepare(cx, id, submission, memory).await {
                 Ok(record) => submit::store(cx, record, deadline).await,
                 Err(reply) => reply,
             }
--- a/crates/monsoonnotch_member/src/requests/submit.rs
+++ b/crates/monsoonnotch_member/src/requests/submit.rs
@@ -93,31 +93,50 @@
         parse_job_id(&self.record.key)
     }
 
-    /// Returns the refusal for want of memory.
-    fn no_memory_retry_s(&self, cx: &Cx) -> u32 {
+    /// Refuses the record for want of memory; returns after which time its caller may come back, in seconds.
+    /// `None` if it was sent before, and may be stored.
+    fn no_memory_retry_s(&self, cx: &Cx) -> Option<u32> {
         match self.submitted() {
-            Some(id) => refusal::unsent_retry_s(cx, id, Cause::NoMemory),
-            None => refusal::retry_s(Cause::NoMemory),
+            Some(_) if self.repeated => None,
+            Some(id) => Some(refusal::unsent_retry_s(cx, id, Cause::NoMemory)),
+            None => Some(refusal::retry_s(Cause::NoMemory)),
         }
     }
+
+    /// Returns the reply for want of memory.
+    fn no_memory(&self, cx: &Cx) -> Reply {
+        let retry_s = self.no_memory_retry_s(cx);
+        retry_s.map_or(Reply::MayHaveRun, |retry_s| Reply::NotRun { retry_s })
+    }
 }
 
 /// Turns a submission into the record to store; `memory` is that of the request.
 ///
 /// The error is the reply if the submission is turned away, or if there is no memory for the record.
-pub(super) fn prepare(
+pub(super) async fn prepare(
     cx: &Cx,
     id: JobId,
     submission: Submission,
     mut memory: Share,
 ) -> Result<Storable, Reply> {
+    let storable = encode(cx, id, submission)?;
+    let copies = storable.record.value.len() as u64 * RECORD_COPIES;
+    if !memory.resize(copies).await {
+        return Err(storable.no_memory(cx));
+    }
+    Ok(Storable {
+        memory: Some(Arc::new(memory)),
+        ..storable
+    })
+}
+
+/// Encodes a submission, unless it is turned away. Its plan is dropped: many may wait for memory, and each
+/// may be large.
+fn encode(cx: &Cx, id: JobId, submission: Submission) -> Result<Storable, Reply> {
     let record = journal::submission_record(id, &submission);
     if !fits_into_record(&record) {
         return Err(Reply::TooLarge);
     }
-    if !memory.resize(record.value.len() as u64 * RECORD_COPIES) {
-        return Err(refusal::not_run(Cause::NoMemory));
-    }
     let repeated = refusal::is_repeated(cx, id);
     let job_memory = job_memory(&submission.plan);
     let turned_away = match repeated {
@@ -128,7 +147,6 @@
         Some(retry_s) => Err(Reply::NotRun { retry_s }),
         None => Ok(Storable {
             repeated,
-            memory: Some(Arc::new(memory)),
             ..Storable::new(record, job_memory)
         }),
     }
@@ -170,10 +188,9 @@
         };
     }
     let Some(place) = JobPlace::take(cx, &record) else {
-        let retry_s = record.no_memory_retry_s(cx);
         return match may_have_run {
             true => Reply::MayHaveRun,
-            false => Reply::NotRun { retry_s },
+            false => record.no_memory(cx),
         };
     };
     // A record that the leader may have stored can be appended again, because the store keeps one
@@ -249,7 +266,8 @@
     record.memory = cx.budgets.relayed.share(copies).map(Arc::new);
     let place = JobPlace::take(cx, &record);
     let Some(place) = place.filter(|_| record.memory.is_some()) else {
-        return StoreResult::turned_away(record.no_memory_retry_s(cx));
+        let retry_s = record.no_memory_retry_s(cx);
+        return retry_s.map_or(StoreOutcome::Unknown.into(), StoreResult::turned_away);
     };
     let outcome = match store_directly(cx, record, place, deadline).await {
         Reply::Stored => StoreOutcome::Stored,
