Leave pauses of the process out of the time of a body

Cause: a body is looked at eight times until its timeout. After a pause of the process all eight were due at once, and a body of which the kernel holds only a part, because its receive buffer is small, was refused as too slow although its client never stopped.

Seen: the new test on the code before, three runs of three: 408 for a body of 100,000 bytes after a pause of twice its timeout. A body of 2,000 bytes, which fits into one read, passed.

Change: the time by which a check is late does not count.

After: the test passes; 17 of 17 tests over loopback pass.

--- a/crates/monsoonnotch_ingress/src/body/mod.rs
+++ b/crates/monsoonnotch_ingress/src/body/mod.rs
@@ -148,6 +148,8 @@
 
     /// Returns whether the body cannot arrive in time, of which `received` bytes have arrived.
     fn is_hopeless(&mut self, received: usize) -> bool {
+        // Time in which the process did not run does not count.
+        self.began += self.next_check().elapsed();
         self.checks += 1;
         self.checks >= CHECKS || is_hopeless(received, self.expected, self.checks, CHECKS)
     }
--- a/crates/monsoonnotch_ingress/tests/http.rs
+++ b/crates/monsoonnotch_ingress/tests/http.rs
@@ -150,6 +150,32 @@
     server.wait_until_unused().await;
 }
 
+/// Guards against refusals for time in which the process did not run: it reads what has arrived meanwhile.
+#[tokio::test]
+async fn a_pause_of_the_process_does_not_count() {
+    let server = Server::start(ample());
+    let addr = server.addr;
+    let client = std::thread::spawn(move || {
+        use std::io::Read;
+        use std::io::Write;
+        let mut stream = std::net::TcpStream::connect(addr).expect("a connection");
+        let half = "a".repeat(BODY_BYTES_MAX / 2);
+        let head = head("connection: close\r\ncontent-length: 100000\r\n") + &half;
+        stream.write_all(head.as_bytes()).expect("it is sent");
+        std::thread::sleep(BODY_TIMEOUT / 2);
+        stream.write_all(half.as_bytes()).expect("it is sent");
+        let mut text = String::new();
+        stream.read_to_string(&mut text).expect("a response");
+        text
+    });
+    tokio::time::sleep(BODY_TIMEOUT / 4).await;
+    // The runtime has one thread.
+    std::thread::sleep(BODY_TIMEOUT * 2);
+    server.wait_until_unused().await;
+    let text = client.join().expect("the client ends");
+    assert!(text.starts_with("HTTP/1.1 200 "), "{text}");
+}
+
 /// Guards against a refusal while memory is about to be given back.
 #[tokio::test]
 async fn a_share_waits_a_moment_for_memory() {
