--- a/review/standins-3/src/kind.rs
+++ b/review/standins-3/src/kind.rs
@@ -47,6 +47,7 @@
         prefix: "/jobs/",
         service: "pool",
         public: false,
+        priority: 0,
     }];
     publish(&store, 1, &routes, &[unlimited("ann", &["key-a"])]);
     let mut members = ["a", "b", "c"].map(|d| Member::new(1, d, store.addr(), dir));
--- a/review/standins-3/src/large.rs
+++ b/review/standins-3/src/large.rs
@@ -88,6 +88,7 @@
         prefix: "/jobs/",
         service: "pool",
         public: false,
+        priority: 0,
     }];
     let refused = Arc::new(AtomicU64::new(0));
     let store_addr = watch_refusals(store.addr(), Arc::clone(&refused)).await;
--- a/review/standins-3/src/public_queue.rs
+++ b/review/standins-3/src/public_queue.rs
@@ -27,6 +27,7 @@
     prefix: "/watch/",
     service: "pool",
     public: true,
+    priority: 0,
 }];
 const JOB: &str = "/watch/5c0e7a21d94b36f8";
 
--- a/review/standins-3/src/quota.rs
+++ b/review/standins-3/src/quota.rs
@@ -51,6 +51,7 @@
         prefix: "/jobs/",
         service: "pool",
         public: false,
+        priority: 0,
     }];
     publish(&store, 1, &routes, &tenant(QUOTAS[0]));
     let mut members = ["a", "b", "c"].map(|d| Member::new(1, d, store.addr(), dir));
