--- a/review/standins-3/src/deployment.rs
+++ b/review/standins-3/src/deployment.rs
@@ -142,6 +142,25 @@
         record.add(format!("member {} is killed", self.name));
     }
 
+    /// Lets the process stand still.
+    pub fn freeze(&mut self, record: &Record) {
+        self.signal("-STOP");
+        record.add(format!("member {} stands still", self.name));
+    }
+
+    /// Lets the process go on.
+    pub fn thaw(&mut self, record: &Record) {
+        self.signal("-CONT");
+        record.add(format!("member {} goes on", self.name));
+    }
+
+    fn signal(&self, signal: &str) {
+        if let Some(child) = &self.child {
+            let id = child.id().to_string();
+            let _ = Command::new("kill").args([signal, id.as_str()]).status();
+        }
+    }
+
     fn end(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
@@ -168,6 +187,21 @@
     pub fn name(&self) -> &str {
         &self.name
     }
+
+    /// Whether the process has been started and has not been killed.
+    pub fn is_started(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// Returns the resident memory of the process, in bytes; zero if it does not run.
+    pub fn memory(&self) -> u64 {
+        let Some(child) = &self.child else { return 0 };
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|l| l.split_whitespace().next()?.parse::<u64>().ok());
+        kib.unwrap_or(0) * 1_024
+    }
 }
 
 impl Drop for Member {
@@ -231,8 +265,20 @@
     Tenant { name, keys, cpu: 0 }
 }
 
+/// A store into which the operator and workers write.
+pub trait Writer: Clone + Send + Sync + 'static {
+    /// Writes a record. An empty value drops the key.
+    fn put(&self, topic: &str, key: &str, value: &[u8]);
+}
+
+impl Writer for Store {
+    fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        Self::put(self, topic, key, value);
+    }
+}
+
 /// Publishes a configuration, as the operator does.
-pub fn publish(store: &Store, version: u64, routes: &[Route], tenants: &[Tenant]) {
+pub fn publish(store: &impl Writer, version: u64, routes: &[Route], tenants: &[Tenant]) {
     let rows = routes.iter().map(|r| {
         json!({"name": format!("r-{}", r.prefix.trim_matches('/')), "host": "test",
             "path-prefix": r.prefix, "kind": "non_idempotent", "timeout-ms": DEADLINE_MS,
--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -4,12 +4,13 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use monsoonnotch_adapter_standins::store::Store;
 use monsoonnotch_adapter_standins::vm::SharedChecker;
 use monsoonnotch_adapter_standins::vm::Vm;
 use serde_json::Value;
 use serde_json::json;
 
+use crate::deployment::Writer;
+
 /// `heartbeat-ms` of the settings that DEPLOY.md shows.
 pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
@@ -31,18 +32,6 @@
 }
 
 impl Worker {
-    /// Changes what the VM says in its next entry.
-    pub fn change(&self, f: impl FnOnce(&mut About)) {
-        f(&mut self.about.lock().expect("no panic"));
-    }
-
-    /// Writes the entry now, beside the heartbeats.
-    pub fn announce(&self, store: &Store) {
-        if let Some(entry) = self.entry() {
-            store.put("keyed.servers", &self.vm.id(), entry.as_bytes());
-        }
-    }
-
     /// Returns the entry; `None` while the VM is down.
     fn entry(&self) -> Option<String> {
         let mut entry: Value = serde_json::from_str(&self.vm.entry()?).ok()?;
@@ -63,7 +52,7 @@
     number: usize,
     domain: &'static str,
     about: About,
-    store: &Store,
+    store: &impl Writer,
     checker: &SharedChecker,
 ) -> Worker {
     let vm = Vm::start(number, domain, Arc::clone(checker)).await;
@@ -74,7 +63,7 @@
 }
 
 /// Writes a VM's entry at each heartbeat. After three heartbeats of silence the store removes it.
-async fn write_entries(store: Store, worker: Worker) {
+async fn write_entries(store: impl Writer, worker: Worker) {
     let mut key = worker.vm.id();
     let mut silent = 0;
     loop {
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -4,9 +4,10 @@
 
 mod deployment;
 mod fleet;
-mod kind;
+mod job_room;
 mod labelled;
 mod large;
+mod paged_store;
 mod public_queue;
 mod quota;
 
@@ -40,7 +41,7 @@
     let finding = rt.block_on(async {
         tokio::spawn(deployment::end_when_stopped());
         match case.as_str() {
-            "kind" => kind::run(&record, &dir).await,
+            "job-room" => job_room::run(&record, &dir).await,
             "labelled" => labelled::run(&record, &dir).await,
             "large" => large::run(&record, &dir).await,
             "public-queue" => public_queue::run(&record, &dir).await,
