Start one task above a limit that was lowered below it

Cause: a task started only if usage and need fit into the limit as a whole. Limits fall while accepted work waits, and then nothing makes that true again. The log had neither limit nor usage, so that a wrong usage could not be ruled out; `stage waiting` has both now.

Change: an account that uses less than half of its limit may always start one more task, a gang if all its tasks but one fit (scheduler/limits.rs).

The same for capacity: work that needs more of a shrunken pool than the reserve for urgent work leaves never started on the empty pool, and may use all of it now.

The check of limits in the simulation asked for usage within the limit without exception. Configurations may change in the simulation; the highest limit of the last 2 s counts, as in the rule.

--- a/crates/monsoonnotch_jobs/src/scheduler/job.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/job.rs
@@ -655,8 +655,12 @@
             let (rank, tickets) = (stage.rank, stage.approvals.tickets.len());
             let since = now.since(stage.ready_at).as_millis();
             let id = self.task_id(key, 0).stage;
+            let limit = match blocked {
+                Blocked::Limit => self.describe_limit(key),
+                _ => String::new(),
+            };
             let detail = format!(
-                "step={} waiting={waiting} blocked={blocked:?} class={} over_share={} position_ms={} tickets={tickets} since_ms={since}",
+                "step={} waiting={waiting} blocked={blocked:?} class={} over_share={} position_ms={} tickets={tickets} since_ms={since}{limit}",
                 id.step, rank.class, rank.over_share, rank.position_ms
             );
             self.log(id.job.0, "stage waiting", detail);
--- a/crates/monsoonnotch_jobs/src/scheduler/mod.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/mod.rs
@@ -19,6 +19,7 @@
 mod gang;
 mod job;
 mod kinds;
+mod limits;
 mod placement;
 mod poison;
 mod polls;
--- a/crates/monsoonnotch_jobs/src/scheduler/placement.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/placement.rs
@@ -18,9 +18,6 @@
 
 /// The highest priority, which may use the reserved capacity.
 pub(super) const URGENT_PRIORITY: u32 = 0;
-/// Part of an account's limit that is reserved for its urgent tasks, in thousandths.
-/// Urgent tasks take about this part of all resources at the sites.
-const URGENT_LIMIT_RESERVE_MILLI: u64 = 200;
 /// Slowness, as a multiple of the usual run time, above which other VMs with free
 /// capacity are preferred.
 const SLOWER_THRESHOLD: f64 = 1.15;
@@ -230,7 +227,7 @@
     ) -> Option<Blocked> {
         let job = self.jobs.get(key.job)?;
         let step = job.step(key.step);
-        if !self.within_limit(rank, &job.account, &step.need) {
+        if !self.within_limit(rank, &job.account, &step.need, 1) {
             return Some(Blocked::Limit);
         }
         let needs_reserve = !self.leaves_reserve(rank, &step.allocation(), capacity);
@@ -358,7 +355,7 @@
         let mut waits = 0;
         let mut bounds = self.start_bounds(key, capacity.vms);
         for (index, attempt) in waiting {
-            if !self.within_limit(rank, &account, &step.need) {
+            if !self.within_limit(rank, &account, &step.need, 1) {
                 self.set_blocked(key, Blocked::Limit);
                 return (placed, true);
             }
@@ -410,8 +407,7 @@
             self.set_blocked(key, Blocked::Suspect);
             return (0, true);
         }
-        let all = step.need.times(count);
-        if !self.within_limit(rank, &account, &all) {
+        if !self.within_limit(rank, &account, &step.need, count) {
             self.set_blocked(key, Blocked::Limit);
             return (0, true);
         }
@@ -445,50 +441,12 @@
         }
     }
 
-    /// Whether an account may use `need` on top of its present usage.
-    ///
-    /// Tasks that are not urgent leave free what the account's waiting urgent tasks
-    /// need and, if it uses more than half of its limit, at least a fixed part of the
-    /// limit. This keeps an account's batch jobs from delaying its own urgent tasks.
-    fn within_limit(&self, rank: Rank, account: &str, need: &Resources) -> bool {
-        let Some(limit) = self.config.accounts.get(account).map(|a| a.limit) else {
-            return true;
-        };
-        let mut used = self.usage.get(account).copied().unwrap_or_default();
-        if let Some(uncertain) = self.uncertain_usage.get(account) {
-            used.add(uncertain);
-        }
-        let urgent = self.urgent_demand.get(account).copied().unwrap_or_default();
-        let fits = |limit: u64, used: u64, need: u64, urgent: u64| {
-            let kept = match (rank.is_urgent(), used <= limit / 2) {
-                (true, _) => 0,
-                (false, true) => urgent,
-                (false, false) => urgent.max(milli_of(limit, URGENT_LIMIT_RESERVE_MILLI)),
-            };
-            let after = used.saturating_add(need).saturating_add(kept);
-            limit == 0 || after <= limit
-        };
-        fits(
-            limit.cpu_milli,
-            used.cpu_milli,
-            need.cpu_milli,
-            urgent.cpu_milli,
-        ) && fits(
-            limit.memory_mib,
-            used.memory_mib,
-            need.memory_mib,
-            urgent.memory_mib,
-        ) && fits(
-            limit.accelerators,
-            used.accelerators,
-            need.accelerators,
-            urgent.accelerators,
-        )
-    }
-
     /// Whether a start leaves the capacity free that is reserved for the highest priority.
+    ///
+    /// A pool may shrink below what accepted work needs beside the reserve. Such work may use all of it.
     fn leaves_reserve(&self, rank: Rank, need: &Resources, capacity: &PoolCapacity) -> bool {
         let kept = milli_of(capacity.total, self.tuning.urgent_reserve_milli);
+        let kept = kept.min(capacity.total.saturating_sub(need.cpu_milli));
         rank.class == URGENT_PRIORITY
             || need.cpu_milli == 0
             || capacity.free >= need.cpu_milli.saturating_add(kept)
--- a/crates/monsoonnotch_jobs/src/scheduler/runs.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/runs.rs
@@ -56,7 +56,7 @@
     allocation: Resources,
     /// Resources that count against its account's limit.
     need: Resources,
-    account: CompactString,
+    pub(super) account: CompactString,
     backfill: bool,
     serving: bool,
     pub(super) ticket: CompactString,
--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -18,6 +18,7 @@
 mod incarnations;
 mod large_numbers;
 mod leaders;
+mod limits;
 mod link;
 mod load;
 mod network;
--- a/crates/monsoonnotch_jobs/tests/promises/simulation.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/simulation.rs
@@ -50,6 +50,9 @@
 /// Unix time at which the simulation starts, in milliseconds.
 pub(crate) const START_UNIX_MS: u64 = 1_700_000_000_000;
 
+/// Time within which a published configuration is in force, in milliseconds.
+const CONFIG_APPLY_MS: u64 = 2_000;
+
 /// What happens next in the simulation; members are given by their index.
 #[derive(Debug)]
 pub(crate) enum Msg {
@@ -64,6 +67,8 @@
     Journal(usize, usize),
     Append(usize, Vec<KeyedRecord>),
     BeginTerm(usize),
+    /// A member learns the published configuration.
+    Config(usize),
     /// A member learns which failure domains are evacuated.
     Evacuations(usize),
     /// The VM list learns whether a VM is up, or removes the entry of one that is.
@@ -94,6 +99,8 @@
     pub(crate) now: u64,
     pub(crate) faults: Faults,
     pub(crate) site: Arc<PublishedConfig>,
+    /// Earlier configurations, and when each was replaced.
+    replaced_sites: Vec<(u64, Arc<PublishedConfig>)>,
     pub(crate) vms: BTreeMap<String, Vm>,
     /// The VM list, without the VMs that are not listed.
     vm_list: BTreeMap<String, Registration>,
@@ -162,6 +169,7 @@
             now: 0,
             faults,
             site: Arc::new(site),
+            replaced_sites: Vec::new(),
             vms: vms.collect(),
             vm_list,
             members: Vec::new(),
@@ -283,6 +291,30 @@
         member.read_to = self.log.len();
     }
 
+    /// Publishes a configuration, of which the members learn within a second.
+    pub(crate) fn publish(&mut self, site: PublishedConfig) {
+        let replaced = std::mem::replace(&mut self.site, Arc::new(site));
+        self.replaced_sites.push((self.now, replaced));
+        for m in 0..self.members.len() {
+            let after = self.rng.random_range(5..1_000);
+            self.post(after, Msg::Config(m));
+        }
+    }
+
+    /// Returns the highest limit of an account's CPU that may be in force, in thousandths of a core; zero if
+    /// it has none.
+    pub(crate) fn limit_in_force(&self, account: &str) -> u64 {
+        let former = self.replaced_sites.iter();
+        let former = former.filter(|(at, _)| self.now <= at + CONFIG_APPLY_MS);
+        let sites = former.map(|(_, site)| site).chain([&self.site]);
+        let limits = sites.map(|s| s.accounts.get(account).map_or(0, |a| a.limit.cpu_milli));
+        let limits: Vec<u64> = limits.collect();
+        match limits.contains(&0) {
+            true => 0,
+            false => limits.into_iter().max().unwrap_or(0),
+        }
+    }
+
     /// Makes a VM unreachable for the newest member for `ms`; earlier members reach it.
     pub(crate) fn make_unreachable(&mut self, id: &str, ms: u64) {
         self.unreachable_until.insert(id.to_owned(), self.now + ms);
@@ -551,6 +583,7 @@
             }
             Msg::Journal(m, to) => self.read_journal(m, to),
             Msg::Append(m, records) => self.store_append(m, records),
+            Msg::Config(m) => self.handle(m, Event::Config(Arc::clone(&self.site))),
             Msg::Evacuations(m) => {
                 let evacuated = self.evacuated.keys().cloned().collect();
                 self.handle(m, Event::Evacuations(evacuated));
