Move no task out of an evacuated domain that may not start again

An evacuation stops long-lived tasks that find room elsewhere. If their account's limit was lowered below what they use, a stopped one may not start again, and the service loses its tasks one by one. A task is moved now only if it fits into the limit without its present run.

Test: long_lived_tasks_above_a_lowered_limit_stay. Before: tasks of the evacuated domain were stopped; after: all 24 stay, and move once the limit is raised.

--- a/crates/monsoonnotch_jobs/src/scheduler/evacuation.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/evacuation.rs
@@ -122,8 +122,8 @@
         left
     }
 
-    /// Stops as many of the runs as may be unavailable now and find room elsewhere; returns how
-    /// many were stopped.
+    /// Stops as many of the runs as may be unavailable now, find room elsewhere and may start there
+    /// within their account's limit; returns how many were stopped.
     fn move_runs_of_stage(
         &mut self,
         key: StageKey,
@@ -140,6 +140,9 @@
         let away = stage.tasks.len() - working;
         let allowed = step.unavailable_max.unwrap_or(MOVES_DEFAULT) as usize;
         let need = step.allocation();
+        if !self.may_start_again(stage.rank, &job.account, &step.need) {
+            return 0;
+        }
         let Some(capacity) = capacities.get_mut(&job.pool) else {
             return 0;
         };
--- a/crates/monsoonnotch_jobs/src/scheduler/limits.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/limits.rs
@@ -74,6 +74,21 @@
                 && self.all_starts_confirmed(account))
     }
 
+    /// Whether an account may start a task again that is stopped to be moved.
+    pub(super) fn may_start_again(&self, rank: Rank, account: &str, need: &Resources) -> bool {
+        let Some(headroom) = self.headroom(account) else {
+            return true;
+        };
+        let mut rows = headroom.iter().zip(limited(need));
+        rows.all(|(h, need)| {
+            let without = Headroom {
+                used: h.used.saturating_sub(need),
+                ..*h
+            };
+            without.fits(need, rank.is_urgent())
+        })
+    }
+
     /// Whether VMs have confirmed all starts of an account, also those of a predecessor.
     fn all_starts_confirmed(&self, account: &str) -> bool {
         let uncertain = self
--- a/crates/monsoonnotch_jobs/tests/promises/evacuation.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/evacuation.rs
@@ -129,6 +129,27 @@
     assert_eq!(running_in(&sim, "b"), before, "none was stopped");
 }
 
+/// Guards against a service that loses its tasks to its own move: its account's limit was lowered below what they
+/// use, so that none that is stopped may start again.
+#[test]
+fn long_lived_tasks_above_a_lowered_limit_stay() {
+    let mut sim = simulation(8_000);
+    let job = submission(&sim, "quick", "ann", vec![long_lived(24, Some(2))]);
+    sim.submit(JobId(1), job);
+    run(&mut sim, 2_500);
+    let before = running_in(&sim, "b");
+    sim.publish(site(12_000, false));
+    run(&mut sim, 1_500);
+    sim.evacuate("b");
+    run(&mut sim, 5_000);
+    assert_eq!(running_in(&sim, "b"), before, "none was stopped");
+    sim.publish(site(24_000, false));
+    run(&mut sim, 30_000);
+    assert_eq!(running_in(&sim, "b"), 0, "all have moved");
+    let total: usize = DOMAINS.iter().map(|d| running_in(&sim, d)).sum();
+    assert_eq!(total, 24, "all are at work");
+}
+
 /// Guards against a start that is sent again into a domain that was evacuated after its first
 /// send had no answer.
 #[test]
