--- a/crates/monsoonnotch_jobs/src/event/mod.rs
+++ b/crates/monsoonnotch_jobs/src/event/mod.rs
@@ -80,6 +80,9 @@
         /// Whether the records are stored; if not, they never will be.
         stored: bool,
     },
+    /// The store refuses the records of an [`Effect::Append`](crate::effect::Effect::Append) for good;
+    /// nothing was stored.
+    AppendRefused,
     /// A member became able to send requests to the approval service.
     ApprovalSlotUp(ApprovalSlotKey),
     /// A member is no longer able to send requests to the approval service.
--- a/crates/monsoonnotch_jobs/src/journal/mod.rs
+++ b/crates/monsoonnotch_jobs/src/journal/mod.rs
@@ -1,9 +1,13 @@
 //! The keyed records of the journal.
 //!
-//! A job has up to four records, each under its own key: the submission and the
-//! cancellation, which the member writes that received the request, and the progress
-//! and the placements, which the leader writes under its token. The store keeps the
-//! newest record of each key.
+//! A job has a submission and a cancellation, which the member writes that received the
+//! request, and records of its progress and its placements, which the leader writes under
+//! its token. Each has its own key, and the store keeps the newest record of each key.
+//!
+//! Progress and placements of a large job are divided into parts of [`PART_TASKS`] tasks, so that
+//! each record fits into the store, whatever becomes of the tasks. A part has rows of its own tasks only,
+//! and may be stored without the others. Part 0 has the key that releases without parts used for
+//! the whole job.
 
 use compact_str::CompactString;
 use compact_str::format_compact;
@@ -16,6 +20,27 @@
 use crate::plan::Plan;
 use crate::plan::parse_job_id;
 
+/// Largest record that the store takes, in bytes, with its key and the length of the key.
+pub const RECORD_BYTES_MAX: usize = 262_144;
+/// Number of tasks in a part. With all that is stored of a task at its largest, about 2,400 bytes, a
+/// part fits into a record.
+pub const PART_TASKS: u64 = 100;
+/// Number of failed attempts of a task that are stored one by one; earlier ones are counted.
+pub const FAILED_KEPT_MAX: usize = 64;
+/// Number of crashes under a task that are stored.
+pub const CRASHES_KEPT_MAX: usize = 4;
+/// Longest checkpoint of a task, in bytes.
+pub const CHECKPOINT_BYTES_MAX: usize = 512;
+
+/// Length of a job's id in a key, in bytes.
+const JOB_KEY_BYTES: usize = 16;
+/// What follows the job's id in the key of its cancellation.
+const CANCELLATION_SUFFIX: &str = ".c";
+/// What follows the job's id in the keys of its progress.
+const PROGRESS_SUFFIX: &str = ".p";
+/// What follows the job's id in the keys of its placements.
+const PLACEMENTS_SUFFIX: &str = ".r";
+
 /// Key of the record by which a new leader fences the appends of its predecessor.
 pub const LEADER_KEY: &str = "holder";
 
@@ -55,7 +80,7 @@
     Failed,
 }
 
-/// The progress of a job.
+/// The progress of a part of a job.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Progress {
     /// The outcome; `None` until the job has ended.
@@ -89,9 +114,13 @@
     pub complete: bool,
     /// Indexes of the tasks that succeeded; empty if the stage is complete.
     pub done: Vec<u32>,
-    /// Indexes of the tasks that failed, each with its failed attempts; empty if the stage
-    /// is complete.
+    /// Indexes of the tasks that failed, each with its last failed attempts, at most
+    /// [`FAILED_KEPT_MAX`]; empty if the stage is complete.
     pub failed: Vec<(u32, Vec<u64>)>,
+    /// Indexes of the tasks among them with more failed attempts, each with their number and
+    /// the last of them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub failed_before: Vec<(u32, u64, u64)>,
     /// Indexes of the suspects, each with the attempts under which a VM crashed and the VM's id;
     /// empty if the stage is complete.
     #[serde(default)]
@@ -101,7 +130,7 @@
     pub checkpoints: Vec<(u32, CompactString)>,
 }
 
-/// The placements of a job: the VMs to which the runs that may exist were sent.
+/// The placements of a part of a job: the VMs to which the runs that may exist were sent.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Placements {
     /// The VMs that have a run of the job, or had the last run of a task.
@@ -194,41 +223,90 @@
 /// Returns the record of a cancellation.
 pub fn cancellation_record(id: JobId) -> KeyedRecord {
     KeyedRecord {
-        key: format_compact!("{id}.c"),
+        key: format_compact!("{id}{CANCELLATION_SUFFIX}"),
         value: vec![1],
     }
 }
 
-/// Returns the record of a job's progress.
-pub fn progress_record(id: JobId, progress: &Progress) -> KeyedRecord {
+/// Returns the record of a part of a job's progress.
+pub fn progress_record(id: JobId, part: u64, progress: &Progress) -> KeyedRecord {
     KeyedRecord {
-        key: format_compact!("{id}.p"),
+        key: part_key(id, PROGRESS_SUFFIX, part),
         value: encode(progress),
     }
 }
 
-/// Returns the record of a job's placements.
-pub fn placements_record(id: JobId, placements: &Placements) -> KeyedRecord {
+/// Returns the record of a part of a job's placements.
+pub fn placements_record(id: JobId, part: u64, placements: &Placements) -> KeyedRecord {
     KeyedRecord {
-        key: format_compact!("{id}.r"),
+        key: part_key(id, PLACEMENTS_SUFFIX, part),
         value: encode(placements),
     }
 }
 
-/// Returns tombstones for the submission and the placements of a job. They are no longer
-/// needed once the outcome of the job is stored and none of its runs can exist.
-pub fn work_tombstones(id: JobId) -> Vec<KeyedRecord> {
-    vec![tombstone(id, ""), tombstone(id, ".r")]
+fn part_key(id: JobId, suffix: &str, part: u64) -> CompactString {
+    match part {
+        0 => format_compact!("{id}{suffix}"),
+        _ => format_compact!("{id}{suffix}{part}"),
+    }
+}
+
+/// Returns the part that a suffix of a key names; `None` if it does not begin with `kind`.
+fn parse_part(suffix: &str, kind: &str) -> Option<u64> {
+    match suffix.strip_prefix(kind)? {
+        "" => Some(0),
+        number => number.parse().ok(),
+    }
+}
+
+/// Returns the part of a job's progress or placements that a key names.
+pub fn part_of_key(key: &str) -> Option<u64> {
+    let (_, suffix) = key.split_at_checked(JOB_KEY_BYTES)?;
+    parse_part(suffix, PROGRESS_SUFFIX).or_else(|| parse_part(suffix, PLACEMENTS_SUFFIX))
+}
+
+/// Returns tombstones for the progress and the placements of parts of a job.
+pub fn part_tombstones<'a>(
+    id: JobId,
+    parts: impl IntoIterator<Item = &'a u64>,
+) -> Vec<KeyedRecord> {
+    let suffixes = [PROGRESS_SUFFIX, PLACEMENTS_SUFFIX];
+    let keys = parts.into_iter();
+    let keys = keys.flat_map(|&part| suffixes.map(|suffix| part_key(id, suffix, part)));
+    keys.map(tombstone).collect()
+}
+
+/// Returns tombstones for the progress of parts of a job.
+pub fn progress_tombstones<'a>(
+    id: JobId,
+    parts: impl IntoIterator<Item = &'a u64>,
+) -> Vec<KeyedRecord> {
+    let keys = parts.into_iter();
+    let keys = keys.map(|&part| part_key(id, PROGRESS_SUFFIX, part));
+    keys.map(tombstone).collect()
+}
+
+/// Returns tombstones for the work of a job with records of `parts` and of part 0: its submission, its placements
+/// and the progress of the other parts. They are no longer needed once the outcome of the job, which
+/// is in part 0, is stored and none of its runs can exist.
+pub fn work_tombstones<'a>(
+    id: JobId,
+    parts: impl IntoIterator<Item = &'a u64>,
+) -> Vec<KeyedRecord> {
+    let mut tombstones = part_tombstones(id, parts);
+    let keys = [submission_key(id), part_key(id, PLACEMENTS_SUFFIX, 0)];
+    tombstones.extend(keys.map(tombstone));
+    tombstones
 }
 
 /// Returns the tombstone for the cancellation of a job.
 pub fn cancellation_tombstone(id: JobId) -> KeyedRecord {
-    tombstone(id, ".c")
+    tombstone(format_compact!("{id}{CANCELLATION_SUFFIX}"))
 }
 
-fn tombstone(id: JobId, suffix: &str) -> KeyedRecord {
+fn tombstone(key: CompactString) -> KeyedRecord {
     KeyedRecord {
-        key: format_compact!("{id}{suffix}"),
+        key,
         value: Vec::new(),
     }
 }
@@ -265,17 +343,19 @@
     }
 }
 
-/// Returns tombstones for all records of a job.
-pub fn job_tombstones(id: JobId) -> Vec<KeyedRecord> {
-    let all = [".p", ".c", ".r", ""];
-    all.iter().map(|s| tombstone(id, s)).collect()
+/// Returns tombstones for all records of a job with records of `parts` and of part 0.
+pub fn job_tombstones<'a>(id: JobId, parts: impl IntoIterator<Item = &'a u64>) -> Vec<KeyedRecord> {
+    let mut tombstones = work_tombstones(id, parts);
+    tombstones.push(tombstone(part_key(id, PROGRESS_SUFFIX, 0)));
+    tombstones.push(cancellation_tombstone(id));
+    tombstones
 }
 
 /// Returns whether a key is that of progress, of placements, of the fleet, of leases or of speeds,
 /// which only the leader writes.
 pub fn is_written_by_leader(key: &str) -> bool {
     let of_fleet = [FLEET_KEY, LEASES_KEY, SPEEDS_KEY];
-    key.ends_with(".p") || key.ends_with(".r") || of_fleet.contains(&key)
+    part_of_key(key).is_some() || of_fleet.contains(&key)
 }
 
 /// Decodes a record; returns `None` if the key or the value has an unknown format.
@@ -293,16 +373,20 @@
     if stored.key == SPEEDS_KEY {
         return Some(Entry::Speeds(decode(&stored.value)?));
     }
-    let (id, suffix) = stored.key.split_at_checked(16)?;
+    let (id, suffix) = stored.key.split_at_checked(JOB_KEY_BYTES)?;
     let id = parse_job_id(id)?;
     if stored.value.is_empty() {
         return Some(Entry::Dropped);
     }
     match suffix {
         "" => Some(Entry::Submitted(id, Box::new(decode(&stored.value)?))),
-        ".c" => Some(Entry::Cancelled(id)),
-        ".p" => Some(Entry::Progressed(id, decode(&stored.value)?)),
-        ".r" => Some(Entry::Placed(id, decode(&stored.value)?)),
+        CANCELLATION_SUFFIX => Some(Entry::Cancelled(id)),
+        _ if parse_part(suffix, PROGRESS_SUFFIX).is_some() => {
+            Some(Entry::Progressed(id, decode(&stored.value)?))
+        }
+        _ if parse_part(suffix, PLACEMENTS_SUFFIX).is_some() => {
+            Some(Entry::Placed(id, decode(&stored.value)?))
+        }
         _ => None,
     }
 }
--- a/crates/monsoonnotch_jobs/src/plan/mod.rs
+++ b/crates/monsoonnotch_jobs/src/plan/mod.rs
@@ -10,8 +10,7 @@
 /// Maximum number of tasks in one step; a plan with more is invalid.
 pub const TASKS_MAX: u32 = 10_000;
 
-/// Maximum number of steps of a plan that is submitted. The progress of more steps does not fit into one
-/// record.
+/// Maximum number of steps of a plan that is submitted.
 pub const STEPS_MAX: usize = 4_096;
 
 /// Maximum number of tasks of a plan that is submitted, in all its steps together.
--- a/crates/monsoonnotch_jobs/src/scheduler/completions.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/completions.rs
@@ -2,6 +2,7 @@
 //! statistics taken from them.
 
 use super::*;
+use crate::journal::CHECKPOINT_BYTES_MAX;
 use crate::journal::Outcome;
 use crate::vm::RunOutcome;
 
@@ -39,8 +40,12 @@
         }
     }
 
-    /// Sets the latest checkpoint of a task, from which its next attempt resumes.
+    /// Sets the latest checkpoint of a task, from which its next attempt resumes. One that is too long to be
+    /// stored is left out, and the task keeps the one before.
     pub(super) fn set_checkpoint(&mut self, key: StageKey, index: u32, checkpoint: CompactString) {
+        if checkpoint.len() > CHECKPOINT_BYTES_MAX {
+            return;
+        }
         let Some(job) = self.jobs.get_mut(key.job) else {
             return;
         };
@@ -105,7 +110,7 @@
             // The runs of a gang end together. Any other run of a done task is stopped.
             others.extend(task.run.filter(|_| !gang));
         }
-        self.flush.mark_dirty(key.job);
+        self.mark_dirty(key, index);
         for run in others {
             self.stop_run(run, "the task is done");
         }
@@ -170,9 +175,9 @@
         }
         stage.gang_failed.insert(attempt);
         let fails = if gang {
-            stage.gang_failed.len()
+            stage.gang_failed.count()
         } else {
-            task.failed.len()
+            task.failed.count()
         };
         let done = task.done;
         let most = self.queue(&queue).map_or(u32::MAX, |q| q.attempts_max);
@@ -181,8 +186,8 @@
         if long_lived {
             return self.requeue_task(key, index, true, RunOutcome::Failed);
         }
-        self.flush.mark_dirty(key.job);
-        if !done && most > 0 && fails >= most as usize {
+        self.mark_dirty(key, index);
+        if !done && most > 0 && fails >= u64::from(most) {
             return self.end_job(key.job, Outcome::Failed);
         }
         self.requeue_task(key, index, true, RunOutcome::Failed);
--- a/crates/monsoonnotch_jobs/src/scheduler/job.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/job.rs
@@ -4,7 +4,11 @@
 use std::collections::BTreeSet;
 
 use super::approvals::Approvals;
+use super::failures::Failures;
+use super::parts::Division;
+use super::parts::PartKey;
 use super::*;
+use crate::journal::CRASHES_KEPT_MAX;
 use crate::journal::Outcome;
 use crate::journal::StageProgress;
 use crate::plan::PLAN_TASKS_MAX;
@@ -109,6 +113,10 @@
     pub(super) next_occurrence: u32,
     /// Occurrences before this one are complete; they have no stages any more.
     pub(super) complete_to: u32,
+    /// How its tasks are divided into the parts that share a record.
+    pub(super) division: Division,
+    /// Parts but for part 0 that may have records.
+    pub(super) stored_parts: BTreeSet<u64>,
     /// Memory that the job counts for, in bytes.
     pub(super) memory: u64,
 }
@@ -130,7 +138,7 @@
     pub(super) rank_until_ms: u64,
     pub(super) approvals: Approvals,
     /// Failed attempts of any of its tasks; a gang fails as a unit.
-    pub(super) gang_failed: BTreeSet<u64>,
+    pub(super) gang_failed: Failures,
     /// No task of the stage starts before this time.
     pub(super) not_before: Time,
     /// When its last run was created.
@@ -167,6 +175,8 @@
     Fresh,
     /// A suspect waits for a VM on which it can be told apart.
     Suspect,
+    /// The store refuses records of the job for good.
+    Refused,
 }
 
 /// One task of a stage.
@@ -174,10 +184,8 @@
 pub(super) struct Task {
     pub(super) run: Option<RunKey>,
     pub(super) done: bool,
-    /// Numbers of the attempts that failed. A set, because a finished run may be listed
-    /// more than once, and late.
-    pub(super) failed: BTreeSet<u64>,
-    /// VMs that crashed under the task since it was last cleared, by attempt.
+    pub(super) failed: Failures,
+    /// VMs that crashed under the task since it was last cleared, by attempt: the last ones.
     pub(super) crashes: BTreeMap<u64, CompactString>,
     /// Attempts among them whose crash a poison task explains. They count, but make no suspect.
     pub(super) explained: BTreeSet<u64>,
@@ -193,6 +201,15 @@
     pub(super) fn was_placed(&self) -> bool {
         self.last_vm.is_some()
     }
+
+    /// Forgets all crashes but the last ones.
+    pub(super) fn forget_old_crashes(&mut self) {
+        while self.crashes.len() > CRASHES_KEPT_MAX
+            && let Some((attempt, _)) = self.crashes.pop_first()
+        {
+            self.explained.remove(&attempt);
+        }
+    }
 }
 
 impl Stage {
@@ -234,6 +251,8 @@
             account,
             pool,
             spec: plan.spec.as_str().into(),
+            division: Division::new(&plan),
+            stored_parts: BTreeSet::new(),
             plan,
             accepted_ms,
             new_in_term: false,
@@ -350,6 +369,7 @@
             return;
         }
         self.open_occurrence(p.occurrence);
+        let gang = self.step(p.step).gang;
         let Some(stage) = self.stages.get_mut(&(p.occurrence, p.step)) else {
             return;
         };
@@ -369,21 +389,33 @@
                 stage.waiting.remove(&i);
             }
         }
+        let before = p.failed_before.iter();
+        let before: BTreeMap<u32, (u64, u64)> = before.map(|b| (b.0, (b.1, b.2))).collect();
         for (i, attempts) in &p.failed {
             if let Some(task) = stage.tasks.get_mut(*i as usize) {
-                task.failed.extend(attempts);
-                stage.gang_failed.extend(attempts);
+                let before = before.get(i).copied().unwrap_or_default();
+                task.failed.restore(attempts, before);
+                stage.gang_failed.restore(attempts, before);
             }
         }
         for (i, attempts) in &p.crashes {
             if let Some(task) = stage.tasks.get_mut(*i as usize) {
                 task.crashes.extend(attempts.iter().cloned());
+                task.forget_old_crashes();
             }
         }
         for (i, checkpoint) in &p.checkpoints {
-            if let Some(task) = stage.tasks.get_mut(*i as usize) {
-                task.checkpoint = checkpoint.clone();
-            }
+            // All tasks of a gang resume from the same one.
+            let tasks = match gang {
+                true => &mut stage.tasks[..],
+                false => stage
+                    .tasks
+                    .get_mut(*i as usize..=*i as usize)
+                    .unwrap_or_default(),
+            };
+            tasks
+                .iter_mut()
+                .for_each(|t| t.checkpoint = checkpoint.clone());
         }
     }
 }
@@ -398,7 +430,8 @@
 
 /// Returns the memory of a job that has ended, in bytes.
 fn ended_job_memory(plan: &Plan) -> u64 {
-    (size_of::<Job>() + NODE_BYTES + plan.memory()) as u64
+    let division = plan.steps.len() * size_of::<u64>();
+    (size_of::<Job>() + NODE_BYTES + plan.memory() + division) as u64
 }
 
 /// Returns the memory that a job with this plan takes at most, in bytes: while it is open, and each of
@@ -566,7 +599,7 @@
         }
         job.outcome = Some(outcome);
         let id = job.id.0;
-        self.flush.mark_dirty(key);
+        self.flush.mark_dirty(PartKey::new(key, 0));
         self.retire_job(key);
         let event = match outcome {
             Outcome::Completed => "job completed",
@@ -632,12 +665,14 @@
         let old: Vec<(Time, JobKey, JobId)> = old.map(|(t, k, j)| (t, k, j.id)).collect();
         for (ended_at, key, id) in old {
             self.ended_jobs.remove(&(ended_at, key));
+            let mut parts = BTreeSet::new();
             if let Some(job) = self.jobs.remove(key) {
                 self.jobs_memory -= job.memory;
+                parts = job.stored_parts;
             }
             self.unreleased_jobs.remove(&key);
             self.jobs_by_id.remove(&id);
-            self.flush.remove_job(key, id);
+            self.flush.remove_job(key, id, &parts);
         }
     }
 
--- a/crates/monsoonnotch_jobs/src/scheduler/mod.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/mod.rs
@@ -15,11 +15,13 @@
 mod early_cancellations;
 mod evacuation;
 mod explain;
+mod failures;
 mod flush;
 mod gang;
 mod job;
 mod kinds;
 mod limits;
+mod parts;
 mod placement;
 mod poison;
 mod polls;
@@ -223,6 +225,7 @@
             Event::Stopped { run, answer } => self.stop_answered(run, answer),
             Event::Approved { key, allowed } => self.approval_answered(key, allowed),
             Event::Appended { stored } => self.appended(stored),
+            Event::AppendRefused => self.append_refused(),
             Event::ApprovalSlotUp(slot) => self.approval_requests.add_slot(slot),
             Event::ApprovalSlotDown(slot) => self.approval_requests.remove_slot(slot),
             Event::Explain { key, subject } => {
--- a/crates/monsoonnotch_jobs/src/scheduler/placement.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/placement.rs
@@ -227,6 +227,9 @@
     ) -> Option<Blocked> {
         let job = self.jobs.get(key.job)?;
         let step = job.step(key.step);
+        if self.flush.refuses(key.job) {
+            return Some(Blocked::Refused);
+        }
         if !self.within_limit(rank, &job.account, &step.need, 1) {
             return Some(Blocked::Limit);
         }
--- a/crates/monsoonnotch_jobs/src/scheduler/poison.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/poison.rs
@@ -320,7 +320,8 @@
         }
         task.crashes.insert(attempt, vm.clone());
         let count = task.crashes.len();
-        self.flush.mark_dirty(key.job);
+        task.forget_old_crashes();
+        self.mark_dirty(key, index);
         let detail = format!(
             "step={} occurrence={} index={index} crashes={}",
             key.step,
@@ -362,7 +363,7 @@
         if let Some(stage) = self.stage_mut(stage) {
             stage.tasks[index as usize].crashes.clear();
         }
-        self.flush.mark_dirty(stage.job);
+        self.mark_dirty(stage, index);
         self.placement_needed = true;
         let id = self.task_id(stage, index).stage.job.0;
         self.log(id, "suspect cleared", detail);
--- a/crates/monsoonnotch_jobs/src/scheduler/polls.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/polls.rs
@@ -7,6 +7,7 @@
 use super::*;
 use crate::effect::PollKey;
 use crate::event::PollError;
+use crate::journal::CHECKPOINT_BYTES_MAX;
 use crate::vm::FinishedRun;
 use crate::vm::PollAnswer;
 use crate::vm::RunOutcome;
@@ -535,6 +536,10 @@
         });
         if !finished.checkpoint.is_empty() && !task.done {
             let checkpoint = finished.checkpoint.clone();
+            if checkpoint.len() > CHECKPOINT_BYTES_MAX {
+                let detail = format!("index={index} bytes={}", checkpoint.len());
+                self.warn(finished.task.stage.job.0, "checkpoint too long", detail);
+            }
             self.set_checkpoint(stage, index, checkpoint);
         }
         let sent_at = run.and_then(|r| self.runs.get(&r)).map(|r| r.sent_at);
@@ -551,5 +556,6 @@
                 self.requeue_task(stage, index, run.is_some(), finished.outcome);
             }
         }
+        self.add_finished(stage, index, vm);
     }
 }
--- a/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
@@ -15,6 +15,7 @@
 use super::job::Job;
 use super::job::Stage;
 use super::job::Task;
+use super::parts::PartKey;
 use super::*;
 use crate::journal::Placements;
 use crate::journal::RemainingLease;
@@ -24,8 +25,8 @@
 const FIRST_ANSWER_MAX: Duration = Duration::from_millis(300);
 
 impl Scheduler {
-    /// Applies the stored placements of a job; ignored once the journal has been read.
-    pub(super) fn apply_placements(&mut self, id: JobId, placements: &Placements) {
+    /// Applies the stored placements of a part of a job; ignored once the journal has been read.
+    pub(super) fn apply_placements(&mut self, id: JobId, part: u64, placements: &Placements) {
         if self.marker.is_some() {
             return;
         }
@@ -45,6 +46,8 @@
                 self.inherit_run(stage, index, vm, attempt, exists);
             }
         }
+        self.divide_placements(job, part, placements);
+        self.add_stored_part(PartKey::new(job, part));
     }
 
     /// Takes into account that a task was placed on a VM; `exists` tells whether its run there may
@@ -203,13 +206,28 @@
     }
 
     /// Returns the ids of the VMs on which a first placement may not be stored yet: those
-    /// that this scheduler may use, and those of the predecessor that have not answered.
+    /// that this scheduler may use, and those of the predecessor that have not answered. VMs that are in the
+    /// stored fleet come first.
     pub(super) fn fleet(&self) -> Vec<CompactString> {
         let rows = self.vms.iter().map(|(_, vm)| vm);
-        let used = rows.filter(|vm| vm.is_healthy() || vm.may_have_unknown_runs(self.now));
+        let used = rows.filter(|vm| {
+            vm.is_healthy() || vm.may_have_unknown_runs(self.now) || self.has_refused_placement(vm)
+        });
+        let (old, new): (Vec<&vms::Vm>, Vec<&vms::Vm>) = used.partition(|vm| vm.enrolled);
+        let used = old.into_iter().chain(new);
         used.map(|vm| vm.registration.id.clone()).collect()
     }
 
+    /// Whether a VM has a run whose placement the store refuses for good.
+    fn has_refused_placement(&self, vm: &vms::Vm) -> bool {
+        let runs = vm.runs.iter().filter_map(|r| self.runs.get(r));
+        let mut refused = runs.filter(|r| self.flush.refuses(r.stage.job));
+        refused.any(|r| {
+            let key = self.part_key(r.stage, r.index);
+            key.is_some_and(|key| self.flush.refuses_placements(key))
+        })
+    }
+
     /// Enrolls the VMs of a fleet that has been stored, so that they can be used.
     pub(super) fn enroll(&mut self, ids: &[CompactString]) {
         for id in ids {
--- a/crates/monsoonnotch_jobs/src/scheduler/replay.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/replay.rs
@@ -1,6 +1,7 @@
 //! Applies journal records: submissions, cancellations, progress and placements.
 
 use super::job::Job;
+use super::parts::PartKey;
 use super::*;
 use crate::journal;
 use crate::journal::Entry;
@@ -103,13 +104,14 @@
             if self.marker.is_some() && journal::is_written_by_leader(&stored.key) {
                 continue;
             }
+            let part = journal::part_of_key(&stored.key).unwrap_or(0);
             match journal::decode_entry(&stored) {
                 Some(Entry::Submitted(id, submission)) => {
                     self.apply_submission(offset, id, *submission)
                 }
                 Some(Entry::Cancelled(id)) => self.apply_cancellation(id),
-                Some(Entry::Progressed(id, progress)) => self.apply_progress(id, progress),
-                Some(Entry::Placed(id, placements)) => self.apply_placements(id, &placements),
+                Some(Entry::Progressed(id, progress)) => self.apply_progress(id, part, progress),
+                Some(Entry::Placed(id, placements)) => self.apply_placements(id, part, &placements),
                 Some(Entry::Fleet(ids)) => self.apply_fleet(&ids),
                 Some(Entry::Leases(leases)) => self.apply_leases(&leases),
                 Some(Entry::Speeds(kinds)) => self.apply_speeds(&kinds),
@@ -230,9 +232,9 @@
         self.log(id.0, "job cancelled", "by its caller".to_owned());
     }
 
-    /// Applies progress that a predecessor stored. Ignored once the journal has been read,
+    /// Applies the progress of a part that a predecessor stored. Ignored once the journal has been read,
     /// because the scheduler applies the progress of its own term before storing it.
-    fn apply_progress(&mut self, id: JobId, progress: Progress) {
+    fn apply_progress(&mut self, id: JobId, part: u64, progress: Progress) {
         if self.marker.is_some() {
             return;
         }
@@ -252,6 +254,8 @@
             job.stored_outcome = progress.outcome;
             self.retire_job(key);
         }
+        self.divide_progress(key, part, &progress);
+        self.add_stored_part(PartKey::new(key, part));
     }
 
     /// Adds an ended job of which only the progress record is left.
--- a/crates/monsoonnotch_jobs/src/scheduler/runs.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/runs.rs
@@ -1,5 +1,6 @@
 //! Runs: created, confirmed, adopted and removed.
 
+use super::parts::PartKey;
 use super::*;
 use crate::vm::RunOutcome;
 use crate::vm::RunningRun;
@@ -180,7 +181,7 @@
             let detail = self.describe_run(run);
             self.log(running.task.stage.job.0, "run adopted", detail);
         }
-        self.flush.add_placement(stage.job, None);
+        self.add_placement(stage, running.task.index, None);
         if let Some(job) = self.jobs.get_mut(stage.job) {
             job.begun = true;
         }
@@ -262,13 +263,13 @@
             self.update_ready_queue(run.stage);
             // Otherwise a successor would wait for a VM that this leader has given up.
             if waits && self.jobs.get(run.stage.job).is_some_and(|j| !j.ended()) {
-                self.flush.add_placement(run.stage.job, None);
+                self.add_placement(run.stage, run.index, None);
             }
         }
         // The records that an ended job needs for its remaining runs can be removed now.
         let drained = |j: &job::Job| j.outcome.is_some() && j.runs().next().is_none();
         if self.jobs.get(run.stage.job).is_some_and(drained) {
-            self.flush.mark_dirty(run.stage.job);
+            self.flush.mark_dirty(PartKey::new(run.stage.job, 0));
         }
         self.placement_needed = true;
     }
--- a/crates/monsoonnotch_jobs/src/scheduler/starts.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/starts.rs
@@ -37,7 +37,7 @@
             .get_mut(&key)
             .expect("the run was just added")
             .ticket = ticket;
-        self.flush.add_placement(stage.job, again.then_some(key));
+        self.add_placement(stage, index, again.then_some(key));
         let job = self.jobs.get_mut(stage.job).expect("a stage has a job");
         let (id, accepted_ms) = (job.id.0, job.accepted_ms);
         if !std::mem::replace(&mut job.begun, true) {
--- a/crates/monsoonnotch_jobs/tests/promises/checks.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/checks.rs
@@ -1,6 +1,12 @@
 //! The invariants that are checked whenever a task starts.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
 use monsoonnotch_jobs::journal;
+use monsoonnotch_jobs::journal::KeyedRecord;
+use monsoonnotch_jobs::plan::JobId;
+use monsoonnotch_jobs::plan::StageId;
 use monsoonnotch_jobs::plan::TaskId;
 
 use crate::simulation::Simulation;
@@ -58,10 +64,8 @@
         }
         self.check_evacuation(id, &at);
         self.check_limit(task, &at);
-        assert!(
-            !self.stored_done(&task),
-            "started after its success was stored: {at}"
-        );
+        let stored_done = self.stored_done(&task);
+        assert!(!stored_done, "started after its success was stored: {at}");
         assert!(
             !self.acknowledged.contains(&task),
             "started after its success was acknowledged: {at}"
@@ -106,6 +110,9 @@
     fn check_limit(&self, task: TaskId, at: &str) {
         let submission = &self.jobs[&task.stage.job];
         let limit = self.limit_in_force(&submission.account);
+        if limit == 0 {
+            return;
+        }
         let step = &submission.plan.steps[usize::from(task.stage.step)];
         let running = self.vms.values().filter(|v| v.up).flat_map(|v| &v.running);
         let own: Vec<_> = running
@@ -117,23 +124,62 @@
         let beside: u64 = beside.map(|(_, w)| w.allocation.cpu_milli).sum();
         let is_one_more = used - step.need.cpu_milli <= limit && beside * 2 < limit;
         assert!(
-            limit == 0 || used <= limit || is_one_more,
+            used <= limit || is_one_more,
             "over the limit: {used} of {limit}; {at}"
         );
     }
 
     /// Returns whether the success of a task is stored in the journal.
-    fn stored_done(&self, task: &TaskId) -> bool {
-        let key = format!("{}.p", task.stage.job);
-        let newest = self.log.iter().rev().find(|s| s.key == key);
-        let Some(journal::Entry::Progressed(_, p)) = newest.and_then(journal::decode_entry) else {
-            return false;
+    fn stored_done(&mut self, task: &TaskId) -> bool {
+        for record in &self.log[self.stored_successes.read_to..] {
+            self.stored_successes.read(record);
+        }
+        self.stored_successes.contain(task)
+    }
+}
+
+/// The successes that the journal has.
+#[derive(Debug, Default)]
+pub(crate) struct StoredSuccesses {
+    read_to: usize,
+    jobs: BTreeSet<JobId>,
+    /// Jobs, and the first of their occurrences that are not complete.
+    complete_to: BTreeMap<JobId, u32>,
+    stages: BTreeSet<StageId>,
+    tasks: BTreeSet<TaskId>,
+}
+
+impl StoredSuccesses {
+    fn read(&mut self, record: &KeyedRecord) {
+        self.read_to += 1;
+        let Some(journal::Entry::Progressed(job, progress)) = journal::decode_entry(record) else {
+            return;
         };
-        p.outcome == Some(journal::Outcome::Completed)
-            || task.stage.occurrence < p.complete_to
-            || p.stages.iter().any(|s| {
-                let same = s.step == task.stage.step && s.occurrence == task.stage.occurrence;
-                same && (s.complete || s.done.contains(&task.index))
-            })
+        if progress.outcome == Some(journal::Outcome::Completed) {
+            self.jobs.insert(job);
+        }
+        let complete_to = self.complete_to.entry(job).or_default();
+        *complete_to = progress.complete_to.max(*complete_to);
+        for p in progress.stages {
+            let stage = StageId {
+                job,
+                occurrence: p.occurrence,
+                step: p.step,
+            };
+            if p.complete {
+                self.stages.insert(stage);
+            }
+            let tasks = p.done.into_iter().map(|index| TaskId { stage, index });
+            self.tasks.extend(tasks);
+        }
+    }
+
+    fn contain(&self, task: &TaskId) -> bool {
+        let job = &task.stage.job;
+        let complete_to = self.complete_to.get(job).copied().unwrap_or(0);
+        self.jobs.contains(job)
+            || task.stage.occurrence < complete_to
+            || self.stages.contains(&task.stage)
+            || self.tasks.contains(task)
     }
 }
--- a/crates/monsoonnotch_jobs/tests/promises/crashes.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/crashes.rs
@@ -213,7 +213,7 @@
         stages: vec![stage],
         ..Progress::default()
     };
-    journal::progress_record(JobId(5), &progress)
+    journal::progress_record(JobId(5), 0, &progress)
 }
 
 /// A predecessor counted a crash. The next one, under the successor, must end the job.
--- a/crates/monsoonnotch_jobs/tests/promises/directed.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/directed.rs
@@ -223,6 +223,7 @@
     };
     journal::placements_record(
         JobId(5),
+        0,
         &journal::Placements {
             vms: vec![placement],
             ..Default::default()
--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -16,6 +16,7 @@
 mod explain;
 mod faults;
 mod incarnations;
+mod large_jobs;
 mod large_numbers;
 mod leaders;
 mod limits;
--- a/crates/monsoonnotch_jobs/tests/promises/repeated_jobs.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/repeated_jobs.rs
@@ -12,12 +12,11 @@
 use crate::random::fleet;
 use crate::random::site;
 use crate::random::submission;
+use crate::simulation::RECORD_BYTES_MAX;
 use crate::simulation::START_UNIX_MS;
 use crate::simulation::Simulation;
 
 const REPEATED: JobId = JobId(1);
-/// Largest record that the store takes, in bytes.
-const RECORD_BYTES_MAX: usize = 262_144;
 /// What a small job may take of the leader's memory, in bytes, however often it runs.
 const JOB_MEMORY_MAX: u64 = 256 << 10;
 
--- a/crates/monsoonnotch_jobs/tests/promises/simulation.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/simulation.rs
@@ -31,6 +31,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::checks::StoredSuccesses;
 use crate::faults::Faults;
 use crate::link::Link;
 use crate::network::Cut;
@@ -49,6 +50,10 @@
 const PREDECESSOR_LEASES: Duration = Duration::from_millis(CONFIRMATION_VALID_MS + 4_120 + 400);
 /// Unix time at which the simulation starts, in milliseconds.
 pub(crate) const START_UNIX_MS: u64 = 1_700_000_000_000;
+/// Largest record that the store takes, in bytes.
+pub(crate) const RECORD_BYTES_MAX: usize = 262_144;
+/// Largest append that the store takes, in bytes.
+const APPEND_BYTES_MAX: usize = 2_097_152;
 
 /// Time within which a published configuration is in force, in milliseconds.
 const CONFIG_APPLY_MS: u64 = 2_000;
@@ -126,6 +131,9 @@
     pub(crate) backlogs: Backlogs,
     /// Whether the store accepts appends.
     pub(crate) store_available: bool,
+    /// Size in bytes of the largest record that the store takes; a leader must never exceed it unless the
+    /// test lowers it.
+    pub(crate) record_bytes_max: usize,
     /// VMs that the newest member cannot reach, and until when.
     pub(crate) unreachable_until: BTreeMap<String, u64>,
     pub(crate) starts: u64,
@@ -140,6 +148,7 @@
     /// The time at which each ended job was found to have ended.
     ends: BTreeMap<JobId, u64>,
     checked_to: usize,
+    pub(crate) stored_successes: StoredSuccesses,
     pub(crate) tuning: Tuning,
 }
 
@@ -187,6 +196,7 @@
             started_ms: BTreeMap::new(),
             backlogs: Backlogs::default(),
             store_available: true,
+            record_bytes_max: RECORD_BYTES_MAX,
             unreachable_until: BTreeMap::new(),
             starts: 0,
             link: Link::default(),
@@ -195,6 +205,7 @@
             poison: Poison::default(),
             ends: BTreeMap::new(),
             checked_to: 0,
+            stored_successes: StoredSuccesses::default(),
             tuning: Tuning::default(),
         }
     }
@@ -526,11 +537,27 @@
         }
         // The store refuses an older token; its writer gets no event.
         if m + 1 == self.members.len() {
+            if !self.takes(&records) {
+                return self.post(4, Msg::Event(m, Event::AppendRefused));
+            }
             self.log.extend(records);
             self.post(4, Msg::Event(m, Event::Appended { stored: true }));
         }
     }
 
+    /// Whether the store takes an append of a leader. It refuses all records of one with a record that is too
+    /// large, which it does by right only if the test has lowered the limit.
+    fn takes(&self, records: &[KeyedRecord]) -> bool {
+        let bytes = |r: &KeyedRecord| 1 + r.key.len() + r.value.len();
+        for record in records {
+            let bytes = bytes(record);
+            assert!(bytes <= RECORD_BYTES_MAX, "{bytes} bytes in {}", record.key);
+        }
+        let total: usize = records.iter().map(|r| 4 + bytes(r)).sum();
+        assert!(total <= APPEND_BYTES_MAX, "{total} bytes in an append");
+        records.iter().all(|r| bytes(r) <= self.record_bytes_max)
+    }
+
     fn append_delay(&mut self) -> u64 {
         match self.chance(self.faults.append_late) {
             true => self.rng.random_range(200..3_000),
@@ -550,6 +577,9 @@
             };
         }
         if m + 1 == self.members.len() {
+            if !self.takes(&records) {
+                return self.post(4, Msg::Event(m, Event::AppendRefused));
+            }
             let offsets = self.log.len() as u64..;
             self.log.extend(records.iter().cloned());
             let after = self.append_delay();
--- a/crates/monsoonnotch_jobs/tests/promises/vm.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/vm.rs
@@ -27,6 +27,8 @@
     pub(crate) lists_stopping: bool,
     /// Whether starts are refused that exceed the capacity.
     pub(crate) enforces_capacity: bool,
+    /// Number of characters of the checkpoint that a run leaves.
+    pub(crate) checkpoint_chars: usize,
 }
 
 impl Default for Traits {
@@ -37,6 +39,7 @@
             stop_grace_ms: 0,
             lists_stopping: true,
             enforces_capacity: false,
+            checkpoint_chars: 0,
         }
     }
 }
@@ -166,7 +169,7 @@
             task,
             attempt: work.attempt,
             outcome,
-            checkpoint: "".into(),
+            checkpoint: "c".repeat(self.traits.checkpoint_chars).into(),
         });
         self.next_number += 1;
     }
--- a/crates/monsoonnotch_member/src/requests/appender.rs
+++ b/crates/monsoonnotch_member/src/requests/appender.rs
@@ -129,6 +129,8 @@
     pace: AppendPace,
     /// Whether the last append failed.
     failed: bool,
+    /// Number of the next records to append one by one, because the store refuses one of them.
+    alone: usize,
 }
 
 impl Appender {
@@ -151,8 +153,13 @@
     }
 
     fn next_batch(&mut self) -> Vec<Waiting<PendingRecord>> {
+        let records_max = match self.alone {
+            0 => BATCH_RECORDS_MAX,
+            _ => 1,
+        };
+        self.alone = self.alone.saturating_sub(1);
         self.submissions
-            .next_batch(self.pace.bytes_max(), BATCH_RECORDS_MAX)
+            .next_batch(self.pace.bytes_max(), records_max)
     }
 
     /// Replies to the callers whose records would be stored too late; the append under way takes
@@ -174,7 +181,7 @@
         metrics::gauge!("monsoonnotch_waiting_submissions").set(self.submissions.len() as f64);
     }
 
-    /// Appends a batch. Submissions that arrive meanwhile and would be stored too late are refused
+    /// Appends a batch; none of it holds the others up if the store refuses it for good. Submissions that arrive meanwhile and would be stored too late are refused
     /// at once.
     async fn append(
         &mut self,
@@ -201,8 +208,12 @@
                 }
             }
         };
-        cx.record_store_result(appended.is_ok());
-        self.failed = appended.is_err();
+        let responded = match &appended {
+            Ok(_) => true,
+            Err(e) => e.is_permanent(),
+        };
+        cx.record_store_result(responded);
+        self.failed = !responded;
         let took = cx.clock.now().since(began);
         cx.record_append_time(took.into());
         if took > SLOW_APPEND_THRESHOLD || self.failed {
@@ -214,6 +225,7 @@
                 self.pace.stored(bytes, took);
                 report_stored(cx, offset, batch);
             }
+            Err(e) if e.is_permanent() => self.isolate(batch),
             Err(e) => {
                 if e == Error::Unknown {
                     self.pace.timed_out(bytes, took);
@@ -224,6 +236,22 @@
         }
     }
 
+    /// After the store has refused a batch for good, appends its records one by one; the caller of a record
+    /// that it refuses gets a reply.
+    fn isolate(&mut self, mut batch: Vec<Waiting<PendingRecord>>) {
+        if let [refused] = batch.as_mut_slice() {
+            let pending = &mut refused.item;
+            let reply = match pending.may_have_run {
+                true => Reply::MayHaveRun,
+                false => Reply::TooLarge,
+            };
+            log::warn!(event = "submission refused", key = pending.record.key.as_str(), bytes = refused.bytes; "the store refuses a record for good; its caller has to submit a smaller job");
+            return pending.send_reply(reply);
+        }
+        self.alone = batch.len();
+        self.submissions.put_back(batch);
+    }
+
     /// After a failure, replies to the callers whose records are not retried.
     ///
     /// `attempted` are the records of the append that failed; `unknown` tells whether its outcome is
--- a/crates/monsoonnotch_member/src/requests/submit.rs
+++ b/crates/monsoonnotch_member/src/requests/submit.rs
@@ -271,7 +271,7 @@
     };
     let outcome = match store_directly(cx, record, place, deadline).await {
         Reply::Stored => StoreOutcome::Stored,
-        Reply::NotRun { .. } => StoreOutcome::NotStored,
+        Reply::NotRun { .. } | Reply::TooLarge => StoreOutcome::NotStored,
         _ => StoreOutcome::Unknown,
     };
     outcome.into()
--- a/crates/monsoonnotch_member/src/term/writer.rs
+++ b/crates/monsoonnotch_member/src/term/writer.rs
@@ -33,7 +33,13 @@
 /// Returns false when another member writes the journal.
 pub(super) async fn fence(cx: &Cx, token: u64) -> bool {
     let record = journal::term_record(token);
-    append(cx, token, 0, &[record], &mut 1).await != Outcome::Fenced
+    loop {
+        match append(cx, token, 0, std::slice::from_ref(&record), &mut 1).await {
+            Outcome::Fenced => return false,
+            Outcome::Refused => tokio::time::sleep(RETRY_PAUSE).await,
+            Outcome::Stored | Outcome::StoredAt(_) => return true,
+        }
+    }
 }
 
 /// Appends the scheduler's records until the term ends, and reports each append to the scheduler.
@@ -48,6 +54,10 @@
                 cx.control.event(token, Event::RecordsStored(stored));
             }
             Outcome::Stored => {}
+            Outcome::Refused => {
+                cx.control.event(token, Event::AppendRefused);
+                continue;
+            }
             Outcome::Fenced => return,
         }
         seq += 1;
@@ -62,11 +72,13 @@
     StoredAt(u64),
     /// The records are stored; the response that has their offset was lost.
     Stored,
+    /// The store refuses the records, and would refuse them again; none is stored.
+    Refused,
     /// Another member writes the journal.
     Fenced,
 }
 
-/// Repeats an append until the records are stored or another member writes the journal.
+/// Repeats an append until the records are stored or refused for good, or another member writes the journal.
 ///
 /// `timeout_index` selects the timeout in [`APPEND_TIMEOUTS`]. It rises with each timeout and falls
 /// to zero after a quick append.
@@ -104,6 +116,12 @@
                 log::warn!(event = "append fenced", token = token, seq = seq, error = format!("{e:?}"); "another member writes the journal");
                 return Outcome::Fenced;
             }
+            Err(e) if e.is_permanent() => {
+                let bytes: usize = records.iter().map(|r| r.value.len()).sum();
+                log::warn!(event = "append refused", token = token, seq = seq, records = records.len(), bytes = bytes, error = format!("{e:?}"); "the store refuses an append of the journal for good; sending its records in smaller ones");
+                cx.record_store_result(true);
+                return Outcome::Refused;
+            }
             Err(Error::Unknown) if began.elapsed() >= timeout => {
                 let bytes: usize = records.iter().map(|r| r.value.len()).sum();
                 log::warn!(event = "append unanswered", token = token, seq = seq, records = records.len(), bytes = bytes, ms = timeout.as_millis() as u64; "the store has not answered an append of the journal; sending it again");
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -227,6 +227,7 @@
             down,
             lost_share,
             delay_ms,
+            ..Faults::default()
         };
         self.at(0, Action::Store(faults));
         self.at(ms, Action::Store(Faults::default()));
