Tell the callers of other accounts 403, and 410 only if there is no job

Cause: a key that is not known makes a call without an account, and the leader answered "no such job" to every other account than the job's, also on a queue that needs no key. Each change of keys or queues that changes the account of a call had the same end.

Change: who may see and cancel a job is one rule (access/mod.rs): its account, everybody on an open queue, also once the queue was opened or replaced under its path, or the account is gone. Others get 403.

On the same paths: any account could cancel any job whose id it knew, since the cancellation was stored before anybody asked whose the job was; the leader is asked first now, and a cancellation that is stored without a leader names its caller and counts only if that one may. A submission that was sent again after its key had been given to another account replaced the stored one, so that the next leader counted the job against that account, or none; the leader stores the first one again. Ended jobs keep their queue, so that the next leader knows whether it is open.

--- a/crates/monsoonnotch_jobs/src/effect/mod.rs
+++ b/crates/monsoonnotch_jobs/src/effect/mod.rs
@@ -79,11 +79,13 @@
 pub enum Answer {
     /// The state of the job.
     State(JobState),
-    /// The records of the journal before an offset contain no such job of the account.
+    /// The records of the journal before an offset contain no such job.
     NoJob {
         /// The offset of the next record to be read.
         read_to: u64,
     },
+    /// The job belongs to another account than the requester's.
+    Foreign,
     /// The number of jobs in the queue that have not started.
     Pending(u64),
 }
--- a/crates/monsoonnotch_jobs/src/event/mod.rs
+++ b/crates/monsoonnotch_jobs/src/event/mod.rs
@@ -5,6 +5,7 @@
 
 use compact_str::CompactString;
 
+use crate::access::Caller;
 use crate::effect::ApprovalRequestKey;
 use crate::effect::ApprovalSlotKey;
 use crate::effect::PollKey;
@@ -110,8 +111,8 @@
     State {
         /// The job.
         id: JobId,
-        /// The account of the requester; empty if it has none.
-        account: CompactString,
+        /// The requester.
+        caller: Caller,
     },
     /// Queries how many jobs of a queue have not started.
     Pending {
--- a/crates/monsoonnotch_jobs/src/journal/mod.rs
+++ b/crates/monsoonnotch_jobs/src/journal/mod.rs
@@ -16,6 +16,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::access::Caller;
 use crate::plan::JobId;
 use crate::plan::Plan;
 use crate::plan::parse_job_id;
@@ -89,6 +90,9 @@
     /// the account, is deleted then.
     #[serde(default)]
     pub account: CompactString,
+    /// The queue of a job that has ended, empty before.
+    #[serde(default, skip_serializing_if = "CompactString::is_empty")]
+    pub queue: CompactString,
     /// Whether a task of the job has started.
     pub begun: bool,
     /// All occurrences before this one are complete; `stages` does not list them.
@@ -186,8 +190,8 @@
 pub enum Entry {
     /// A job was submitted.
     Submitted(JobId, Box<Submission>),
-    /// A job was cancelled.
-    Cancelled(JobId),
+    /// A job was cancelled, by this caller if it was unknown whether it might.
+    Cancelled(JobId, Option<Caller>),
     /// The progress of a job changed.
     Progressed(JobId, Progress),
     /// The placements of a job changed.
@@ -220,14 +224,29 @@
     }
 }
 
-/// Returns the record of a cancellation.
+/// Value of the record of a cancellation that is in force whatever its job is.
+const CANCELLED: &[u8] = &[1];
+
+/// Returns the record of a cancellation that is in force.
 pub fn cancellation_record(id: JobId) -> KeyedRecord {
     KeyedRecord {
-        key: format_compact!("{id}{CANCELLATION_SUFFIX}"),
-        value: vec![1],
+        key: cancellation_key(id),
+        value: CANCELLED.to_vec(),
+    }
+}
+
+/// Returns the record of a cancellation that is in force if the caller may cancel the job.
+pub fn cancellation_record_of(id: JobId, caller: &Caller) -> KeyedRecord {
+    KeyedRecord {
+        key: cancellation_key(id),
+        value: encode(caller),
     }
 }
 
+fn cancellation_key(id: JobId) -> CompactString {
+    format_compact!("{id}{CANCELLATION_SUFFIX}")
+}
+
 /// Returns the record of a part of a job's progress.
 pub fn progress_record(id: JobId, part: u64, progress: &Progress) -> KeyedRecord {
     KeyedRecord {
@@ -301,7 +320,7 @@
 
 /// Returns the tombstone for the cancellation of a job.
 pub fn cancellation_tombstone(id: JobId) -> KeyedRecord {
-    tombstone(format_compact!("{id}{CANCELLATION_SUFFIX}"))
+    tombstone(cancellation_key(id))
 }
 
 fn tombstone(key: CompactString) -> KeyedRecord {
@@ -380,7 +399,7 @@
     }
     match suffix {
         "" => Some(Entry::Submitted(id, Box::new(decode(&stored.value)?))),
-        CANCELLATION_SUFFIX => Some(Entry::Cancelled(id)),
+        CANCELLATION_SUFFIX => Some(Entry::Cancelled(id, decode(&stored.value))),
         _ if parse_part(suffix, PROGRESS_SUFFIX).is_some() => {
             Some(Entry::Progressed(id, decode(&stored.value)?))
         }
--- a/crates/monsoonnotch_jobs/src/lib.rs
+++ b/crates/monsoonnotch_jobs/src/lib.rs
@@ -5,6 +5,7 @@
 //! refuses it once it has seen a higher one, and so do VMs ([`fencing`]). The crate is a
 //! pure function of events and time; the caller executes the effects.
 
+pub mod access;
 pub mod admission;
 pub mod append_pace;
 pub mod comeback;
--- a/crates/monsoonnotch_jobs/src/scheduler/early_cancellations.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/early_cancellations.rs
@@ -7,28 +7,30 @@
 use std::collections::VecDeque;
 
 use super::*;
+use crate::access::Caller;
 use crate::journal;
 
 /// Maximum number of cancellations that are kept; the oldest are forgotten first.
 const KEPT_MAX: usize = 65_536;
 
-/// The cancellations, by job and by age.
+/// The cancellations with their times, and their callers if it is unknown whether these may cancel the jobs, by
+/// job and by age.
 #[derive(Debug, Default)]
 pub(super) struct EarlyCancellations {
-    at: BTreeMap<JobId, Time>,
+    at: BTreeMap<JobId, (Time, Option<Caller>)>,
     by_age: VecDeque<(Time, JobId)>,
 }
 
 impl EarlyCancellations {
     /// Adds the cancellation of a job.
-    pub(super) fn insert(&mut self, id: JobId, now: Time) {
-        self.at.insert(id, now);
+    pub(super) fn insert(&mut self, id: JobId, caller: Option<Caller>, now: Time) {
+        self.at.insert(id, (now, caller));
         self.by_age.push_back((now, id));
     }
 
-    /// Removes the cancellation of a job; returns whether there was one.
-    pub(super) fn remove(&mut self, id: JobId) -> bool {
-        self.at.remove(&id).is_some()
+    /// Removes the cancellation of a job, and returns its caller.
+    pub(super) fn remove(&mut self, id: JobId) -> Option<Option<Caller>> {
+        self.at.remove(&id).map(|(_, caller)| caller)
     }
 
     /// Removes and returns a cancellation that is from before `since`, or one too many.
@@ -40,7 +42,7 @@
             }
             self.by_age.pop_front();
             // It may have been removed, or repeated later.
-            if self.at.get(&id) == Some(&at) {
+            if self.at.get(&id).is_some_and(|(newest, _)| *newest == at) {
                 self.at.remove(&id);
                 return Some(id);
             }
@@ -54,7 +56,7 @@
     pub(super) fn forget_early_cancellations(&mut self) {
         let since = self.now - self.tuning.keep_ended;
         while let Some(id) = self.early_cancellations.pop_old(since) {
-            self.flush.drop_record(journal::cancellation_tombstone(id));
+            self.flush.write_record(journal::cancellation_tombstone(id));
         }
     }
 }
--- a/crates/monsoonnotch_jobs/src/scheduler/flush/batch.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/flush/batch.rs
@@ -22,7 +22,8 @@
     Fleet,
     Speeds,
     Leases,
-    Tombstones,
+    /// Records that are written as they are, tombstones among them.
+    Written,
 }
 
 impl Unit {
@@ -30,7 +31,7 @@
     pub(super) fn job(self) -> Option<JobKey> {
         match self {
             Self::Placements(key) | Self::Progress(key) => Some(key.job),
-            Self::Fleet | Self::Speeds | Self::Leases | Self::Tombstones => None,
+            Self::Fleet | Self::Speeds | Self::Leases | Self::Written => None,
         }
     }
 }
@@ -49,8 +50,8 @@
     /// VMs with finished runs of these parts.
     pub(super) finished: BTreeMap<PartKey, BTreeSet<VmKey>>,
     pub(super) planned: BTreeMap<PartKey, Vec<RunKey>>,
-    /// The tombstones.
-    pub(super) dropped: Vec<KeyedRecord>,
+    /// The records that are written as they are.
+    pub(super) written: Vec<KeyedRecord>,
     /// VMs to acknowledge finished runs to, with the start of the incarnation and the
     /// number of the last run covered.
     pub(super) acknowledgements: Vec<(VmKey, u64, u64)>,
--- a/crates/monsoonnotch_jobs/src/scheduler/flush/mod.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/flush/mod.rs
@@ -9,6 +9,8 @@
 mod batch;
 mod lists;
 
+use std::collections::VecDeque;
+
 use self::batch::Batch;
 use self::batch::StoredProgress;
 use self::batch::Unit;
@@ -20,8 +22,8 @@
 use crate::journal::KeyedRecord;
 use crate::journal::RemainingLease;
 
-/// Maximum number of tombstones in an append.
-const APPEND_TOMBSTONES_MAX: usize = 4_096;
+/// Maximum number of records in an append that are written as they are.
+const WRITTEN_MAX: usize = 4_096;
 /// Maximum number of parts whose occurrences are complete that a record of progress deletes.
 const COMPLETE_PARTS_MAX: usize = 64;
 /// Number of units from which appends are no longer bounded by it.
@@ -43,8 +45,9 @@
     unacknowledged: BTreeSet<VmKey>,
     /// VMs among them with finished runs of parts whose progress is not stored.
     finished: BTreeMap<PartKey, BTreeSet<VmKey>>,
-    /// Tombstones for all records of jobs, and for cancellations, that are no longer kept.
-    dropped: Vec<KeyedRecord>,
+    /// Tombstones for all records of jobs, and for cancellations, that are no longer kept, and records that
+    /// replace those of callers.
+    written: VecDeque<KeyedRecord>,
     /// Parts of jobs whose placements have changed, with the runs that start once these are stored.
     planned: BTreeMap<PartKey, Vec<RunKey>>,
     /// The append in flight.
@@ -84,9 +87,9 @@
         }
     }
 
-    /// Schedules a tombstone to be stored.
-    pub(super) fn drop_record(&mut self, tombstone: KeyedRecord) {
-        self.dropped.push(tombstone);
+    /// Schedules a record or a tombstone to be stored as it is.
+    pub(super) fn write_record(&mut self, record: KeyedRecord) {
+        self.written.push_back(record);
     }
 
     pub(super) fn remove_job(&mut self, key: JobKey, id: JobId, parts: &BTreeSet<u64>) {
@@ -96,7 +99,7 @@
             self.finished.remove(&part);
         }
         self.refused.retain(|unit, _| unit.job() != Some(key));
-        self.dropped.extend(journal::job_tombstones(id, parts));
+        self.written.extend(journal::job_tombstones(id, parts));
     }
 
     /// Whether the store refuses the placements of a part for good.
@@ -149,7 +152,9 @@
         for (key, runs) in batch.planned {
             self.planned.entry(key).or_default().extend(runs);
         }
-        self.dropped.extend(batch.dropped);
+        for record in batch.written.into_iter().rev() {
+            self.written.push_front(record);
+        }
     }
 }
 
@@ -166,7 +171,7 @@
             sent_at: self.now,
             ..Batch::default()
         };
-        self.add_tombstones(&mut batch);
+        self.add_written(&mut batch);
         self.add_placements(&mut batch);
         self.add_lists(&mut batch);
         self.add_progress(&mut batch);
@@ -186,14 +191,15 @@
         self.effects.push(Effect::Append(records));
     }
 
-    fn add_tombstones(&mut self, batch: &mut Batch) {
-        let allowed = self.flush.allows(batch, Unit::Tombstones);
-        if !allowed || self.flush.dropped.is_empty() {
-            return;
+    fn add_written(&mut self, batch: &mut Batch) {
+        while self.flush.allows(batch, Unit::Written)
+            && batch.has_room()
+            && batch.written.len() < WRITTEN_MAX
+            && let Some(record) = self.flush.written.pop_front()
+        {
+            batch.add(Unit::Written, vec![record.clone()]);
+            batch.written.push(record);
         }
-        let count = self.flush.dropped.len().min(APPEND_TOMBSTONES_MAX);
-        batch.dropped = self.flush.dropped.drain(..count).collect();
-        batch.add(Unit::Tombstones, batch.dropped.clone());
     }
 
     fn add_placements(&mut self, batch: &mut Batch) {
@@ -332,10 +338,18 @@
     /// Applies that the store refuses the append in flight for good: puts its only unit aside, or sends
     /// fewer units in the next one.
     pub(super) fn append_refused(&mut self) {
-        let Some(batch) = self.flush.batch.take() else {
+        let Some(mut batch) = self.flush.batch.take() else {
             return;
         };
         let (units, bytes) = (batch.units.clone(), batch.bytes);
+        if units == [Unit::Written] {
+            let key = batch
+                .written
+                .pop()
+                .map_or(CompactString::default(), |r| r.key);
+            self.warn(0, "record left out", format!("key={key} bytes={bytes}"));
+            return self.flush.put_back(batch);
+        }
         self.flush.put_back(batch);
         self.resume_leases(&self.flush.leases.clone());
         let &[unit] = units.as_slice() else {
--- a/crates/monsoonnotch_jobs/src/scheduler/parts.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/parts.rs
@@ -115,6 +115,7 @@
         return Progress {
             outcome: job.outcome,
             account: job.account.clone(),
+            queue: job.queue.clone(),
             begun: job.begun,
             ..Progress::default()
         };
@@ -129,10 +130,10 @@
         });
     Progress {
         outcome: None,
-        account: CompactString::default(),
         begun: job.begun,
         complete_to: job.complete_to,
         stages: stages.collect(),
+        ..Progress::default()
     }
 }
 
--- a/crates/monsoonnotch_jobs/src/scheduler/queries.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/queries.rs
@@ -1,6 +1,7 @@
 //! Answers to queries from callers, based on what is stored in the journal.
 
 use super::*;
+use crate::access::Caller;
 use crate::effect::Answer;
 use crate::effect::JobState;
 use crate::effect::QueryKey;
@@ -15,19 +16,22 @@
             return;
         }
         let answer = match query {
-            Query::State { id, account } => self.job_state(*id, account),
+            Query::State { id, caller } => self.job_state(*id, caller),
             Query::Pending { queue } => self.pending_jobs(queue),
         };
         self.effects.push(Effect::Reply { key, answer });
     }
 
-    fn job_state(&self, id: JobId, account: &str) -> Answer {
+    fn job_state(&self, id: JobId, caller: &Caller) -> Answer {
         let job = self.jobs_by_id.get(&id).and_then(|&k| self.jobs.get(k));
-        let Some(job) = job.filter(|j| j.account.is_empty() || j.account == account) else {
+        let Some(job) = job else {
             return Answer::NoJob {
                 read_to: self.read_to,
             };
         };
+        if !caller.may_access(&job.account, &job.queue, &self.config) {
+            return Answer::Foreign;
+        }
         let state = match job.stored_outcome {
             Some(Outcome::Completed) => JobState::Completed,
             Some(Outcome::Failed) => JobState::Failed,
--- a/crates/monsoonnotch_jobs/src/scheduler/replay.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/replay.rs
@@ -3,6 +3,7 @@
 use super::job::Job;
 use super::parts::PartKey;
 use super::*;
+use crate::access::Caller;
 use crate::journal;
 use crate::journal::Entry;
 use crate::journal::Progress;
@@ -95,8 +96,9 @@
             return false;
         }
         for (offset, stored) in records {
-            let is_known = |id: JobId| self.jobs_by_id.contains_key(&id);
-            if parse_job_id(&stored.key).is_some_and(is_known) {
+            let known = parse_job_id(&stored.key);
+            if let Some(key) = known.and_then(|id| self.jobs_by_id.get(&id).copied()) {
+                self.submitted_again(key, &stored);
                 continue;
             }
             // After the journal has been read, these are the scheduler's own records and
@@ -109,7 +111,7 @@
                 Some(Entry::Submitted(id, submission)) => {
                     self.apply_submission(offset, id, *submission)
                 }
-                Some(Entry::Cancelled(id)) => self.apply_cancellation(id),
+                Some(Entry::Cancelled(id, caller)) => self.apply_cancellation(id, caller),
                 Some(Entry::Progressed(id, progress)) => self.apply_progress(id, part, progress),
                 Some(Entry::Placed(id, placements)) => self.apply_placements(id, part, &placements),
                 Some(Entry::Fleet(ids)) => self.apply_fleet(&ids),
@@ -152,7 +154,7 @@
                 self.token * ATTEMPTS_PER_TERM
             },
             over_share,
-            cancelled: self.early_cancellations.remove(id),
+            cancelled: self.is_cancelled_early(id, &submission.account, &submission.queue),
             ..Job::new(
                 id,
                 submission.queue,
@@ -214,19 +216,84 @@
         }
     }
 
-    fn apply_cancellation(&mut self, id: JobId) {
+    /// Keeps a job as it was accepted although its submission was stored again with another account, queue or plan: a
+    /// successor would read the newest one.
+    fn submitted_again(&mut self, key: JobKey, stored: &KeyedRecord) {
+        let Some(job) = self.jobs.get(key).filter(|j| !j.ended()) else {
+            return;
+        };
+        let Some(Entry::Submitted(id, again)) = journal::decode_entry(stored) else {
+            return;
+        };
+        let accepted = Submission {
+            queue: job.queue.clone(),
+            account: job.account.clone(),
+            pool: job.pool.clone(),
+            accepted_ms: again.accepted_ms,
+            plan: job.plan.clone(),
+        };
+        if accepted == *again {
+            return;
+        }
+        let record = journal::submission_record(
+            id,
+            &Submission {
+                accepted_ms: job.accepted_ms,
+                ..accepted
+            },
+        );
+        self.flush.write_record(record);
+        let detail = format!("queue={} account={}", again.queue, again.account);
+        self.warn(id.0, "job submitted otherwise", detail);
+    }
+
+    /// Whether a cancellation that is in force preceded a submission.
+    fn is_cancelled_early(&mut self, id: JobId, account: &str, queue: &str) -> bool {
+        let early = self.early_cancellations.remove(id);
+        early.is_some_and(|caller| self.is_in_force(id, caller.as_ref(), account, queue))
+    }
+
+    /// Whether the cancellation of a job is in force.
+    fn is_in_force(
+        &mut self,
+        id: JobId,
+        caller: Option<&Caller>,
+        account: &str,
+        queue: &str,
+    ) -> bool {
+        let foreign = caller.filter(|c| !c.owns(account, queue));
+        if let Some(caller) = foreign {
+            let detail = format!("account={}", caller.account);
+            self.warn(id.0, "cancellation refused", detail);
+        }
+        foreign.is_none()
+    }
+
+    fn apply_cancellation(&mut self, id: JobId, caller: Option<Caller>) {
         let Some(&key) = self.jobs_by_id.get(&id) else {
             // The submission may still follow: a caller may cancel a job for which it got
             // no answer.
-            self.early_cancellations.insert(id, self.now);
+            self.early_cancellations.insert(id, caller, self.now);
             return;
         };
-        let Some(job) = self.jobs.get_mut(key) else {
+        let Some(job) = self.jobs.get(key) else {
             return;
         };
-        if job.ended() {
+        let (cancelled, ended) = (job.cancelled, job.ended());
+        let (account, queue) = (job.account.clone(), job.queue.clone());
+        if !self.is_in_force(id, caller.as_ref(), &account, &queue) {
+            if cancelled {
+                // It has replaced the record of the one that is.
+                self.flush.write_record(journal::cancellation_record(id));
+            }
+            return;
+        }
+        if ended {
             return;
         }
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
         job.cancelled = true;
         self.retire_job(key);
         self.log(id.0, "job cancelled", "by its caller".to_owned());
@@ -263,13 +330,20 @@
         if progress.outcome.is_none() {
             return;
         }
-        let (queue, pool) = (CompactString::default(), CompactString::default());
+        let pool = CompactString::default();
         let job = Job {
             outcome: progress.outcome,
             stored_outcome: progress.outcome,
             begun: true,
             ended_at: Some(self.now),
-            ..Job::new(id, queue, progress.account, pool, Plan::default(), 0)
+            ..Job::new(
+                id,
+                progress.queue,
+                progress.account,
+                pool,
+                Plan::default(),
+                0,
+            )
         };
         let key = self.insert_job(job);
         self.jobs_by_id.insert(id, key);
--- a/crates/monsoonnotch_jobs/tests/promises/leaders.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/leaders.rs
@@ -1,5 +1,6 @@
 //! Directed tests of a leader that has been superseded and does not know it yet.
 
+use monsoonnotch_jobs::access::Caller;
 use monsoonnotch_jobs::effect::Answer;
 use monsoonnotch_jobs::effect::Effect;
 use monsoonnotch_jobs::effect::QueryKey;
@@ -48,7 +49,11 @@
     assert!(steps_down(&fx), "a newer term has begun");
     assert_eq!(starts(&fx), Vec::new());
     let (id, account) = (JobId(5), "ann".into());
-    let query = Query::State { id, account };
+    let caller = Caller {
+        account,
+        ..Caller::default()
+    };
+    let query = Query::State { id, caller };
     let key = QueryKey { link: 0, seq: 1 };
     let fx = deliver(&mut scheduler, 2_300, Event::Query { key, query });
     let is_unread = |e: &Effect| {
--- a/crates/monsoonnotch_jobs/tests/promises/main.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/main.rs
@@ -24,6 +24,7 @@
 mod load;
 mod network;
 mod orders;
+mod owners;
 mod poison;
 mod poison_tasks;
 mod random;
--- a/crates/monsoonnotch_jobs/tests/promises/terms.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/terms.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use monsoonnotch_core::time::Duration;
+use monsoonnotch_jobs::access::Caller;
 use monsoonnotch_jobs::effect::Answer;
 use monsoonnotch_jobs::effect::Effect;
 use monsoonnotch_jobs::effect::JobState;
@@ -189,7 +190,10 @@
     let key = QueryKey { link: 1, seq: 1 };
     let query = || Query::State {
         id: JobId(5),
-        account: "ann".into(),
+        caller: Caller {
+            account: "ann".into(),
+            ..Caller::default()
+        },
     };
     let replies = |fx: &[Effect]| {
         let state = |e: &Effect| match e {
--- a/crates/monsoonnotch_jobs/tests/records.rs
+++ b/crates/monsoonnotch_jobs/tests/records.rs
@@ -49,6 +49,7 @@
     let progress = Progress {
         outcome: None,
         account: long_id(),
+        queue: long_id(),
         begun: true,
         complete_to: u32::MAX,
         stages: vec![stage; PART_TASKS as usize],
--- a/crates/monsoonnotch_member/src/process/mod.rs
+++ b/crates/monsoonnotch_member/src/process/mod.rs
@@ -114,6 +114,7 @@
         Reply::NoJob => "no_job",
         Reply::NoQueue => "no_queue",
         Reply::NoKey => "no_key",
+        Reply::NotOwner => "not_owner",
         Reply::Invalid => "invalid",
         Reply::TooLarge => "too_large",
         Reply::TooSlow => "too_slow",
--- a/crates/monsoonnotch_member/src/requests/mod.rs
+++ b/crates/monsoonnotch_member/src/requests/mod.rs
@@ -17,6 +17,7 @@
 use monsoonnotch_adapter::caller_api::Reply;
 use monsoonnotch_adapter::caller_api::Verb;
 use monsoonnotch_adapter::store;
+use monsoonnotch_jobs::access::Caller;
 use monsoonnotch_jobs::comeback::Cause;
 use monsoonnotch_jobs::effect::Answer;
 use monsoonnotch_jobs::effect::JobState;
@@ -24,6 +25,7 @@
 use monsoonnotch_jobs::event::Event;
 use monsoonnotch_jobs::event::Query;
 use monsoonnotch_jobs::journal;
+use monsoonnotch_jobs::journal::Entry;
 use monsoonnotch_jobs::plan::JobId;
 use monsoonnotch_jobs::plan::parse_job_id;
 use tokio::time::Instant;
@@ -96,10 +98,15 @@
     let Some((name, queue)) = config.queue(&request.host, &request.path) else {
         return Reply::NoQueue;
     };
-    let account = match config.keys.get(&request.key).cloned() {
-        Some(account) => account,
-        None if queue.open => CompactString::default(),
-        None => return Reply::NoKey,
+    let caller = match config.keys.get(&request.key).cloned() {
+        None if !queue.open => return Reply::NoKey,
+        account => Caller {
+            account: account.unwrap_or_default(),
+            open_queue: match queue.open {
+                true => name.clone(),
+                false => CompactString::default(),
+            },
+        },
     };
     let id_part = &request.path[queue.prefix.len()..];
     let deadline = Instant::now() + request.timeout - RESPONSE_MARGIN.min(request.timeout / 4);
@@ -118,14 +125,14 @@
             plan: Some(plan),
             memory,
         } => {
-            let submission = submit::submission(name, queue, account, *plan);
+            let submission = submit::submission(name, queue, caller.account, *plan);
             match submit::prepare(cx, id, submission, memory).await {
                 Ok(record) => submit::store(cx, record, deadline).await,
                 Err(reply) => reply,
             }
         }
-        Verb::Query => job_state(cx, id, account, deadline).await,
-        Verb::Cancel => cancel(cx, id, account, deadline).await,
+        Verb::Query => job_state(cx, id, caller, deadline).await,
+        Verb::Cancel => cancel(cx, id, caller, deadline).await,
     }
 }
 
@@ -137,61 +144,88 @@
     }
 }
 
-async fn job_state(cx: &Arc<Cx>, id: JobId, account: CompactString, deadline: Instant) -> Reply {
-    match query_leader(cx, Query::State { id, account }, deadline).await {
-        Some(Answer::State(state)) => Reply::State(state),
-        Some(Answer::NoJob { read_to }) => match is_submission_stored(cx, id, read_to).await {
-            Some(true) => Reply::State(JobState::Queued),
-            Some(false) => Reply::NoJob,
-            None => refusal::not_stored(cx),
-        },
-        Some(Answer::Pending(_)) | None => refusal::not_run(Cause::NoLeader),
+async fn job_state(cx: &Arc<Cx>, id: JobId, caller: Caller, deadline: Instant) -> Reply {
+    match find_job(cx, id, caller, deadline).await {
+        Found::Job(state) => Reply::State(state),
+        Found::Foreign => Reply::NotOwner,
+        Found::No => Reply::NoJob,
+        Found::Unread => refusal::not_stored(cx),
+        Found::NoLeader => refusal::not_run(Cause::NoLeader),
     }
 }
 
-/// Returns whether the journal has a submission of the job at offset `from` or later, which the
-/// leader has not read yet; `None` when the store does not respond or the leader is far behind.
-async fn is_submission_stored(cx: &Cx, id: JobId, mut from: u64) -> Option<bool> {
+/// What is known of a job that a caller asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Found {
+    /// Its state; the caller may see and cancel it.
+    Job(JobState),
+    /// It belongs to another account.
+    Foreign,
+    /// There is no such job.
+    No,
+    /// The leader does not know it, and the store does not say whether it is stored.
+    Unread,
+    /// No leader answered.
+    NoLeader,
+}
+
+/// Finds a job at the leader, or in the part of the journal that the leader has not read.
+async fn find_job(cx: &Arc<Cx>, id: JobId, caller: Caller, deadline: Instant) -> Found {
+    let query = Query::State {
+        id,
+        caller: caller.clone(),
+    };
+    match query_leader(cx, query, deadline).await {
+        Some(Answer::State(state)) => Found::Job(state),
+        Some(Answer::Foreign) => Found::Foreign,
+        Some(Answer::NoJob { read_to }) => find_submission(cx, id, &caller, read_to).await,
+        Some(Answer::Pending(_)) | None => Found::NoLeader,
+    }
+}
+
+/// Finds the submission of a job in the journal at offset `from` or later, which the leader has not read yet.
+async fn find_submission(cx: &Cx, id: JobId, caller: &Caller, mut from: u64) -> Found {
     let key = journal::submission_key(id);
     for _ in 0..JOURNAL_PAGES_MAX {
         let page = read_journal(cx, from).await;
         cx.record_store_result(page.is_ok());
-        let page = page.ok()?;
-        let mut stored = page
-            .records
-            .iter()
-            .filter_map(|(_, r)| store::decode_keyed(r));
-        if stored.any(|s| s.key == key) {
-            return Some(true);
+        let Ok(page) = page else {
+            return Found::Unread;
+        };
+        let records = page.records.iter();
+        let mut records = records.filter_map(|(_, r)| store::decode_keyed(r));
+        if let Some(record) = records.find(|r| r.key == key) {
+            return match journal::decode_entry(&record) {
+                Some(Entry::Submitted(_, s)) if !caller.owns(&s.account, &s.queue) => {
+                    Found::Foreign
+                }
+                _ => Found::Job(JobState::Queued),
+            };
         }
         if page.next == from {
-            return Some(false);
+            return Found::No;
         }
         from = page.next;
     }
-    None
+    Found::Unread
 }
 
-/// Cancels a job by storing a cancellation record.
+/// Cancels a job by storing a cancellation record, unless the job belongs to another account.
 ///
-/// The record is stored even when the leader does not know the job, and cancels the job if its
-/// submission is stored later.
-async fn cancel(cx: &Arc<Cx>, id: JobId, account: CompactString, deadline: Instant) -> Reply {
-    let query_deadline = (Instant::now() + ANSWER_TIMEOUT).min(deadline);
-    let query = Query::State { id, account };
-    let cancellation = Storable::new(journal::cancellation_record(id), 0);
-    let (known, stored) = tokio::join!(
-        query_leader(cx, query, query_deadline),
-        submit::store(cx, cancellation, deadline),
-    );
-    match (known, stored) {
-        (Some(Answer::NoJob { read_to }), Reply::Stored) => {
-            match is_submission_stored(cx, id, read_to).await {
-                Some(false) => Reply::NoJob,
-                Some(true) | None => Reply::Stored,
-            }
-        }
-        (_, stored) => stored,
+/// The record is stored even when the job is unknown, and cancels the job if its submission is stored later
+/// and the caller may cancel it.
+async fn cancel(cx: &Arc<Cx>, id: JobId, caller: Caller, deadline: Instant) -> Reply {
+    let left = deadline.saturating_duration_since(Instant::now());
+    let query_deadline = Instant::now() + ANSWER_TIMEOUT.min(left / 2);
+    let found = find_job(cx, id, caller.clone(), query_deadline).await;
+    let record = match found {
+        Found::Job(_) => journal::cancellation_record(id),
+        Found::Foreign => return Reply::NotOwner,
+        Found::No | Found::Unread | Found::NoLeader => journal::cancellation_record_of(id, &caller),
+    };
+    match submit::store(cx, Storable::new(record, 0), deadline).await {
+        Reply::Stored if found == Found::No => Reply::NoJob,
+        stored => stored,
     }
 }
 
