Send one refused unit at a time, and put a job aside as a whole

Read again: many units of one job may be refused at once (157 parts of a job of 20,000 tasks). Each was put aside by itself and sent alone every 5 s, which takes most of the store's appends, and finding them one by one took as many appends as there are parts. Now the other units of a job wait with the first one that is refused, one refused unit is sent every 5 s, the oldest first, and once one is taken the next follows at once. All planned runs of such a job are given up, not only those of the refused part.

Log lines name the kind of the records and the part.

--- a/crates/monsoonnotch_jobs/src/scheduler/flush/batch.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/flush/batch.rs
@@ -34,6 +34,18 @@
             Self::Fleet | Self::Speeds | Self::Leases | Self::Written => None,
         }
     }
+
+    /// Returns what log lines say of the unit.
+    pub(super) fn describe(self) -> String {
+        match self {
+            Self::Placements(key) => format!("records=placements part={}", key.number()),
+            Self::Progress(key) => format!("records=progress part={}", key.number()),
+            Self::Fleet => "records=fleet".to_owned(),
+            Self::Speeds => "records=speeds".to_owned(),
+            Self::Leases => "records=leases".to_owned(),
+            Self::Written => "records=written".to_owned(),
+        }
+    }
 }
 
 /// The changes covered by the append in flight.
@@ -42,13 +54,15 @@
     pub(super) records: Vec<KeyedRecord>,
     pub(super) bytes: usize,
     pub(super) units: Vec<Unit>,
-    /// Maximum number of units, and the only one that is allowed if it is sent again.
+    /// Maximum number of units, while one is sought that the store refuses.
     pub(super) units_max: Option<usize>,
+    /// The only unit that is allowed, because the store refused it before.
     pub(super) only: Option<Unit>,
     /// What the records of progress cover.
     pub(super) progress: Vec<StoredProgress>,
     /// VMs with finished runs of these parts.
     pub(super) finished: BTreeMap<PartKey, BTreeSet<VmKey>>,
+    /// Parts with records of placements, with the runs that start once these are stored.
     pub(super) planned: BTreeMap<PartKey, Vec<RunKey>>,
     /// The records that are written as they are.
     pub(super) written: Vec<KeyedRecord>,
--- a/crates/monsoonnotch_jobs/src/scheduler/flush/lists.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/flush/lists.rs
@@ -42,7 +42,7 @@
     pub(super) fn add_lists(&mut self, batch: &mut Batch) {
         // A VM may leave the fleet only once all placements on it are stored.
         let mut planned = self.flush.planned.keys();
-        let stored = planned.all(|key| self.flush.refuses_placements(*key));
+        let stored = planned.all(|key| self.flush.refuses(key.job));
         if stored
             && self.flush.allows(batch, Unit::Fleet)
             && batch.has_room()
--- a/crates/monsoonnotch_jobs/src/scheduler/flush/mod.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/flush/mod.rs
@@ -3,8 +3,8 @@
 //!
 //! The store takes or refuses an append as a whole. Each record fits by construction. If the store refuses an append
 //! for good nevertheless, the next ones become smaller until the unit is found that it refuses. That one is put aside
-//! and sent alone from time to time, so that it holds up nothing else; its job starts nothing meanwhile, and the runs that
-//! have ended for it stay unacknowledged.
+//! with all others of its job and sent alone from time to time, so that it holds up nothing else; its job starts nothing
+//! meanwhile, and VMs with ends of its runs get no acknowledgement.
 
 mod batch;
 mod lists;
@@ -26,12 +26,13 @@
 const WRITTEN_MAX: usize = 4_096;
 /// Maximum number of parts whose occurrences are complete that a record of progress deletes.
 const COMPLETE_PARTS_MAX: usize = 64;
-/// Number of units from which appends are no longer bounded by it.
+/// Number of units from which appends are no longer bounded by their number.
 const UNITS_BOUND_MAX: usize = 1_024;
 
 /// Duration above which an append is logged as slow: about twenty times the usual.
 const SLOW_APPEND_THRESHOLD: Duration = Duration::from_millis(100);
-/// Pause before a unit that the store refuses for good is sent again.
+/// Pause before a unit that the store refuses for good is sent again. One is sent at a time, so that many take
+/// no more of the store.
 const REFUSED_PAUSE: Duration = Duration::from_secs(5);
 /// Gauge of the units that the store refuses for good.
 const REFUSED_GAUGE: &str = "monsoonnotch_refused_units";
@@ -55,8 +56,10 @@
     next_append_at: Time,
     /// Maximum number of units in the next append while one is sought that the store refuses.
     units_max: Option<usize>,
-    /// Units that the store refuses for good, and when each is sent again.
+    /// Units that the store refuses for good, and when each was sent last. The others of their jobs wait for
+    /// them.
     refused: BTreeMap<Unit, Time>,
+    next_refused_at: Time,
     /// Ids of the VMs in the stored fleet record.
     fleet: Vec<CompactString>,
     next_fleet_at: Time,
@@ -102,11 +105,6 @@
         self.written.extend(journal::job_tombstones(id, parts));
     }
 
-    /// Whether the store refuses the placements of a part for good.
-    pub(super) fn refuses_placements(&self, key: PartKey) -> bool {
-        self.refused.contains_key(&Unit::Placements(key))
-    }
-
     /// Whether the store refuses a record of a job for good.
     pub(super) fn refuses(&self, key: JobKey) -> bool {
         self.refused.keys().any(|unit| unit.job() == Some(key))
@@ -116,7 +114,10 @@
     fn allows(&self, batch: &Batch, unit: Unit) -> bool {
         match batch.only {
             Some(only) => only == unit,
-            None => !self.refused.contains_key(&unit),
+            None => match unit.job() {
+                Some(job) => !self.refuses(job),
+                None => !self.refused.contains_key(&unit),
+            },
         }
     }
 
@@ -164,10 +165,12 @@
         if self.flush.batch.is_some() || self.now < self.flush.next_append_at {
             return;
         }
-        let due = self.flush.refused.iter().find(|(_, at)| self.now >= **at);
+        let is_due = self.now >= self.flush.next_refused_at;
+        let refused = self.flush.refused.iter().filter(|_| is_due);
+        let oldest = refused.min_by_key(|(_, at)| **at);
         let mut batch = Batch {
             units_max: self.flush.units_max,
-            only: due.map(|(unit, _)| *unit),
+            only: oldest.map(|(unit, _)| *unit),
             sent_at: self.now,
             ..Batch::default()
         };
@@ -329,6 +332,7 @@
         self.flush.units_max = wider.filter(|max| *max < UNITS_BOUND_MAX);
         if let Some(unit) = batch.only {
             self.flush.refused.remove(&unit);
+            self.flush.next_refused_at = self.now;
             self.placement_needed = true;
             self.gauge(REFUSED_GAUGE, self.flush.refused.len() as f64);
             self.log_unit(unit, "records accepted again", batch.bytes);
@@ -356,20 +360,24 @@
             self.flush.units_max = Some((units.len() / 2).max(1));
             return;
         };
-        self.flush.refused.insert(unit, self.now + REFUSED_PAUSE);
+        self.flush.refused.insert(unit, self.now);
+        self.flush.next_refused_at = self.now + REFUSED_PAUSE;
         self.gauge(REFUSED_GAUGE, self.flush.refused.len() as f64);
         self.log_unit(unit, "records refused", bytes);
-        if let Unit::Placements(key) = unit {
-            // Their placements are not stored, so that these runs would hold their capacity for nothing.
-            let runs = self.flush.planned.get_mut(&key).map(std::mem::take);
-            for run in runs.into_iter().flatten() {
-                if self
-                    .runs
-                    .get(&run)
-                    .is_some_and(|r| r.state == runs::State::Planned)
-                {
-                    self.lose_run(run, "the store refuses its placement");
-                }
+        if let Some(job) = unit.job() {
+            self.lose_planned_runs(job);
+        }
+    }
+
+    /// Gives up the runs of a job that wait for their placements to be stored. They hold capacity.
+    fn lose_planned_runs(&mut self, job: JobKey) {
+        let planned = self.flush.planned.iter_mut();
+        let planned = planned.filter(|(key, _)| key.job == job);
+        let runs: Vec<RunKey> = planned.flat_map(|(_, runs)| std::mem::take(runs)).collect();
+        for run in runs {
+            let state = self.runs.get(&run).map(|r| r.state);
+            if state == Some(runs::State::Planned) {
+                self.lose_run(run, "the store refuses a record of its job");
             }
         }
     }
@@ -377,7 +385,8 @@
     fn log_unit(&mut self, unit: Unit, event: &'static str, bytes: usize) {
         let job = unit.job().and_then(|key| self.jobs.get(key));
         let id = job.map_or(0, |j| j.id.0);
-        self.warn(id, event, format!("records={unit:?} bytes={bytes}"));
+        let detail = format!("{} bytes={bytes}", unit.describe());
+        self.warn(id, event, detail);
     }
 
     fn acknowledge_finished(&mut self, acknowledgements: &[(VmKey, u64, u64)]) {
--- a/crates/monsoonnotch_jobs/src/scheduler/parts.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/parts.rs
@@ -205,7 +205,7 @@
 
 impl Scheduler {
     /// Returns the part of a task.
-    pub(super) fn part_key(&self, stage: StageKey, index: u32) -> Option<PartKey> {
+    fn part_key(&self, stage: StageKey, index: u32) -> Option<PartKey> {
         let division = &self.jobs.get(stage.job)?.division;
         let part = division.part_of(stage.occurrence, stage.step, index);
         Some(PartKey::new(stage.job, part))
--- a/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
@@ -218,14 +218,10 @@
         used.map(|vm| vm.registration.id.clone()).collect()
     }
 
-    /// Whether a VM has a run whose placement the store refuses for good.
+    /// Whether a VM has a run whose placement may not be stored, because the store refuses records of its job.
     fn has_refused_placement(&self, vm: &vms::Vm) -> bool {
-        let runs = vm.runs.iter().filter_map(|r| self.runs.get(r));
-        let mut refused = runs.filter(|r| self.flush.refuses(r.stage.job));
-        refused.any(|r| {
-            let key = self.part_key(r.stage, r.index);
-            key.is_some_and(|key| self.flush.refuses_placements(key))
-        })
+        let mut runs = vm.runs.iter().filter_map(|r| self.runs.get(r));
+        runs.any(|r| self.flush.refuses(r.stage.job))
     }
 
     /// Enrolls the VMs of a fleet that has been stored, so that they can be used.
--- a/tests/job_owners.rs
+++ b/tests/job_owners.rs
@@ -51,7 +51,8 @@
     async fn publish(&mut self, queue: Queue, accounts: &[Account]) {
         self.version += 1;
         let (name, open) = queue;
-        let account = |(name, keys): &Account| json!({"name": name, "api-keys": keys, "weight": 1_000});
+        let account =
+            |(name, keys): &Account| json!({"name": name, "api-keys": keys, "weight": 1_000});
         let tenants: Vec<Value> = accounts.iter().map(account).collect();
         let config = json!({
             "version": self.version,
@@ -64,7 +65,10 @@
         let config = config.to_string();
         self.site.store.put("keyed.op", "config", config.as_bytes());
         let version = format!("\"version\":{}", self.version);
-        let has_it = |m: &Member| !m.log_lines(&["configuration in force", &version]).is_empty();
+        let has_it = |m: &Member| {
+            !m.log_lines(&["configuration in force", &version])
+                .is_empty()
+        };
         let in_force = || async { self.members.iter().all(has_it) };
         wait_until("the configuration is in force", in_force).await;
     }
@@ -125,16 +129,24 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_of_an_open_queue_is_there_after_its_key_is_taken_away() {
     let mut setting = Setting::start("open").await;
-    setting.publish(("watch", true), &[("ann", &["key-old", "key-other"])]).await;
+    setting
+        .publish(("watch", true), &[("ann", &["key-old", "key-other"])])
+        .await;
     setting.submit(Some("key-old")).await;
-    setting.publish(("watch", true), &[("ann", &["key-other"])]).await;
+    setting
+        .publish(("watch", true), &[("ann", &["key-other"])])
+        .await;
     for key in [Some("key-old"), Some("key-other"), None] {
         assert_eq!(setting.send("GET", key).await, 200, "{key:?}");
     }
     setting.publish(("watch", true), &[("ann", &[])]).await;
     assert_eq!(setting.send("GET", Some("key-old")).await, 200);
     setting.change_leader(None).await;
-    assert_eq!(setting.send("GET", Some("key-old")).await, 200, "after a change of leader");
+    assert_eq!(
+        setting.send("GET", Some("key-old")).await,
+        200,
+        "after a change of leader"
+    );
     assert_eq!(setting.send("DELETE", Some("key-old")).await, 200);
     let addr = setting.members[0].callers;
     let cancelled = || async { state(addr, None).await.as_deref() == Some("cancelled") };
@@ -145,20 +157,45 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_stays_with_its_account_when_its_key_is_given_to_another() {
     let mut setting = Setting::start("given").await;
-    setting.publish(("batch", false), &[("ann", &["key-a"]), ("bob", &["key-b"])]).await;
+    setting
+        .publish(
+            ("batch", false),
+            &[("ann", &["key-a"]), ("bob", &["key-b"])],
+        )
+        .await;
     setting.submit(Some("key-a")).await;
-    assert_eq!(setting.send("GET", Some("key-b")).await, 403, "another account");
-    setting.publish(("batch", false), &[("ann", &["key-new"]), ("bob", &["key-a", "key-b"])]).await;
-    assert_eq!(setting.send("GET", Some("key-a")).await, 403, "it is bob's key now");
+    assert_eq!(
+        setting.send("GET", Some("key-b")).await,
+        403,
+        "another account"
+    );
+    setting
+        .publish(
+            ("batch", false),
+            &[("ann", &["key-new"]), ("bob", &["key-a", "key-b"])],
+        )
+        .await;
+    assert_eq!(
+        setting.send("GET", Some("key-a")).await,
+        403,
+        "it is bob's key now"
+    );
     assert_eq!(setting.send("GET", Some("key-new")).await, 200);
     assert_eq!(setting.send("DELETE", Some("key-a")).await, 403);
     // The caller did not get the first answer, and sends the job again.
     let addr = setting.members[1].callers;
     send(addr, "POST", Some("key-a"), &long_lived_job_body(2, 500)).await;
     setting.change_leader(Some("key-new")).await;
-    assert_eq!(setting.send("GET", Some("key-new")).await, 200, "after a change of leader");
+    assert_eq!(
+        setting.send("GET", Some("key-new")).await,
+        200,
+        "after a change of leader"
+    );
     assert_eq!(setting.send("GET", Some("key-a")).await, 403);
-    assert_eq!(state(addr, Some("key-new")).await.as_deref(), Some("active"));
+    assert_eq!(
+        state(addr, Some("key-new")).await.as_deref(),
+        Some("active")
+    );
     assert_eq!(setting.send("DELETE", Some("key-new")).await, 200);
 }
 
@@ -180,7 +217,11 @@
         assert_eq!(setting.send("GET", key).await, 200, "replaced, {key:?}");
     }
     setting.publish(("renamed", false), ACCOUNTS).await;
-    assert_eq!(setting.send("GET", Some("key-a")).await, 200, "replaced and closed");
+    assert_eq!(
+        setting.send("GET", Some("key-a")).await,
+        200,
+        "replaced and closed"
+    );
     assert_eq!(setting.send("GET", Some("key-b")).await, 403);
     assert_eq!(setting.send("GET", None).await, 401);
     setting.publish(("batch", false), ACCOUNTS).await;
@@ -193,7 +234,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_that_was_never_submitted_is_not_there() {
     let mut setting = Setting::start("never").await;
-    setting.publish(("watch", true), &[("ann", &["key-a"])]).await;
+    setting
+        .publish(("watch", true), &[("ann", &["key-a"])])
+        .await;
     let addr = setting.members[0].callers;
     let gone = || async { send(addr, "GET", Some("key-a"), "").await.0 == 410 };
     wait_until("the members serve", gone).await;
