Ask whose an unread job is by the same rule as the leader

It uses the leader's rule now. A deleted submission counted as a job that waits; the newest record of the key counts now.

The number of the last failed attempt that is not kept may be the largest there is; adding one saturates.

--- a/crates/monsoonnotch_jobs/src/scheduler/failures.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/failures.rs
@@ -34,7 +34,7 @@
     pub(super) fn restore(&mut self, kept: &[u64], before: (u64, u64)) {
         self.before = self.before.max(before.0);
         self.last_before = self.last_before.max(before.1);
-        self.kept = self.kept.split_off(&(self.last_before + 1));
+        self.kept = self.kept.split_off(&self.last_before.saturating_add(1));
         for &attempt in kept {
             self.insert(attempt);
         }
--- a/crates/monsoonnotch_jobs/src/scheduler/parts.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/parts.rs
@@ -125,8 +125,7 @@
         .iter()
         .filter_map(|(&(occurrence, step), stage)| {
             let tasks = (job.division).tasks_in(part, occurrence, step, stage.tasks.len());
-            let progress = stage_progress(occurrence, step, stage, tasks)?;
-            Some(progress)
+            stage_progress(occurrence, step, stage, tasks)
         });
     Progress {
         outcome: None,
--- a/crates/monsoonnotch_member/src/requests/mod.rs
+++ b/crates/monsoonnotch_member/src/requests/mod.rs
@@ -194,13 +194,19 @@
         };
         let records = page.records.iter();
         let mut records = records.filter_map(|(_, r)| store::decode_keyed(r));
-        if let Some(record) = records.find(|r| r.key == key) {
-            return match journal::decode_entry(&record) {
-                Some(Entry::Submitted(_, s)) if !caller.owns(&s.account, &s.queue) => {
-                    Found::Foreign
-                }
-                _ => Found::Job(JobState::Queued),
-            };
+        // The last one counts: the leader deletes the submission of a job that it no longer keeps.
+        let stored = records.rfind(|r| r.key == key);
+        match stored.as_ref().and_then(journal::decode_entry) {
+            Some(Entry::Submitted(_, s)) => {
+                let config = cx.config.borrow().clone();
+                let may = config.is_none_or(|c| caller.may_access(&s.account, &s.queue, &c));
+                return match may {
+                    true => Found::Job(JobState::Queued),
+                    false => Found::Foreign,
+                };
+            }
+            Some(_) => return Found::No,
+            None => {}
         }
         if page.next == from {
             return Found::No;
