Keep the owner of a job in the records that leaders write

Traced: the test submits the job again under the other account and kills the leader at once, before it has stored the first submission again; the successor read the newest one. The window is short and real.

Placements, which only leaders write, name the owner now, and a successor goes by them and stores the submission again. Left open: a job that has not begun, submitted again while nobody leads or milliseconds before the leader ends. Weighed: asking the leader before each submission (a round trip for every job), a key for each account (the oldest submission cannot be told from the records).

Test: a_successor_gives_a_job_back_to_its_account; on the successor answers as the other account's.

--- a/crates/monsoonnotch_jobs/src/journal/mod.rs
+++ b/crates/monsoonnotch_jobs/src/journal/mod.rs
@@ -137,6 +137,10 @@
 /// The placements of a part of a job: the VMs to which the runs that may exist were sent.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Placements {
+    /// Whose job it is; `None` in records of older releases. Callers write the submission, which may be stored
+    /// again with another account.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub owner: Option<Owner>,
     /// The VMs that have a run of the job, or had the last run of a task.
     pub vms: Vec<Placed>,
     /// Occurrence, step and index of each task whose last run does not exist any more.
@@ -144,6 +148,15 @@
     pub unplaced: Vec<(u32, u16, u32)>,
 }
 
+/// Whose job it is, as it was accepted first.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Owner {
+    /// The name of the client account; empty if the job belongs to none.
+    pub account: CompactString,
+    /// The name of the queue.
+    pub queue: CompactString,
+}
+
 /// The runs of a job that were sent to one VM.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Placed {
--- a/crates/monsoonnotch_jobs/src/scheduler/parts.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/parts.rs
@@ -10,6 +10,7 @@
 use super::job::Stage;
 use super::job::Task;
 use super::*;
+use crate::journal::Owner;
 use crate::journal::PART_TASKS;
 use crate::journal::Placed;
 use crate::journal::Placements;
@@ -288,6 +289,10 @@
             Some(Placed { vm, runs })
         };
         Placements {
+            owner: Some(Owner {
+                account: job.account.clone(),
+                queue: job.queue.clone(),
+            }),
             vms: vms.into_iter().filter_map(placed).collect(),
             unplaced,
         }
--- a/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/predecessor.rs
@@ -33,6 +33,9 @@
         let Some(&job) = self.jobs_by_id.get(&id) else {
             return;
         };
+        if let Some(owner) = &placements.owner {
+            self.restore_owner(job, owner);
+        }
         let unplaced: BTreeSet<&(u32, u16, u32)> = placements.unplaced.iter().collect();
         for placed in &placements.vms {
             let vm = self.vm_by_id(&placed.vm);
--- a/crates/monsoonnotch_jobs/src/scheduler/replay.rs
+++ b/crates/monsoonnotch_jobs/src/scheduler/replay.rs
@@ -6,6 +6,7 @@
 use crate::access::Caller;
 use crate::journal;
 use crate::journal::Entry;
+use crate::journal::Owner;
 use crate::journal::Progress;
 use crate::journal::Submission;
 use crate::plan::parse_job_id;
@@ -39,6 +40,17 @@
     }
 }
 
+/// Returns the submission of a job as it was accepted.
+fn submission_of(job: &Job) -> Submission {
+    Submission {
+        queue: job.queue.clone(),
+        account: job.account.clone(),
+        pool: job.pool.clone(),
+        accepted_ms: job.accepted_ms,
+        plan: job.plan.clone(),
+    }
+}
+
 impl Scheduler {
     /// Applies the next records of the journal, in order.
     pub(super) fn replay(&mut self, records: Vec<(u64, KeyedRecord)>) {
@@ -225,28 +237,38 @@
         let Some(Entry::Submitted(id, again)) = journal::decode_entry(stored) else {
             return;
         };
-        let accepted = Submission {
-            queue: job.queue.clone(),
-            account: job.account.clone(),
-            pool: job.pool.clone(),
-            accepted_ms: again.accepted_ms,
-            plan: job.plan.clone(),
+        let accepted = submission_of(job);
+        let same = Submission {
+            accepted_ms: accepted.accepted_ms,
+            ..*again
         };
-        if accepted == *again {
+        if accepted == same {
             return;
         }
-        let record = journal::submission_record(
-            id,
-            &Submission {
-                accepted_ms: job.accepted_ms,
-                ..accepted
-            },
-        );
-        self.flush.write_record(record);
-        let detail = format!("queue={} account={}", again.queue, again.account);
+        self.flush
+            .write_record(journal::submission_record(id, &accepted));
+        let detail = format!("queue={} account={}", same.queue, same.account);
         self.warn(id.0, "job submitted otherwise", detail);
     }
 
+    /// Gives a job back to its first owner if its submission was stored again with another one, and its
+    /// predecessor had not replaced it.
+    pub(super) fn restore_owner(&mut self, key: JobKey, owner: &Owner) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        if job.account == owner.account && job.queue == owner.queue {
+            return;
+        }
+        job.account = owner.account.clone();
+        job.queue = owner.queue.clone();
+        let (id, submission) = (job.id, submission_of(job));
+        self.flush
+            .write_record(journal::submission_record(id, &submission));
+        let detail = format!("queue={} account={}", owner.queue, owner.account);
+        self.warn(id.0, "owner restored", detail);
+    }
+
     /// Whether a cancellation that is in force preceded a submission.
     fn is_cancelled_early(&mut self, id: JobId, account: &str, queue: &str) -> bool {
         let early = self.early_cancellations.remove(id);
--- a/crates/monsoonnotch_jobs/tests/promises/owners.rs
+++ b/crates/monsoonnotch_jobs/tests/promises/owners.rs
@@ -16,8 +16,10 @@
 use monsoonnotch_jobs::journal::Outcome;
 use monsoonnotch_jobs::plan::JobId;
 use monsoonnotch_jobs::scheduler::Scheduler;
+use monsoonnotch_jobs::tuning::Tuning;
 use rstest::rstest;
 
+use crate::directed::at;
 use crate::directed::deliver;
 use crate::directed::job_of_one_task;
 use crate::directed::scheduler_with;
@@ -184,6 +186,38 @@
     assert_eq!(restored, Some(Entry::Submitted(JOB, first)));
 }
 
+/// Guards against a job that changes hands with its leader, which ended before it could restore the submission. The
+/// job had begun.
+#[test]
+fn a_successor_gives_a_job_back_to_its_account() {
+    let (mut scheduler, _) = scheduler_with(1);
+    let mut fx = deliver(
+        &mut scheduler,
+        100,
+        Event::Journal(vec![(1, job_of_one_task())]),
+    );
+    fx.extend(wait(&mut scheduler, 110..200));
+    let placed = written(&fx, &format!("{JOB}.r")).expect("its placement is stored");
+    let Some(Entry::Submitted(_, first)) = journal::decode_entry(&job_of_one_task()) else {
+        panic!("the record is a submission");
+    };
+    let mut again = first.clone();
+    again.account = "bob".into();
+    let again = journal::submission_record(JOB, &again);
+    let cfg = Arc::new(site(0, false));
+    let mut next = Scheduler::new(2, Tuning::default(), cfg, at(5_000));
+    deliver(&mut next, 0, Event::AllVms(fleet(1, 8_000)));
+    let read = vec![(0, again), (0, placed)];
+    deliver(&mut next, 1, Event::Journal(read));
+    let fx = deliver(&mut next, 2, Event::CaughtUp { marker: 4 });
+    let active = Answer::State(JobState::Active);
+    assert_eq!(ask(&mut next, 10, caller("ann", "")), active);
+    assert_eq!(ask(&mut next, 11, caller("bob", "")), Answer::Foreign);
+    let restored = written(&fx, &journal::submission_key(JOB));
+    let restored = restored.as_ref().and_then(journal::decode_entry);
+    assert_eq!(restored, Some(Entry::Submitted(JOB, first)));
+}
+
 /// Guards against an append for each submission that is sent again as it was.
 #[test]
 fn a_job_that_is_submitted_again_as_it_was_is_not_stored_again() {
--- a/crates/monsoonnotch_jobs/tests/records.rs
+++ b/crates/monsoonnotch_jobs/tests/records.rs
@@ -6,6 +6,7 @@
 use monsoonnotch_jobs::journal::CRASHES_KEPT_MAX;
 use monsoonnotch_jobs::journal::FAILED_KEPT_MAX;
 use monsoonnotch_jobs::journal::KeyedRecord;
+use monsoonnotch_jobs::journal::Owner;
 use monsoonnotch_jobs::journal::PART_TASKS;
 use monsoonnotch_jobs::journal::Placed;
 use monsoonnotch_jobs::journal::Placements;
@@ -66,6 +67,10 @@
         runs: vec![(u32::MAX, u16::MAX, u32::MAX, u64::MAX)],
     };
     let placements = Placements {
+        owner: Some(Owner {
+            account: long_id(),
+            queue: long_id(),
+        }),
         vms: vec![placed; PART_TASKS as usize],
         unplaced: vec![(u32::MAX, u16::MAX, u32::MAX); PART_TASKS as usize],
     };
--- a/tests/job_owners.rs
+++ b/tests/job_owners.rs
@@ -108,7 +108,10 @@
 
 impl Drop for Setting {
     fn drop(&mut self) {
-        drop(std::fs::remove_dir_all(&self.dir));
+        // The logs of a failed test are kept.
+        if !std::thread::panicking() {
+            drop(std::fs::remove_dir_all(&self.dir));
+        }
     }
 }
 
